Lay out the modules, the wire protocol and the build

Cause: an empty repository. The modules are core (deciding code), wire (generated), net (HTTP), standin, node (daemons), app (command), bench.

--- /dev/null
+++ b/core/src/main/java/org/teaselhook/core/id/Incarnation.java
@@ -0,0 +1,63 @@
+package org.teaselhook.core.id;
+
+import java.util.random.RandomGenerator;
+
+/**
+ * One run of a process: drawn at random at start, never used again by a later run of the same process.
+ *
+ * @param value 64 random bits, not zero
+ */
+public record Incarnation(long value) {
+
+    /**
+     * Checks the value.
+     *
+     * @throws IllegalArgumentException if {@code value} is zero
+     */
+    public Incarnation {
+        if (value == 0) {
+            throw new IllegalArgumentException("value is zero");
+        }
+    }
+
+    // -- factories
+
+    /**
+     * Returns the incarnation with the given value.
+     *
+     * @param value 64 random bits, not zero
+     * @return the incarnation
+     */
+    public static Incarnation of(long value) {
+        return new Incarnation(value);
+    }
+
+    /**
+     * Draws a new incarnation.
+     *
+     * @param random the source of randomness
+     * @return a new incarnation
+     */
+    public static Incarnation random(RandomGenerator random) {
+        long value = random.nextLong();
+        return value == 0 ? random(random) : new Incarnation(value);
+    }
+
+    /**
+     * Reads the form that {@link #toString()} writes.
+     *
+     * @param hex 16 hexadecimal digits
+     * @return the incarnation
+     * @throws NumberFormatException if {@code hex} has another form
+     */
+    public static Incarnation parse(String hex) {
+        return new Incarnation(Long.parseUnsignedLong(hex, 16));
+    }
+
+    // -- conversions
+
+    @Override
+    public String toString() {
+        return String.format("%016x", value);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaselhook/core/id/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Identities of processes and submissions.
+ */
+package org.teaselhook.core.id;
--- /dev/null
+++ b/core/src/main/java/org/teaselhook/core/outcome/Outcome.java
@@ -0,0 +1,98 @@
+package org.teaselhook.core.outcome;
+
+import java.util.List;
+import java.util.function.Function;
+
+/**
+ * The final outcome of a submission; exactly one of three.
+ *
+ * <pre>{@code
+ * int status = outcome.fold(complete -> 200, notRun -> notRun.problem().kind().httpStatus(), mayHaveRun -> 502);
+ * }</pre>
+ */
+public sealed interface Outcome permits Outcome.Complete, Outcome.NotRun, Outcome.MayHaveRun {
+
+    // -- factories
+
+    /**
+     * Returns the outcome of a submission every task of which was answered.
+     *
+     * @param answers one answer per task, in task order
+     * @return the outcome
+     */
+    static Outcome complete(List<Answer> answers) {
+        return new Complete(answers);
+    }
+
+    /**
+     * Returns the outcome of a submission of which no task started and none will.
+     *
+     * @param problem the reason
+     * @return the outcome
+     */
+    static Outcome notRun(Problem problem) {
+        return new NotRun(problem);
+    }
+
+    /**
+     * Returns the outcome of a failed submission of which some task may have started.
+     *
+     * @param problem the reason
+     * @return the outcome
+     */
+    static Outcome mayHaveRun(Problem problem) {
+        return new MayHaveRun(problem);
+    }
+
+    // -- elimination
+
+    /**
+     * Applies the function for this outcome.
+     *
+     * @param <T> the result type
+     * @param complete applied when complete
+     * @param notRun applied when not run
+     * @param mayHaveRun applied when the submission may have run
+     * @return the function's result
+     */
+    default <T> T fold(
+            Function<? super Complete, ? extends T> complete,
+            Function<? super NotRun, ? extends T> notRun,
+            Function<? super MayHaveRun, ? extends T> mayHaveRun) {
+        if (this instanceof Complete c) {
+            return complete.apply(c);
+        }
+        if (this instanceof NotRun n) {
+            return notRun.apply(n);
+        }
+        return mayHaveRun.apply((MayHaveRun) this);
+    }
+
+    // -- cases
+
+    /**
+     * Every task was answered.
+     *
+     * @param answers one answer per task, in task order
+     */
+    record Complete(List<Answer> answers) implements Outcome {
+        /** Copies the list. */
+        public Complete {
+            answers = List.copyOf(answers);
+        }
+    }
+
+    /**
+     * No task started and none will.
+     *
+     * @param problem the reason
+     */
+    record NotRun(Problem problem) implements Outcome {}
+
+    /**
+     * The submission failed and some task may have started.
+     *
+     * @param problem the reason
+     */
+    record MayHaveRun(Problem problem) implements Outcome {}
+}
--- /dev/null
+++ b/core/src/main/java/org/teaselhook/core/rules/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The rules that operators write, one a line.
+ */
+package org.teaselhook.core.rules;
--- /dev/null
+++ b/net/src/main/java/org/teaselhook/net/log/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Log lines of key=value pairs.
+ */
+package org.teaselhook.net.log;
