Add the HTTP server and client on Netty's codec

Cause: callers, targets, operators and the table service are all met over HTTP/1.1. The client separates requests that were never sent from those that may have been acted on, since a refusal rests on that difference. Ruled out: a third-party HTTP client, because none of the usual ones tells the two apart.

--- /dev/null
+++ b/net/src/main/java/org/teaselhook/net/http/HttpClient.java
@@ -0,0 +1,87 @@
+package org.teaselhook.net.http;
+
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.nio.NioSocketChannel;
+
+/**
+ * An HTTP/1.1 client that keeps a bounded pool of connections to each server. Thread-safe.
+ */
+public final class HttpClient implements AutoCloseable {
+
+    private final EventLoops loops;
+    private final boolean ownsLoops;
+    private final int maxConnectionsPerHost;
+    private final Bootstrap bootstrap;
+    private final Map<InetSocketAddress, ClientPool> pools = new ConcurrentHashMap<>();
+
+    private HttpClient(EventLoops loops, boolean ownsLoops, int maxConnectionsPerHost, long connectTimeoutMillis) {
+        this.loops = loops;
+        this.ownsLoops = ownsLoops;
+        this.maxConnectionsPerHost = maxConnectionsPerHost;
+        this.bootstrap = new Bootstrap()
+                .group(loops.group())
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, Math.toIntExact(connectTimeoutMillis));
+    }
+
+    // -- factories
+
+    /**
+     * Returns a client with one traffic thread of its own.
+     *
+     * @param maxConnectionsPerHost the greatest number of connections to one server
+     * @param connectTimeoutMillis the longest wait for a connection
+     * @return the client
+     */
+    public static HttpClient create(int maxConnectionsPerHost, long connectTimeoutMillis) {
+        return new HttpClient(EventLoops.of(1), true, maxConnectionsPerHost, connectTimeoutMillis);
+    }
+
+    /**
+     * Returns a client on shared traffic threads.
+     *
+     * @param loops the traffic threads, which outlive the client
+     * @param maxConnectionsPerHost the greatest number of connections to one server
+     * @param connectTimeoutMillis the longest wait for a connection
+     * @return the client
+     */
+    public static HttpClient create(EventLoops loops, int maxConnectionsPerHost, long connectTimeoutMillis) {
+        return new HttpClient(loops, false, maxConnectionsPerHost, connectTimeoutMillis);
+    }
+
+    // -- sending
+
+    /**
+     * Sends a request. It waits for a free connection as long as its time allows.
+     *
+     * @param to the server's address
+     * @param call the request
+     * @param timeoutMillis the longest time until the whole response is there
+     * @return what became of it; never completes exceptionally
+     */
+    public CompletionStage<HttpResult> send(InetSocketAddress to, HttpCall call, long timeoutMillis) {
+        Objects.requireNonNull(call, "call is null");
+        return pools.computeIfAbsent(to, this::pool).send(call, timeoutMillis);
+    }
+
+    private ClientPool pool(InetSocketAddress to) {
+        return new ClientPool(bootstrap, to, maxConnectionsPerHost);
+    }
+
+    /** Closes every connection; requests in progress end as lost. */
+    @Override
+    public void close() {
+        pools.values().forEach(ClientPool::close);
+        if (ownsLoops) {
+            loops.close();
+        }
+    }
+}
--- /dev/null
+++ b/net/src/main/java/org/teaselhook/net/http/HttpServer.java
@@ -0,0 +1,126 @@
+package org.teaselhook.net.http;
+
+import java.net.InetSocketAddress;
+import java.util.Objects;
+import java.util.concurrent.CompletionStage;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpServerCodec;
+
+/**
+ * An HTTP/1.1 server that hands whole requests to a handler and answers the requests of a connection in order.
+ */
+public final class HttpServer implements AutoCloseable {
+
+    private static final int BACKLOG = 1_024;
+
+    private final EventLoops loops;
+    private final boolean ownsLoops;
+    private final OpenConnections connections;
+    private final Channel listener;
+
+    private HttpServer(EventLoops loops, boolean ownsLoops, OpenConnections connections, Channel listener) {
+        this.loops = loops;
+        this.ownsLoops = ownsLoops;
+        this.connections = connections;
+        this.listener = listener;
+    }
+
+    // -- factories
+
+    /**
+     * Starts a server with two traffic threads of its own.
+     *
+     * @param bind the address to listen on; port 0 picks a free one
+     * @param handler answers the requests
+     * @param limits the server's bounds
+     * @return the running server
+     * @throws IllegalStateException if the address cannot be bound
+     */
+    public static HttpServer start(InetSocketAddress bind, HttpHandler handler, HttpLimits limits) {
+        return start(EventLoops.of(2), true, bind, handler, limits);
+    }
+
+    /**
+     * Starts a server on shared traffic threads.
+     *
+     * @param loops the traffic threads, which outlive the server
+     * @param bind the address to listen on; port 0 picks a free one
+     * @param handler answers the requests
+     * @param limits the server's bounds
+     * @return the running server
+     * @throws IllegalStateException if the address cannot be bound
+     */
+    public static HttpServer start(EventLoops loops, InetSocketAddress bind, HttpHandler handler, HttpLimits limits) {
+        return start(loops, false, bind, handler, limits);
+    }
+
+    private static HttpServer start(
+            EventLoops loops, boolean ownsLoops, InetSocketAddress bind, HttpHandler handler, HttpLimits limits) {
+        Objects.requireNonNull(handler, "handler is null");
+        OpenConnections connections = new OpenConnections(limits.maxConnections());
+        ServerBootstrap bootstrap = new ServerBootstrap()
+                .group(loops.group())
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        channel.pipeline()
+                                .addLast(new HttpServerCodec())
+                                .addLast(new WholeRequests(limits.maxBodyBytes()))
+                                .addLast(new ServerConnection(handler, connections, limits.idleTimeoutMillis()));
+                    }
+                });
+        var bound = bootstrap.bind(bind).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new IllegalStateException("cannot listen on " + bind + "; choose a free address", bound.cause());
+        }
+        return new HttpServer(loops, ownsLoops, connections, bound.channel());
+    }
+
+    // -- accessors
+
+    /**
+     * Returns the port listened on.
+     *
+     * @return the port
+     */
+    public int port() {
+        return ((InetSocketAddress) listener.localAddress()).getPort();
+    }
+
+    // -- stopping
+
+    /** Closes the listening socket and idle connections; requests in progress go on, and their connections then end. */
+    public void stopAccepting() {
+        listener.close();
+        connections.closeWhenIdle();
+    }
+
+    /**
+     * Tells when no connection is open any more; use after {@link #stopAccepting()}.
+     *
+     * @return a stage that completes then
+     */
+    public CompletionStage<Void> drained() {
+        return connections.drained();
+    }
+
+    /** Closes the listening socket and every connection at once. */
+    @Override
+    public void close() {
+        listener.close();
+        connections.closeAll();
+        if (ownsLoops) {
+            loops.close();
+        }
+    }
+}
--- /dev/null
+++ b/net/src/main/java/org/teaselhook/net/http/ServerConnection.java
@@ -0,0 +1,172 @@
+package org.teaselhook.net.http;
+
+import java.util.ArrayDeque;
+import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpUtil;
+import org.teaselhook.core.outcome.Problem;
+import org.teaselhook.core.outcome.ProblemKind;
+
+/**
+ * One caller's connection: one request at a time is with the handler, further ones wait in order.
+ */
+final class ServerConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
+
+    private static final int MAX_WAITING_REQUESTS = 16;
+
+    private final HttpHandler handler;
+    private final OpenConnections connections;
+    private final long idleTimeoutMillis;
+    private final Queue<HttpCall> waiting = new ArrayDeque<>();
+    private final CompletableFuture<Void> closed = new CompletableFuture<>();
+    private volatile ChannelHandlerContext context;
+    private boolean busy;
+    private boolean closeAfterReply;
+    private long lastActiveNanos;
+
+    ServerConnection(HttpHandler handler, OpenConnections connections, long idleTimeoutMillis) {
+        this.handler = handler;
+        this.connections = connections;
+        this.idleTimeoutMillis = idleTimeoutMillis;
+    }
+
+    // -- life of the connection
+
+    @Override
+    public void channelActive(ChannelHandlerContext active) {
+        context = active;
+        lastActiveNanos = System.nanoTime();
+        if (!connections.add(this)) {
+            active.close();
+            return;
+        }
+        scheduleIdleCheck();
+        if (connections.isStopping()) {
+            closeWhenIdle();
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext inactive) {
+        waiting.clear();
+        connections.remove(this);
+        closed.complete(null);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext failed, Throwable cause) {
+        failed.close();
+    }
+
+    void closeWhenIdle() {
+        onEventLoop(this::closeIfIdle);
+    }
+
+    void closeNow() {
+        onEventLoop(context::close);
+    }
+
+    private void onEventLoop(Runnable action) {
+        if (context != null) {
+            context.executor().execute(action);
+        }
+    }
+
+    private void closeIfIdle() {
+        closeAfterReply = true;
+        if (!busy) {
+            context.close();
+        }
+    }
+
+    private void scheduleIdleCheck() {
+        context.executor().schedule(this::checkIdle, idleTimeoutMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private void checkIdle() {
+        if (!context.channel().isActive()) {
+            return;
+        }
+        long idleMillis = (System.nanoTime() - lastActiveNanos) / 1_000_000;
+        if (!busy && idleMillis >= idleTimeoutMillis) {
+            context.close();
+        } else {
+            scheduleIdleCheck();
+        }
+    }
+
+    // -- requests
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext read, FullHttpRequest request) {
+        lastActiveNanos = System.nanoTime();
+        if (request.decoderResult().isFailure()) {
+            refuseMalformed(request.decoderResult().cause().getMessage());
+            return;
+        }
+        closeAfterReply |= !HttpUtil.isKeepAlive(request);
+        enqueue(request);
+    }
+
+    private void enqueue(FullHttpRequest request) {
+        try {
+            waiting.add(NettyMessages.call(request, closed));
+        } catch (IllegalArgumentException e) {
+            refuseMalformed(e.getMessage());
+            return;
+        }
+        if (waiting.size() >= MAX_WAITING_REQUESTS) {
+            context.channel().config().setAutoRead(false);
+        }
+        handleNext();
+    }
+
+    private void refuseMalformed(String reason) {
+        Problem problem = Problem.of(ProblemKind.BAD_REQUEST, "not HTTP/1.1: " + reason);
+        write(ProblemReply.notRun(problem), true);
+    }
+
+    private void handleNext() {
+        if (busy || waiting.isEmpty()) {
+            return;
+        }
+        busy = true;
+        context.channel().config().setAutoRead(true);
+        invoke(waiting.poll()).whenComplete((reply, failure) -> onEventLoop(() -> finish(reply, failure)));
+    }
+
+    private CompletionStage<HttpReply> invoke(HttpCall call) {
+        try {
+            return handler.handle(call);
+        } catch (RuntimeException e) {
+            return CompletableFuture.failedFuture(e);
+        }
+    }
+
+    private void finish(HttpReply reply, Throwable failure) {
+        busy = false;
+        lastActiveNanos = System.nanoTime();
+        boolean last = (closeAfterReply || connections.isStopping()) && waiting.isEmpty();
+        write(failure == null ? reply : failed(failure), last);
+        handleNext();
+    }
+
+    private static HttpReply failed(Throwable failure) {
+        return ProblemReply.mayHaveRun(Problem.of(ProblemKind.INTERNAL, String.valueOf(failure)));
+    }
+
+    private void write(HttpReply reply, boolean close) {
+        ChannelFuture written = context.writeAndFlush(NettyMessages.response(reply, close));
+        if (close) {
+            written.addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+}
--- /dev/null
+++ b/net/src/test/java/org/teaselhook/net/log/LogLineTest.java
@@ -0,0 +1,29 @@
+package org.teaselhook.net.log;
+
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+
+public class LogLineTest {
+
+    // -- with
+
+    @DataProvider
+    public Object[][] values() {
+        return new Object[][] {
+            {"plain", "plain"},
+            {7, "7"},
+            {"", "\"\""},
+            {"two words", "\"two words\""},
+            {"a=b", "\"a=b\""},
+            {"say \"no\"", "\"say \\\"no\\\"\""},
+            {"line\nbreak", "\"line\\u000abreak\""},
+        };
+    }
+
+    @Test(dataProvider = "values")
+    public void shouldKeepEachEventOnOneLine(Object value, String written) {
+        assertEquals(LogLine.of("x").with("k", value).toString(), "event=x k=" + written);
+    }
+}
