--- /dev/null
+++ b/core/src/main/java/org/teaselhook/core/dispatch/RefusalReason.java
@@ -0,0 +1,46 @@
+package org.teaselhook.core.dispatch;
+
+/**
+ * Why an agent did not start a task, and never will under that dispatch number.
+ */
+public enum RefusalReason {
+    /** No slot was free. */
+    NO_FREE_SLOT(false),
+    /** The dispatch number was refused before. */
+    ALREADY_SEEN(false),
+    /** The time to start by had passed. */
+    START_BY_PASSED(false),
+    /** The availability zone is out of service. */
+    ZONE_OUT(true),
+    /** The agent or its target is leaving. */
+    LEAVING(true),
+    /** No target of the service is announced. */
+    NO_TARGET(true),
+    /** The entry's last word was too old. */
+    STALE_ENTRY(true),
+    /** The dispatch was meant for another run of the agent. */
+    WRONG_INCARNATION(true),
+    /** The dispatch was lost with a connection. */
+    NEVER_ARRIVED(false),
+    /** The entry cancelled it before it started. */
+    CANCELLED(false),
+    /** No connection to the target could be opened, or the target answered that it did not start the task. */
+    CONNECT_FAILED(true),
+    /** The dispatch named a configuration version newer than the agent's. */
+    CONFIG_UNKNOWN(true);
+
+    private final boolean concernsAgent;
+
+    RefusalReason(boolean concernsAgent) {
+        this.concernsAgent = concernsAgent;
+    }
+
+    /**
+     * Tells whether the next task for this agent would probably be refused too.
+     *
+     * @return true if the agent should get nothing new for a moment
+     */
+    public boolean concernsAgent() {
+        return concernsAgent;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaselhook/core/dispatch/Submission.java
@@ -0,0 +1,53 @@
+package org.teaselhook.core.dispatch;
+
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * A request or job as admitted by the entry. Times are on the entry's monotonic clock, in nanoseconds.
+ *
+ * @param id unique among the submissions that this entry ever takes
+ * @param service the service's name
+ * @param customer the customer's name
+ * @param tasks the tasks, at least one
+ * @param startedAt when the request arrived
+ * @param deadline when the caller stops waiting
+ * @param claimed true for jobs and non-idempotent requests: a task is sent again only after a refusal that says that it
+ *     did not start; false for a single idempotent request, which may be retried after a possible start, or hedged
+ */
+public record Submission(
+        String id,
+        String service,
+        String customer,
+        List<TaskRequest> tasks,
+        long startedAt,
+        long deadline,
+        boolean claimed) {
+
+    /**
+     * Copies the tasks.
+     *
+     * @throws IllegalArgumentException if there is no task, or if an unclaimed submission is not one idempotent task
+     */
+    public Submission {
+        Objects.requireNonNull(id, "id is null");
+        Objects.requireNonNull(service, "service is null");
+        Objects.requireNonNull(customer, "customer is null");
+        tasks = List.copyOf(tasks);
+        if (tasks.isEmpty()) {
+            throw new IllegalArgumentException("tasks is empty");
+        }
+        if (!claimed && (tasks.size() > 1 || !tasks.get(0).idempotent())) {
+            throw new IllegalArgumentException("only a single idempotent request can be unclaimed");
+        }
+    }
+
+    /**
+     * Returns the number of tasks.
+     *
+     * @return at least 1
+     */
+    public int size() {
+        return tasks.size();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaselhook/core/placement/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Choice of a worker for a task.
+ */
+package org.teaselhook.core.placement;
