Read settings of entries and agents from YAML, checked as a whole

Every fault is reported in one run with its path, value and remedy; unknown and repeated keys are refused; addresses are IP numbers, so nothing is looked up.

--- /dev/null
+++ b/node/src/main/java/org/teaselhook/node/settings/AgentSettings.java
@@ -0,0 +1,66 @@
+package org.teaselhook.node.settings;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+
+/**
+ * Settings of an agent.
+ *
+ * <pre>{@code
+ * name: worker-7
+ * zone: kottayam
+ * rack: rack-2
+ * slots: 8
+ * connections: 64
+ * http: 127.0.0.1:8090       # targets' announcements and health
+ * entries: [10.0.0.1:9090, 10.0.0.2:9090]
+ * }</pre>
+ *
+ * @param name the worker's name, unique among workers
+ * @param zone the availability zone
+ * @param rack the rack
+ * @param slots how many tasks run at once
+ * @param connections the greatest number of connections to a target
+ * @param http where targets announce themselves and health is served
+ * @param entries gRPC addresses of entries, at least one
+ */
+public record AgentSettings(
+        String name,
+        String zone,
+        String rack,
+        int slots,
+        int connections,
+        InetSocketAddress http,
+        List<InetSocketAddress> entries) {
+
+    /** The default of {@link #slots()}. */
+    public static final int DEFAULT_SLOTS = 8;
+    /** The default of {@link #connections()}. */
+    public static final int DEFAULT_CONNECTIONS = 64;
+
+    /** Copies the list. */
+    public AgentSettings {
+        entries = List.copyOf(entries);
+    }
+
+    /**
+     * Reads settings.
+     *
+     * @param yaml the text of the settings file
+     * @return the settings, or every fault
+     */
+    public static SettingsResult<AgentSettings> parse(String yaml) {
+        return SettingsNode.parse(yaml, AgentSettings::read);
+    }
+
+    private static AgentSettings read(SettingsNode root) {
+        return new AgentSettings(
+                root.name("name"),
+                root.name("zone"),
+                root.name("rack"),
+                (int) root.number("slots", 1, 4_096, DEFAULT_SLOTS),
+                (int) root.number("connections", 1, 65_536, DEFAULT_CONNECTIONS),
+                root.address("http"),
+                root.addresses("entries", 1));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/teaselhook/node/settings/SettingsFile.java
@@ -0,0 +1,51 @@
+package org.teaselhook.node.settings;
+
+import java.io.IOException;
+import java.nio.charset.CharacterCodingException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.function.Function;
+
+/**
+ * Reads settings files.
+ */
+public final class SettingsFile {
+
+    private SettingsFile() {}
+
+    /**
+     * Reads an entry's settings.
+     *
+     * @param file the YAML file
+     * @return the settings, or every fault
+     */
+    public static SettingsResult<EntrySettings> readEntry(Path file) {
+        return read(file, EntrySettings::parse);
+    }
+
+    /**
+     * Reads an agent's settings.
+     *
+     * @param file the YAML file
+     * @return the settings, or every fault
+     */
+    public static SettingsResult<AgentSettings> readAgent(Path file) {
+        return read(file, AgentSettings::parse);
+    }
+
+    private static <T> SettingsResult<T> read(Path file, Function<String, SettingsResult<T>> parse) {
+        try {
+            return parse.apply(Files.readString(file));
+        } catch (CharacterCodingException e) {
+            return unreadable(file, "save the file as UTF-8");
+        } catch (IOException e) {
+            return unreadable(file, "check the path and its permissions");
+        }
+    }
+
+    private static <T> SettingsResult<T> unreadable(Path file, String remedy) {
+        SettingFault fault = new SettingFault("(file)", file.toString(), SettingFaultKind.UNREADABLE, remedy);
+        return new SettingsResult.Rejected<>(List.of(fault));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/teaselhook/node/settings/SettingsNode.java
@@ -0,0 +1,196 @@
+package org.teaselhook.node.settings;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
+import org.teaselhook.core.rules.RuleName;
+
+/**
+ * One mapping of a settings file while it is read. Collects faults instead of failing, so that one run reports all.
+ * Where a value is at fault, the accessor returns a placeholder that is never seen outside.
+ */
+final class SettingsNode {
+
+    private static final YAMLMapper MAPPER = YAMLMapper.builder()
+            .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+            .build();
+    private static final InetSocketAddress PLACEHOLDER = new InetSocketAddress(0);
+    private static final String ADDRESS_REMEDY = "write an IP number and a port, such as 10.0.0.1:9090 or [::1]:9090";
+
+    private final String prefix;
+    private final JsonNode node;
+    private final List<SettingFault> faults;
+    private final Set<String> known = new HashSet<>();
+    private final List<SettingsNode> sections = new ArrayList<>();
+
+    private SettingsNode(String prefix, JsonNode node, List<SettingFault> faults) {
+        this.prefix = prefix;
+        this.node = node;
+        this.faults = faults;
+    }
+
+    static <T> SettingsResult<T> parse(String yaml, Function<SettingsNode, T> read) {
+        List<SettingFault> faults = new ArrayList<>();
+        SettingsNode root = new SettingsNode("", tree(yaml, faults), faults);
+        if (!faults.isEmpty()) {
+            return new SettingsResult.Rejected<>(faults);
+        }
+        T settings = read.apply(root);
+        root.refuseUnknownKeys();
+        return faults.isEmpty() ? new SettingsResult.Accepted<>(settings) : new SettingsResult.Rejected<>(faults);
+    }
+
+    // -- accessors
+
+    String name(String key) {
+        return required(key).map(value -> checkedName(key, value)).orElse("");
+    }
+
+    String name(String key, String fallback) {
+        return optional(key).map(value -> checkedName(key, value)).orElse(fallback);
+    }
+
+    InetSocketAddress address(String key) {
+        return required(key).map(value -> checkedAddress(key, value)).orElse(PLACEHOLDER);
+    }
+
+    InetSocketAddress address(String key, InetSocketAddress fallback) {
+        return optional(key).map(value -> checkedAddress(key, value)).orElse(fallback);
+    }
+
+    List<InetSocketAddress> addresses(String key, int least) {
+        Optional<JsonNode> list = least > 0 ? required(key) : optional(key);
+        if (list.isEmpty()) {
+            return List.of();
+        }
+        if (!list.get().isArray()) {
+            fault(key, list.get(), SettingFaultKind.MALFORMED, "write a list, such as [10.0.0.1:9090]");
+            return List.of();
+        }
+        if (list.get().size() < least) {
+            fault(key, list.get(), SettingFaultKind.MALFORMED, "name at least " + least + " address");
+        }
+        List<InetSocketAddress> result = new ArrayList<>();
+        for (int i = 0; i < list.get().size(); i++) {
+            result.add(checkedAddress(key + "[" + i + "]", list.get().get(i)));
+        }
+        return result;
+    }
+
+    long number(String key, long least, long greatest, long fallback) {
+        return optional(key)
+                .map(value -> checkedNumber(key, value, least, greatest))
+                .orElse(fallback);
+    }
+
+    Duration seconds(String key, long least, long greatest, long fallback) {
+        return Duration.ofSeconds(number(key, least, greatest, fallback));
+    }
+
+    boolean flag(String key, boolean fallback) {
+        Optional<JsonNode> value = optional(key);
+        if (value.isPresent() && !value.get().isBoolean()) {
+            fault(key, value.get(), SettingFaultKind.MALFORMED, "write true or false");
+        }
+        return value.map(JsonNode::booleanValue).orElse(fallback);
+    }
+
+    SettingsNode section(String key) {
+        JsonNode value = optional(key).orElse(JsonNodeFactory.instance.objectNode());
+        if (!value.isObject()) {
+            fault(key, value, SettingFaultKind.MALFORMED, "write its settings below it, one indented line each");
+        }
+        JsonNode mapping = value.isObject() ? value : JsonNodeFactory.instance.objectNode();
+        SettingsNode section = new SettingsNode(prefix + key + ".", mapping, faults);
+        sections.add(section);
+        return section;
+    }
+
+    // -- checks
+
+    private String checkedName(String key, JsonNode value) {
+        if (!value.isTextual() || !RuleName.isValid(value.textValue())) {
+            fault(key, value, SettingFaultKind.MALFORMED, RuleName.REMEDY);
+        }
+        return value.asText();
+    }
+
+    private InetSocketAddress checkedAddress(String key, JsonNode value) {
+        Optional<InetSocketAddress> address =
+                value.isTextual() ? SocketAddresses.parse(value.textValue()) : Optional.empty();
+        if (address.isEmpty()) {
+            fault(key, value, SettingFaultKind.MALFORMED, ADDRESS_REMEDY);
+        }
+        return address.orElse(PLACEHOLDER);
+    }
+
+    private long checkedNumber(String key, JsonNode value, long least, long greatest) {
+        String remedy = "write a whole number from " + least + " to " + greatest;
+        if (!value.isIntegralNumber()) {
+            fault(key, value, SettingFaultKind.MALFORMED, remedy);
+            return least;
+        }
+        if (!value.canConvertToLong() || value.longValue() < least || value.longValue() > greatest) {
+            fault(key, value, SettingFaultKind.OUT_OF_RANGE, remedy);
+            return least;
+        }
+        return value.longValue();
+    }
+
+    private void refuseUnknownKeys() {
+        node.fieldNames().forEachRemaining(key -> {
+            if (!known.contains(key)) {
+                String remedy =
+                        "remove it, or use one of " + known.stream().sorted().toList();
+                fault(key, JsonNodeFactory.instance.textNode(""), SettingFaultKind.UNKNOWN_KEY, remedy);
+            }
+        });
+        sections.forEach(SettingsNode::refuseUnknownKeys);
+    }
+
+    // -- lookup
+
+    private Optional<JsonNode> required(String key) {
+        Optional<JsonNode> value = optional(key);
+        if (value.isEmpty()) {
+            String remedy = "add a line `" + key + ": ...`";
+            fault(key, JsonNodeFactory.instance.textNode(""), SettingFaultKind.MISSING, remedy);
+        }
+        return value;
+    }
+
+    private Optional<JsonNode> optional(String key) {
+        known.add(key);
+        return Optional.ofNullable(node.get(key)).filter(value -> !value.isNull());
+    }
+
+    private void fault(String key, JsonNode value, SettingFaultKind kind, String remedy) {
+        String shown = value.isValueNode() ? value.asText() : value.toString();
+        faults.add(new SettingFault(prefix + key, shown, kind, remedy));
+    }
+
+    private static JsonNode tree(String yaml, List<SettingFault> faults) {
+        try {
+            JsonNode tree = MAPPER.readTree(yaml);
+            if (tree.isObject()) {
+                return tree;
+            }
+            faults.add(new SettingFault(
+                    "(file)", tree.asText(), SettingFaultKind.MALFORMED, "write one `key: value` pair a line"));
+        } catch (JsonProcessingException e) {
+            faults.add(new SettingFault("(file)", "", SettingFaultKind.NOT_YAML, e.getOriginalMessage()));
+        }
+        return JsonNodeFactory.instance.objectNode();
+    }
+}
