--- a/core/src/main/java/org/teaselhook/core/rules/Rules.java
+++ b/core/src/main/java/org/teaselhook/core/rules/Rules.java
@@ -1,25 +1,35 @@
 package org.teaselhook.core.rules;
 
+import java.util.Collection;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
+import java.util.TreeMap;
 
 /**
  * A checked set of rules.
  */
 public final class Rules {
 
-    private static final Rules EMPTY = new Rules(Map.of(), Map.of(), Set.of());
+    private static final Rules EMPTY = new Rules(Map.of(), Map.of(), Set.of(), Map.of());
 
     private final Map<String, Map<String, KindRule>> kinds;
     private final Map<String, CustomerRule> customers;
     private final Set<String> zonesOut;
+    private final Map<LimitKind, Long> limits;
 
-    private Rules(Map<String, Map<String, KindRule>> kinds, Map<String, CustomerRule> customers, Set<String> zonesOut) {
+    private Rules(
+            Map<String, Map<String, KindRule>> kinds,
+            Map<String, CustomerRule> customers,
+            Set<String> zonesOut,
+            Map<LimitKind, Long> limits) {
         this.kinds = kinds;
         this.customers = customers;
         this.zonesOut = zonesOut;
+        this.limits = limits;
     }
 
     // -- factories
@@ -33,6 +43,50 @@
         return EMPTY;
     }
 
+    /**
+     * Returns rules without limits.
+     *
+     * @param kinds the kinds, no two of the same service and name
+     * @param customers the customers, no two of the same name
+     * @param zonesOut the availability zones that are out of service
+     * @return the rules
+     * @throws IllegalArgumentException if two kinds or two customers have the same name
+     */
+    public static Rules of(
+            Collection<KindRule> kinds, Collection<CustomerRule> customers, Collection<String> zonesOut) {
+        return of(kinds, customers, zonesOut, Map.of());
+    }
+
+    /**
+     * Returns rules.
+     *
+     * @param kinds the kinds, no two of the same service and name
+     * @param customers the customers, no two of the same name
+     * @param zonesOut the availability zones that are out of service
+     * @param limits the limits
+     * @return the rules
+     * @throws IllegalArgumentException if two kinds or two customers have the same name
+     */
+    public static Rules of(
+            Collection<KindRule> kinds,
+            Collection<CustomerRule> customers,
+            Collection<String> zonesOut,
+            Map<LimitKind, Long> limits) {
+        Map<String, Map<String, KindRule>> byService = new TreeMap<>();
+        kinds.forEach(kind ->
+                putOnce(byService.computeIfAbsent(kind.service(), service -> new TreeMap<>()), kind.kind(), kind));
+        Map<String, CustomerRule> byName = new TreeMap<>();
+        customers.forEach(customer -> putOnce(byName, customer.customer(), customer));
+        byService.replaceAll((service, byKind) -> Map.copyOf(byKind));
+        return new Rules(Map.copyOf(byService), Map.copyOf(byName), Set.copyOf(zonesOut), Map.copyOf(limits));
+    }
+
+    private static <T> void putOnce(Map<String, T> map, String name, T rule) {
+        if (map.putIfAbsent(name, rule) != null) {
+            throw new IllegalArgumentException("two rules for " + name);
+        }
+    }
+
     // -- accessors
 
     /**
@@ -85,4 +139,51 @@
     public Set<String> zonesOut() {
         return zonesOut;
     }
+
+    /**
+     * Returns the kinds of all services.
+     *
+     * @return the kinds in no particular order
+     */
+    public List<KindRule> kinds() {
+        return kinds.values().stream()
+                .flatMap(byKind -> byKind.values().stream())
+                .toList();
+    }
+
+    /**
+     * Returns the customers.
+     *
+     * @return the customers in no particular order
+     */
+    public List<CustomerRule> customers() {
+        return List.copyOf(customers.values());
+    }
+
+    /**
+     * Finds a limit.
+     *
+     * @param kind the limit
+     * @return its value, or empty if the rules set none
+     */
+    public OptionalLong limit(LimitKind kind) {
+        Long value = limits.get(kind);
+        return value == null ? OptionalLong.empty() : OptionalLong.of(value);
+    }
+
+    // -- comparison
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Rules rules
+                && kinds.equals(rules.kinds)
+                && customers.equals(rules.customers)
+                && zonesOut.equals(rules.zonesOut)
+                && limits.equals(rules.limits);
+    }
+
+    @Override
+    public int hashCode() {
+        return Objects.hash(kinds, customers, zonesOut, limits);
+    }
 }
