--- a/core/src/main/java/org/teaselhook/core/rules/RulesText.java
+++ b/core/src/main/java/org/teaselhook/core/rules/RulesText.java
@@ -65,8 +65,9 @@
             return this;
         }
         List<String> result = new ArrayList<>(lines);
-        result.add("zone " + plain(zone) + " out  # "
-                + plain(who).replace(':', ' ').trim() + ": " + plain(why));
+        String rule = "zone " + plain(zone).replace('#', '?') + " out";
+        String author = plain(who).replace(':', ' ').trim();
+        result.add(rule + "  # " + author + ": " + plain(why));
         return new RulesText(List.copyOf(result));
     }
 
