--- /dev/null
+++ b/node/src/main/java/org/teaselhook/node/caller/TaskBody.java
@@ -0,0 +1,10 @@
+package org.teaselhook.node.caller;
+
+/**
+ * One task as the caller gave it. The body array must not be changed.
+ *
+ * @param kind the kind's name
+ * @param contentType the media type of the body, possibly empty
+ * @param body the body's bytes
+ */
+public record TaskBody(String kind, String contentType, byte[] body) {}
