--- /dev/null
+++ b/core/src/main/java/org/teaselhook/core/claim/LedgerLimits.java
@@ -0,0 +1,57 @@
+package org.teaselhook.core.claim;
+
+/**
+ * The bounds of a ledger.
+ *
+ * @param retentionMillis how long a claim is remembered at least; a key may be used again for a new request after it
+ * @param maxBatchClaims the greatest number of claims in one row
+ * @param maxQueuedClaims the greatest number of claims that wait per shard
+ * @param maxRetainedClaims the greatest number of claims within the retention time per shard
+ * @param appendIntervalMillis the least time between two appends to one shard
+ * @param slowCallMillis a call to the table service that takes longer opens the breaker
+ * @param probeIntervalMillis the time between probes while the breaker is open
+ */
+public record LedgerLimits(
+        long retentionMillis,
+        int maxBatchClaims,
+        int maxQueuedClaims,
+        int maxRetainedClaims,
+        long appendIntervalMillis,
+        long slowCallMillis,
+        long probeIntervalMillis) {
+
+    private static final LedgerLimits STANDARD = new LedgerLimits(600_000, 256, 2_048, 100_000, 30, 250, 500);
+
+    /** Checks the bounds. */
+    public LedgerLimits {
+        if (retentionMillis < 1 || maxBatchClaims < 1 || maxQueuedClaims < 1 || maxRetainedClaims < 1) {
+            throw new IllegalArgumentException("a bound is not positive");
+        }
+    }
+
+    /**
+     * Returns the usual bounds: claims are remembered for 10 minutes.
+     *
+     * @return the bounds
+     */
+    public static LedgerLimits standard() {
+        return STANDARD;
+    }
+
+    /**
+     * Sets the retention time.
+     *
+     * @param millis the new retention time
+     * @return new limits
+     */
+    public LedgerLimits withRetentionMillis(long millis) {
+        return new LedgerLimits(
+                millis,
+                maxBatchClaims,
+                maxQueuedClaims,
+                maxRetainedClaims,
+                appendIntervalMillis,
+                slowCallMillis,
+                probeIntervalMillis);
+    }
+}
--- /dev/null
+++ b/net/src/main/java/org/teaselhook/net/table/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * A client of the table service over HTTP.
+ */
+package org.teaselhook.net.table;
