--- /dev/null
+++ b/core/src/main/java/org/teaselhook/core/grant/GrantSharing.java
@@ -0,0 +1,267 @@
+package org.teaselhook.core.grant;
+
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+import org.teaselhook.core.id.Incarnation;
+
+/**
+ * Shares an agent's slots among the connected entries. A slot is free, granted to one entry, or in use by a task; never
+ * two of these at once. Used by one thread.
+ *
+ * <p>A free slot goes to the entry that wants more and holds least, the one granted longest ago among equals; when none
+ * wants more, free slots are spread evenly, so that a new arrival starts at once at any entry.
+ *
+ * <pre>{@code
+ * sharing.want(entry, 3);
+ * sharing.share(nowNanos).forEach(change -> send(change));
+ * }</pre>
+ */
+public final class GrantSharing {
+
+    /** A request to give slots back that was not answered by then may be repeated. */
+    public static final long RECLAIM_TIMEOUT_NANOS = 1_000_000_000L;
+
+    private static final Comparator<EntryShare> LEAST_HELD =
+            Comparator.comparingInt(EntryShare::held).thenComparingLong(EntryShare::lastGrant);
+    private static final Comparator<EntryShare> LEAST_SPARE =
+            Comparator.comparingInt(EntryShare::spare).thenComparingLong(EntryShare::lastGrant);
+
+    private final int slots;
+    private final Map<Incarnation, EntryShare> shares = new LinkedHashMap<>();
+    private boolean open;
+    private long grants;
+
+    private GrantSharing(int slots) {
+        this.slots = slots;
+    }
+
+    // -- factories
+
+    /**
+     * Returns the sharing of a number of slots, closed, with all slots free.
+     *
+     * @param slots the number of slots, at least 1
+     * @return the sharing
+     * @throws IllegalArgumentException if {@code slots} is below 1
+     */
+    public static GrantSharing of(int slots) {
+        if (slots < 1) {
+            throw new IllegalArgumentException("slots is below 1");
+        }
+        return new GrantSharing(slots);
+    }
+
+    // -- updates
+
+    /**
+     * Says whether new grants may be made. While closed, grants made before stay with their entries.
+     *
+     * @param open true if tasks can be started
+     */
+    public void open(boolean open) {
+        this.open = open;
+    }
+
+    /**
+     * Records a new connection of an entry. What was granted on an earlier connection lapses.
+     *
+     * @param entry the run of the entry
+     */
+    public void connect(Incarnation entry) {
+        shareOf(entry).connect();
+    }
+
+    /**
+     * Records that the entry's connection is gone. What was granted on it lapses; running tasks keep their slots.
+     *
+     * @param entry the run of the entry
+     */
+    public void disconnect(Incarnation entry) {
+        shareOf(entry).disconnect();
+        removeIfUnused(entry);
+    }
+
+    /**
+     * Records how many slots an entry could use beyond those it holds.
+     *
+     * @param entry the run of the entry
+     * @param wanted the number of slots
+     */
+    public void want(Incarnation entry, int wanted) {
+        shareOf(entry).want(wanted);
+    }
+
+    /**
+     * Records that a task started.
+     *
+     * @param entry the run of the entry that dispatched it
+     * @param granted whether it uses up a granted slot
+     * @throws IllegalStateException if more slots would be in use or granted than there are
+     */
+    public void start(Incarnation entry, boolean granted) {
+        shareOf(entry).start(granted);
+        checkInvariant();
+    }
+
+    /**
+     * Records that a dispatch that used up a granted slot was refused.
+     *
+     * @param entry the run of the entry
+     */
+    public void refuse(Incarnation entry) {
+        EntryShare share = shareOf(entry);
+        if (share.idle() > 0) {
+            share.useIdle();
+        }
+    }
+
+    /**
+     * Records that a task ended.
+     *
+     * @param entry the run of the entry that dispatched it
+     * @throws IllegalStateException if no task of the entry was running
+     */
+    public void finish(Incarnation entry) {
+        shareOf(entry).finish();
+        checkInvariant();
+        removeIfUnused(entry);
+    }
+
+    /**
+     * Records that an entry gave unused slots back, as the answer to a reclaim or by itself.
+     *
+     * @param entry the run of the entry
+     * @param returned the number of slots, perhaps 0
+     */
+    public void giveBack(Incarnation entry, int returned) {
+        shareOf(entry).giveBack(returned);
+    }
+
+    // -- decisions
+
+    /**
+     * Grants the free slots and asks for idle ones back where another entry wants more.
+     *
+     * @param nowNanos the present time on the monotonic clock
+     * @return one change for each entry that has to be told
+     */
+    public List<GrantChange> share(long nowNanos) {
+        shares.values().forEach(share -> share.expireReclaim(nowNanos, RECLAIM_TIMEOUT_NANOS));
+        if (open) {
+            grantFree();
+            reclaimIdle(nowNanos);
+        }
+        checkInvariant();
+        return shares.values().stream()
+                .filter(EntryShare::hasChange)
+                .map(EntryShare::takeChange)
+                .toList();
+    }
+
+    // -- accessors
+
+    /**
+     * Counts the slots that are neither granted nor in use.
+     *
+     * @return the number of free slots
+     */
+    public int free() {
+        return slots - running() - granted();
+    }
+
+    /**
+     * Counts the slots in which tasks run.
+     *
+     * @return the number of slots in use
+     */
+    public int running() {
+        return shares.values().stream().mapToInt(EntryShare::running).sum();
+    }
+
+    /**
+     * Counts the slots granted and not yet used.
+     *
+     * @return the number of granted slots
+     */
+    public int granted() {
+        return shares.values().stream().mapToInt(EntryShare::idle).sum();
+    }
+
+    /**
+     * Counts the slots granted to one entry and not yet used.
+     *
+     * @param entry the run of the entry
+     * @return the number of granted slots
+     */
+    public int granted(Incarnation entry) {
+        EntryShare share = shares.get(entry);
+        return share == null ? 0 : share.idle();
+    }
+
+    private void grantFree() {
+        for (int free = free(); free > 0; free--) {
+            Optional<EntryShare> next =
+                    wanting().min(LEAST_HELD).or(() -> connected().min(LEAST_SPARE));
+            if (next.isEmpty()) {
+                return;
+            }
+            grants++;
+            next.get().grant(grants);
+        }
+    }
+
+    private void reclaimIdle(long nowNanos) {
+        int missing = wanting().mapToInt(EntryShare::wanted).sum() - reclaiming();
+        for (; missing > 0; missing--) {
+            Optional<EntryShare> poorest = wanting().min(LEAST_HELD);
+            Optional<EntryShare> richest =
+                    connected().filter(s -> s.spare() > 0).max(Comparator.comparingInt(EntryShare::held));
+            Optional<EntryShare> unneeded =
+                    connected().filter(s -> s.spare() > 0 && !s.wantsMore()).max(LEAST_SPARE);
+            if (unneeded.isPresent()) {
+                unneeded.get().reclaim(nowNanos);
+            } else if (poorest.isPresent()
+                    && richest.isPresent()
+                    && richest.get().held() > poorest.get().held() + reclaiming() + 1) {
+                richest.get().reclaim(nowNanos);
+            } else {
+                return;
+            }
+        }
+    }
+
+    private int reclaiming() {
+        return shares.values().stream().mapToInt(s -> s.idle() - s.spare()).sum();
+    }
+
+    private Stream<EntryShare> connected() {
+        return shares.values().stream().filter(EntryShare::connected);
+    }
+
+    private Stream<EntryShare> wanting() {
+        return shares.values().stream().filter(EntryShare::wantsMore);
+    }
+
+    private EntryShare shareOf(Incarnation entry) {
+        return shares.computeIfAbsent(entry, EntryShare::new);
+    }
+
+    private void removeIfUnused(Incarnation entry) {
+        if (shareOf(entry).isUnused()) {
+            shares.remove(entry);
+        }
+    }
+
+    private void checkInvariant() {
+        boolean sane = shares.values().stream().allMatch(s -> s.running() >= 0 && s.idle() >= 0 && s.spare() >= 0);
+        if (!sane || free() < 0) {
+            throw new IllegalStateException(
+                    "slots=" + slots + " running=" + running() + " granted=" + granted() + ": slots shared twice");
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaselhook/core/grant/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * How an agent shares its free slots among entries.
+ */
+package org.teaselhook.core.grant;
