--- /dev/null
+++ b/core/src/main/java/org/teaselhook/core/config/VersionedRules.java
@@ -0,0 +1,35 @@
+package org.teaselhook.core.config;
+
+import java.util.Objects;
+
+import org.teaselhook.core.rules.Rules;
+
+/**
+ * An accepted rules file.
+ *
+ * @param version its version
+ * @param text its whole text
+ * @param operation the id of the operation that applied it; empty for none
+ * @param rules the rules read from the text
+ */
+public record VersionedRules(ConfigVersion version, String text, String operation, Rules rules) {
+
+    private static final VersionedRules NONE = new VersionedRules(ConfigVersion.NONE, "", "", Rules.empty());
+
+    /** Checks that nothing is null. */
+    public VersionedRules {
+        Objects.requireNonNull(version, "version is null");
+        Objects.requireNonNull(text, "text is null");
+        Objects.requireNonNull(operation, "operation is null");
+        Objects.requireNonNull(rules, "rules is null");
+    }
+
+    /**
+     * Returns the state before any rules file was accepted.
+     *
+     * @return version 0 without rules
+     */
+    public static VersionedRules none() {
+        return NONE;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaselhook/core/member/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Which processes are alive, as told by what this process itself saw change.
+ */
+package org.teaselhook.core.member;
--- /dev/null
+++ b/core/src/test/java/org/teaselhook/core/config/FreshnessTest.java
@@ -0,0 +1,114 @@
+package org.teaselhook.core.config;
+
+import org.teaselhook.core.rules.Rules;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+
+public class FreshnessTest {
+
+    private static final long SECOND = 1_000_000_000L;
+    private static final ConfigVersion SEVEN = ConfigVersion.of(7);
+    private static final ConfigVersion EIGHT = ConfigVersion.of(8);
+
+    private ConfigState state;
+    private Freshness freshness;
+
+    @BeforeMethod
+    public void start() {
+        state = ConfigState.empty();
+        freshness = Freshness.startedAt(Long.MAX_VALUE - SECOND);
+    }
+
+    // -- verdict
+
+    @Test
+    public void shouldServeNothingBeforeAnythingWasRead() {
+        assertVerdict(FreshnessVerdict.NEVER_LOADED, 10_000);
+    }
+
+    @Test
+    public void shouldCountReadFromWhenItWasSent() {
+        state.offer(version(SEVEN));
+        freshness.tableRead(state, SEVEN, at(1_000));
+
+        assertVerdict(FreshnessVerdict.FRESH, 4_000);
+        assertVerdict(FreshnessVerdict.STALE, 4_001);
+        freshness.tableRead(state, SEVEN, at(500));
+        assertVerdict(FreshnessVerdict.STALE, 4_001);
+    }
+
+    @Test
+    public void shouldGoOnByWordOfPeersDuringOutage() {
+        state.offer(version(SEVEN));
+        freshness.tableRead(state, SEVEN, at(0));
+        freshness.tableFailed();
+        freshness.peerHeard(state, SEVEN, at(3_500));
+
+        assertVerdict(FreshnessVerdict.FRESH, 6_500);
+        assertVerdict(FreshnessVerdict.STALE, 6_501);
+    }
+
+    @Test
+    public void shouldNotCountWordOfNewerVersionWhoseTextIsMissing() {
+        state.offer(version(SEVEN));
+        freshness.tableRead(state, SEVEN, at(0));
+        freshness.peerHeard(state, EIGHT, at(2_000));
+        freshness.tableRead(state, SEVEN, at(2_500));
+        assertVerdict(FreshnessVerdict.STALE, 3_001);
+
+        state.offer(version(EIGHT));
+        freshness.peerHeard(state, SEVEN, at(3_100));
+        assertVerdict(FreshnessVerdict.FRESH, 6_000);
+    }
+
+    @Test
+    public void shouldServeAfterStartDuringOutageOnlyByHighestVersionOfPeers() {
+        state.offer(version(SEVEN));
+        freshness.peerHeard(state, SEVEN, at(1_900));
+        assertVerdict(FreshnessVerdict.NEVER_LOADED, 2_500);
+
+        freshness.tableFailed();
+        assertVerdict(FreshnessVerdict.NEVER_LOADED, 1_999);
+        assertVerdict(FreshnessVerdict.FRESH, 2_000);
+        freshness.peerHeard(state, EIGHT, at(2_100));
+        assertVerdict(FreshnessVerdict.NEVER_LOADED, 2_200);
+        state.offer(version(EIGHT));
+        freshness.peerHeard(state, EIGHT, at(2_300));
+        assertVerdict(FreshnessVerdict.FRESH, 2_400);
+    }
+
+    @Test
+    public void shouldNotRelyOnPeerThatHoldsNothing() {
+        freshness.tableFailed();
+        freshness.peerHeard(state, ConfigVersion.NONE, at(2_900));
+
+        assertVerdict(FreshnessVerdict.NEVER_LOADED, 3_000);
+    }
+
+    // -- ConfigState
+
+    @Test
+    public void shouldNeverFallNorTakeTwoTextsOfOneVersion() {
+        assertEquals(state.offer(version(EIGHT)), ConfigOffer.APPLIED);
+        assertEquals(state.offer(version(SEVEN)), ConfigOffer.OLDER);
+        assertEquals(state.offer(version(EIGHT)), ConfigOffer.ALREADY_HELD);
+        VersionedRules other = new VersionedRules(EIGHT, "# other\n", "op", Rules.empty());
+        assertEquals(state.offer(other), ConfigOffer.CONTRADICTS);
+        assertEquals(state.current(), version(EIGHT));
+    }
+
+    private void assertVerdict(FreshnessVerdict expected, long millis) {
+        assertEquals(freshness.verdict(at(millis)), expected);
+    }
+
+    /** The clock passes through the greatest long, as System.nanoTime may. */
+    private static long at(long millis) {
+        return Long.MAX_VALUE - SECOND + millis * 1_000_000;
+    }
+
+    private static VersionedRules version(ConfigVersion version) {
+        return new VersionedRules(version, "# " + version + "\n", "op-" + version, Rules.empty());
+    }
+}
