--- a/core/src/main/java/org/teaselhook/core/member/Member.java
+++ b/core/src/main/java/org/teaselhook/core/member/Member.java
@@ -35,6 +35,15 @@
         return new Member(name, incarnation, zone, grpcAddress, httpAddress, beat + 1);
     }
 
+    /**
+     * Returns the same with beat 0, for comparing all else.
+     *
+     * @return the entry without its beat
+     */
+    public Member withoutBeat() {
+        return new Member(name, incarnation, zone, grpcAddress, httpAddress, 0);
+    }
+
     /**
      * Tells whether this was written at another time than an earlier observation.
      *
--- a/core/src/main/java/org/teaselhook/core/member/Membership.java
+++ b/core/src/main/java/org/teaselhook/core/member/Membership.java
@@ -45,13 +45,16 @@
     // -- events
 
     /**
-     * Takes in the result of a scan of all entries' rows.
+     * Takes in the result of a scan of all entries' rows. One older than the last taken in is dropped.
      *
      * @param members what the rows say
      * @param nowNanos the time of the scan
      */
     public void scanned(Collection<Member> members, long nowNanos) {
         Objects.requireNonNull(members, "members is null");
+        if (scanned && nowNanos - lastScanNanos < 0) {
+            return;
+        }
         long pauseNanos = scanned ? Math.max(0, nowNanos - lastScanNanos - LIVE_NANOS / 2) : 0;
         Map<String, Seen> next = new HashMap<>();
         members.forEach(member -> next.put(member.name(), observe(member, nowNanos, pauseNanos)));
--- /dev/null
+++ b/node/src/main/java/org/teaselhook/node/config/ConfigHolder.java
@@ -0,0 +1,112 @@
+package org.teaselhook.node.config;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.function.Consumer;
+
+import org.teaselhook.core.config.ConfigOffer;
+import org.teaselhook.core.config.ConfigState;
+import org.teaselhook.core.config.ConfigVersion;
+import org.teaselhook.core.config.VersionedRules;
+import org.teaselhook.core.rules.RuleFault;
+import org.teaselhook.core.rules.RulesParser;
+import org.teaselhook.core.rules.RulesResult;
+import org.teaselhook.net.log.LogLine;
+
+/**
+ * The configuration of a running process: takes texts from the table service and from other processes, and tells a
+ * listener of each change. Confined to the control thread.
+ */
+public final class ConfigHolder {
+
+    private final ConfigState state;
+    private final Consumer<VersionedRules> listener;
+
+    private ConfigHolder(ConfigState state, Consumer<VersionedRules> listener) {
+        this.state = Objects.requireNonNull(state, "state is null");
+        this.listener = Objects.requireNonNull(listener, "listener is null");
+    }
+
+    // -- factories
+
+    /**
+     * Returns a holder.
+     *
+     * @param state where the newest configuration is kept
+     * @param listener told of each change, on the control thread
+     * @return the holder
+     */
+    public static ConfigHolder of(ConfigState state, Consumer<VersionedRules> listener) {
+        return new ConfigHolder(state, listener);
+    }
+
+    // -- events
+
+    /**
+     * Takes an accepted rules file over if it is newer than the one held. A text that this program cannot read is
+     * dropped, but its version is known from then on, so the process counts as behind.
+     *
+     * @param version the version
+     * @param text the whole text
+     * @param operation the operation that applied it
+     * @return what became of it
+     */
+    public ConfigOffer offer(ConfigVersion version, String text, String operation) {
+        state.heard(version);
+        if (version.isOlderThan(state.version())) {
+            return ConfigOffer.OLDER;
+        }
+        RulesResult result = RulesParser.parse(text);
+        return result.fold(
+                rules -> offer(new VersionedRules(version, text, operation, rules)),
+                faults -> unreadable(version, faults));
+    }
+
+    /**
+     * Takes an accepted rules file over if it is newer than the one held.
+     *
+     * @param offered the rules file
+     * @return what became of it
+     */
+    public ConfigOffer offer(VersionedRules offered) {
+        ConfigOffer result = state.offer(offered);
+        if (result.isChange()) {
+            LogLine.of("config-applied")
+                    .with("version", offered.version())
+                    .with("operation", offered.operation())
+                    .with("zones-out", offered.rules().zonesOut())
+                    .info();
+            listener.accept(offered);
+        }
+        if (result == ConfigOffer.CONTRADICTS) {
+            LogLine.of("config-contradicts")
+                    .with("version", offered.version())
+                    .with("operation", offered.operation())
+                    .with("held-operation", state.current().operation())
+                    .with("remedy", "compare the history with `ctl rules history`, then apply the right file again")
+                    .warn();
+        }
+        return result;
+    }
+
+    private ConfigOffer unreadable(ConfigVersion version, List<RuleFault> faults) {
+        LogLine.of("config-unreadable")
+                .with("version", version)
+                .with("faults", faults.size())
+                .with("first", faults.get(0).message())
+                .with("remedy", "run one program version everywhere, or apply a file without the named lines")
+                .warn();
+        return ConfigOffer.CONTRADICTS;
+    }
+
+    // -- accessors
+
+    /**
+     * Returns the state.
+     *
+     * @return the configuration held and the versions heard of
+     */
+    public ConfigState state() {
+        return state;
+    }
+}
