--- /dev/null
+++ b/node/src/main/java/org/teaselhook/node/admin/Cluster.java
@@ -0,0 +1,37 @@
+package org.teaselhook.node.admin;
+
+import java.util.List;
+import java.util.concurrent.CompletionStage;
+
+import org.teaselhook.core.config.ConfigVersion;
+
+/**
+ * What an entry knows of the running system. Implemented by the entry; called on traffic threads, so its methods are
+ * safe for use by several threads and do not block.
+ */
+public interface Cluster {
+
+    /**
+     * Returns the live processes as this entry sees them, itself among them: every live entry and every connected
+     * agent, each with the newest configuration version that it has confirmed.
+     *
+     * @return the processes, later
+     */
+    CompletionStage<List<ProcessStatus>> processes();
+
+    /**
+     * Returns the configuration held by this entry.
+     *
+     * @return its version and text, later
+     */
+    CompletionStage<HeldConfig> held();
+
+    /**
+     * Takes over an accepted rules file here and sends it to every peer and agent at once.
+     *
+     * @param version the version
+     * @param text the whole text
+     * @param operation the operation that applied it
+     */
+    void push(ConfigVersion version, String text, String operation);
+}
--- /dev/null
+++ b/node/src/main/java/org/teaselhook/node/admin/ProcessStatus.java
@@ -0,0 +1,37 @@
+package org.teaselhook.node.admin;
+
+import java.util.Objects;
+
+import org.teaselhook.core.config.ConfigVersion;
+
+/**
+ * One live process as an entry sees it.
+ *
+ * @param kind entry or agent
+ * @param name the process's name
+ * @param zone its availability zone
+ * @param version the newest configuration version that it has confirmed; version 0 if none
+ * @param leaving whether it is stopping
+ * @param slots the number of slots, 0 for an entry
+ */
+public record ProcessStatus(
+        ProcessKind kind, String name, String zone, ConfigVersion version, boolean leaving, int slots) {
+
+    /** Checks that nothing is null. */
+    public ProcessStatus {
+        Objects.requireNonNull(kind, "kind is null");
+        Objects.requireNonNull(name, "name is null");
+        Objects.requireNonNull(zone, "zone is null");
+        Objects.requireNonNull(version, "version is null");
+    }
+
+    /**
+     * Tells whether the process has yet to confirm a version.
+     *
+     * @param wanted the version
+     * @return true if it has confirmed only older ones
+     */
+    public boolean lacks(ConfigVersion wanted) {
+        return version.isOlderThan(wanted);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/teaselhook/node/admin/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Operators' HTTP interface of an entry.
+ */
+package org.teaselhook.node.admin;
