--- a/core/src/main/java/org/teaselhook/core/admission/Admission.java
+++ b/core/src/main/java/org/teaselhook/core/admission/Admission.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Objects;
 
+import org.teaselhook.core.dispatch.RefusalReason;
 import org.teaselhook.core.id.Incarnation;
 
 /**
@@ -11,7 +12,7 @@
  * refused is never started, and a number that was started is never started again. Used by one thread.
  *
  * <pre>{@code
- * Verdict verdict = admission.decide(request, state, nowNanos);
+ * Verdict verdict = admission.decide(request, conditions, nowNanos);
  * }</pre>
  */
 public final class Admission {
@@ -48,19 +49,19 @@
      * {@link #acknowledge} or {@link #withdraw}.
      *
      * @param request the dispatch
-     * @param state what the agent knows now
+     * @param conditions what the agent knows now
      * @param nowNanos the present time on the agent's monotonic clock
      * @return the decision
      */
-    public Verdict decide(StartRequest request, AgentState state, long nowNanos) {
+    public Verdict decide(StartRequest request, StartConditions conditions, long nowNanos) {
         long dispatch = request.dispatch();
         if (dispatch <= retiredUpTo(request.entry())
                 || !recordOf(request.entry()).remember(dispatch)) {
             return Verdict.Duplicate.INSTANCE;
         }
-        Refusal refusal = refusalOf(request, state, nowNanos);
-        if (refusal != null) {
-            return new Verdict.Refuse(refusal);
+        RefusalReason reason = reasonOf(request, conditions, nowNanos);
+        if (reason != null) {
+            return new Verdict.Refuse(reason);
         }
         recordOf(request.entry()).start(dispatch);
         return new Verdict.Start(earlier(request.startByNanos(), request.echoNanos() + FRESH_NANOS));
@@ -134,30 +135,30 @@
         return entries.values().stream().mapToInt(EntryRecord::startedCount).sum();
     }
 
-    private Refusal refusalOf(StartRequest request, AgentState state, long nowNanos) {
+    private RefusalReason reasonOf(StartRequest request, StartConditions conditions, long nowNanos) {
         long echoAgeNanos = nowNanos - request.echoNanos();
         if (!request.agent().equals(agent)) {
-            return Refusal.WRONG_INCARNATION;
+            return RefusalReason.WRONG_INCARNATION;
         }
-        if (state.leaving()) {
-            return Refusal.LEAVING;
+        if (conditions.leaving()) {
+            return RefusalReason.LEAVING;
         }
-        if (state.configVersion() == 0 || state.configVersion() < request.configVersion()) {
-            return Refusal.CONFIG_UNKNOWN;
+        if (conditions.configVersion() == 0 || conditions.configVersion() < request.configVersion()) {
+            return RefusalReason.CONFIG_UNKNOWN;
         }
-        if (state.zoneOut()) {
-            return Refusal.ZONE_OUT;
+        if (conditions.zoneOut()) {
+            return RefusalReason.ZONE_OUT;
         }
         if (echoAgeNanos < 0 || echoAgeNanos > FRESH_NANOS) {
-            return Refusal.STALE_ENTRY;
+            return RefusalReason.STALE_ENTRY;
         }
         if (nowNanos - request.startByNanos() >= 0) {
-            return Refusal.START_BY_PASSED;
+            return RefusalReason.START_BY_PASSED;
         }
-        if (!state.targetAvailable()) {
-            return Refusal.NO_TARGET;
+        if (!conditions.targetAvailable()) {
+            return RefusalReason.NO_TARGET;
         }
-        return state.freeSlots() > 0 ? null : Refusal.NO_FREE_SLOT;
+        return conditions.freeSlots() > 0 ? null : RefusalReason.NO_FREE_SLOT;
     }
 
     private EntryRecord recordOf(Incarnation entry) {
--- a/core/src/main/java/org/teaselhook/core/admission/AgentState.java
+++ b/core/src/main/java/org/teaselhook/core/admission/StartConditions.java
@@ -9,5 +9,5 @@
  * @param targetAvailable whether a target of the task's service is announced and not leaving
  * @param freeSlots the slots in which no task runs
  */
-public record AgentState(
+public record StartConditions(
         long configVersion, boolean zoneOut, boolean leaving, boolean targetAvailable, int freeSlots) {}
--- a/core/src/main/java/org/teaselhook/core/admission/Verdict.java
+++ b/core/src/main/java/org/teaselhook/core/admission/Verdict.java
@@ -1,5 +1,7 @@
 package org.teaselhook.core.admission;
 
+import org.teaselhook.core.dispatch.RefusalReason;
+
 /**
  * The decision on a dispatch that arrived.
  */
@@ -15,9 +17,9 @@
     /**
      * The task has not started and never will under this number.
      *
-     * @param refusal the reason
+     * @param reason the reason
      */
-    record Refuse(Refusal refusal) implements Verdict {}
+    record Refuse(RefusalReason reason) implements Verdict {}
 
     /** The number was decided before; nothing is to be done and nothing to be said. */
     record Duplicate() implements Verdict {
--- a/core/src/main/java/org/teaselhook/core/grant/EntryShare.java
+++ b/core/src/main/java/org/teaselhook/core/grant/EntryShare.java
@@ -9,6 +9,7 @@
 
     private final Incarnation entry;
     private boolean connected;
+    private boolean declined;
     private int running;
     private int idle;
     private int wanted;
@@ -54,6 +55,11 @@
         return connected && wanted > 0;
     }
 
+    /** Whether idle slots may be spread to the entry while it wants none. */
+    boolean takesIdle() {
+        return connected && !declined;
+    }
+
     int wanted() {
         return wanted;
     }
@@ -71,6 +77,7 @@
     void connect() {
         disconnect();
         connected = true;
+        declined = false;
     }
 
     void disconnect() {
@@ -84,6 +91,11 @@
 
     void want(int slots) {
         wanted = Math.max(0, slots);
+        declined &= wanted == 0;
+    }
+
+    void decline() {
+        declined = true;
     }
 
     void start(boolean granted) {
@@ -116,6 +128,7 @@
     }
 
     void giveBack(int slots) {
+        declined |= slots > 0 && reclaiming == 0;
         idle -= Math.max(0, Math.min(slots, idle));
         reclaiming = 0;
     }
--- a/core/src/main/java/org/teaselhook/core/grant/GrantSharing.java
+++ b/core/src/main/java/org/teaselhook/core/grant/GrantSharing.java
@@ -133,7 +133,8 @@
     }
 
     /**
-     * Records that an entry gave unused slots back, as the answer to a reclaim or by itself.
+     * Records that an entry gave unused slots back. One that does so without being asked is granted none until it wants
+     * some.
      *
      * @param entry the run of the entry
      * @param returned the number of slots, perhaps 0
@@ -142,6 +143,15 @@
         shareOf(entry).giveBack(returned);
     }
 
+    /**
+     * Records that an entry needs no idle slots, because it is stopping.
+     *
+     * @param entry the run of the entry
+     */
+    public void decline(Incarnation entry) {
+        shareOf(entry).decline();
+    }
+
     // -- decisions
 
     /**
@@ -205,8 +215,9 @@
 
     private void grantFree() {
         for (int free = free(); free > 0; free--) {
-            Optional<EntryShare> next =
-                    wanting().min(LEAST_HELD).or(() -> connected().min(LEAST_SPARE));
+            Optional<EntryShare> next = wanting().min(LEAST_HELD).or(() -> shares.values().stream()
+                    .filter(EntryShare::takesIdle)
+                    .min(LEAST_SPARE));
             if (next.isEmpty()) {
                 return;
             }
