--- /dev/null
+++ b/standin/src/main/java/org/teaselhook/standin/table/TableServer.java
@@ -0,0 +1,119 @@
+package org.teaselhook.standin.table;
+
+import java.net.InetSocketAddress;
+import java.util.Objects;
+import java.util.Random;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+
+import org.teaselhook.net.http.HttpLimits;
+import org.teaselhook.net.http.HttpServer;
+
+/**
+ * The stand-in's HTTP server.
+ *
+ * <pre>{@code
+ * try (TableServer table = TableServer.start(new InetSocketAddress("127.0.0.1", 0), TableFaults.none())) {
+ *     table.faults(TableFaults.none().withOutage(TableFaults.Outage.SILENT));
+ * }
+ * }</pre>
+ */
+public final class TableServer implements AutoCloseable {
+
+    private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
+    private static final int MAX_CONNECTIONS = 1_000;
+    private static final long IDLE_TIMEOUT_MILLIS = 60_000;
+
+    private final ScheduledExecutorService timer;
+    private final FaultyTable table;
+    private final HttpServer server;
+
+    private TableServer(ScheduledExecutorService timer, FaultyTable table, HttpServer server) {
+        this.timer = timer;
+        this.table = table;
+        this.server = server;
+    }
+
+    // -- factories
+
+    /**
+     * Starts a table service without rows.
+     *
+     * @param bindAddress the address to listen on; port 0 picks a free one
+     * @param faults the faults shown at first
+     * @return the running server
+     */
+    public static TableServer start(InetSocketAddress bindAddress, TableFaults faults) {
+        return start(bindAddress, faults, new Random().nextLong());
+    }
+
+    /**
+     * Starts a table service without rows whose faults are drawn from a seed.
+     *
+     * @param bindAddress the address to listen on; port 0 picks a free one
+     * @param faults the faults shown at first
+     * @param seed the seed of the draws
+     * @return the running server
+     */
+    public static TableServer start(InetSocketAddress bindAddress, TableFaults faults, long seed) {
+        Objects.requireNonNull(faults, "faults is null");
+        ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(TableServer::daemon);
+        FaultyTable table = new FaultyTable(timer, new Random(seed), faults);
+        HttpLimits limits = HttpLimits.of(MAX_BODY_BYTES, MAX_CONNECTIONS, IDLE_TIMEOUT_MILLIS);
+        HttpServer server = HttpServer.start(bindAddress, new TableHandler(table), limits);
+        return new TableServer(timer, table, server);
+    }
+
+    private static Thread daemon(Runnable task) {
+        Thread thread = new Thread(task, "table-timer");
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    // -- accessors
+
+    /**
+     * Returns the port listened on.
+     *
+     * @return the port
+     */
+    public int port() {
+        return server.port();
+    }
+
+    /**
+     * Returns what was done since the start.
+     *
+     * @return the counters
+     */
+    public TableCounters counters() {
+        return table.counters();
+    }
+
+    /**
+     * Returns the faults shown now.
+     *
+     * @return the faults
+     */
+    public TableFaults faults() {
+        return table.faults();
+    }
+
+    // -- operations
+
+    /**
+     * Changes the faults at once.
+     *
+     * @param changed the new faults
+     */
+    public void faults(TableFaults changed) {
+        table.faults(changed);
+    }
+
+    /** Stops the server and forgets all rows. */
+    @Override
+    public void close() {
+        server.close();
+        timer.shutdownNow();
+    }
+}
