--- /dev/null
+++ b/core/src/main/java/org/teaselhook/core/estimate/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Run times learned from observation.
+ */
+package org.teaselhook.core.estimate;
--- /dev/null
+++ b/core/src/main/java/org/teaselhook/core/retry/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Bounds on work that is sent again.
+ */
+package org.teaselhook.core.retry;
