Add a TCP relay that delays, swallows or closes connections

Connections that go silent without closing, while new ones work, need something between two processes that loses track of a connection.

--- /dev/null
+++ b/standin/src/main/java/org/teaselhook/standin/relay/RelayLink.java
@@ -0,0 +1,65 @@
+package org.teaselhook.standin.relay;
+
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import io.netty.channel.Channel;
+
+/** One connection through a relay: a channel on each side and a pipe in each direction. */
+final class RelayLink {
+
+    private final Channel client;
+    private final Channel server;
+    private final RelayPipe toServer;
+    private final RelayPipe toClient;
+    private final CompletableFuture<Void> closed = new CompletableFuture<>();
+
+    private RelayLink(Channel client, Channel server, RelayState state) {
+        this.client = client;
+        this.server = server;
+        this.toServer = new RelayPipe(RelayDirection.TO_SERVER, state, server);
+        this.toClient = new RelayPipe(RelayDirection.TO_CLIENT, state, client);
+    }
+
+    // -- factories
+
+    static RelayLink join(Channel client, Channel server, RelayState state) {
+        RelayLink link = new RelayLink(client, server, state);
+        client.pipeline().addLast(link.toServer);
+        server.pipeline().addLast(link.toClient);
+        client.closeFuture().addListener(done -> link.completeWhenBothClosed());
+        server.closeFuture().addListener(done -> link.completeWhenBothClosed());
+        client.config().setAutoRead(true);
+        server.config().setAutoRead(true);
+        return link;
+    }
+
+    // -- accessors
+
+    CompletionStage<Void> closed() {
+        return closed;
+    }
+
+    // -- commands
+
+    void silence(Set<RelayDirection> directions) {
+        if (directions.contains(RelayDirection.TO_SERVER)) {
+            toServer.silence();
+        }
+        if (directions.contains(RelayDirection.TO_CLIENT)) {
+            toClient.silence();
+        }
+    }
+
+    void close() {
+        client.close();
+        server.close();
+    }
+
+    private void completeWhenBothClosed() {
+        if (!client.isOpen() && !server.isOpen()) {
+            closed.complete(null);
+        }
+    }
+}
