--- /dev/null
+++ b/bench/src/main/java/org/teaselhook/bench/process/JavaCommand.java
@@ -0,0 +1,26 @@
+package org.teaselhook.bench.process;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Builds the command line of a small JVM that runs {@code teaselhook} on this JVM's class path. */
+final class JavaCommand {
+
+    private static final String MAIN_CLASS = "org.teaselhook.app.Main";
+    private static final List<String> SMALL_JVM = List.of(
+            "-Xmx96m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xss256k", "-XX:+ExitOnOutOfMemoryError");
+
+    private JavaCommand() {}
+
+    static List<String> of(List<String> arguments) {
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(SMALL_JVM);
+        command.add("-cp");
+        command.add(System.getProperty("java.class.path"));
+        command.add(MAIN_CLASS);
+        command.addAll(arguments);
+        return command;
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/teaselhook/bench/process/Readiness.java
@@ -0,0 +1,69 @@
+package org.teaselhook.bench.process;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+
+import org.teaselhook.net.http.HttpCall;
+import org.teaselhook.net.http.HttpClient;
+import org.teaselhook.net.http.HttpResult;
+
+/** Waits for daemons to report themselves ready. */
+public final class Readiness {
+
+    private static final long POLL_INTERVAL_MILLIS = 50;
+    private static final long PROBE_TIMEOUT_MILLIS = 1_000;
+    private static final int STATUS_OK = 200;
+
+    private final HttpClient client;
+
+    private Readiness(HttpClient client) {
+        this.client = client;
+    }
+
+    // -- factories
+
+    /**
+     * Returns a prober.
+     *
+     * @param client sends the probes
+     * @return the prober
+     */
+    public static Readiness of(HttpClient client) {
+        return new Readiness(client);
+    }
+
+    // -- probing
+
+    /**
+     * Asks a daemon once.
+     *
+     * @param address the daemon's HTTP address
+     * @return true if it answered {@code GET /ready} with status 200
+     */
+    public boolean isReady(InetSocketAddress address) {
+        HttpResult result = client.send(address, HttpCall.of("GET", "/ready"), PROBE_TIMEOUT_MILLIS)
+                .toCompletableFuture()
+                .join();
+        return result instanceof HttpResult.Replied replied && replied.reply().status() == STATUS_OK;
+    }
+
+    /**
+     * Asks a daemon until it is ready.
+     *
+     * @param address the daemon's HTTP address
+     * @param timeout the longest wait
+     * @return true if it became ready in time
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public boolean await(InetSocketAddress address, Duration timeout) throws InterruptedException {
+        long deadlineNanos = System.nanoTime() + timeout.toNanos();
+        while (!isReady(address)) {
+            if (System.nanoTime() - deadlineNanos > 0) {
+                return false;
+            }
+            TimeUnit.MILLISECONDS.sleep(POLL_INTERVAL_MILLIS);
+        }
+        return true;
+    }
+}
