Link entries to each other

Cause: forwarding, configuration and freshness among entries. Ruled out: taking any frame as proof that a peer is alive now, since a frame may have waited in a buffer; only the echo of a recent heartbeat counts. Conclusion: links replace silent connections without waiting for them.

--- /dev/null
+++ b/node/src/main/java/org/teaselhook/node/peer/Peers.java
@@ -0,0 +1,241 @@
+package org.teaselhook.node.peer;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+
+import io.grpc.stub.StreamObserver;
+import org.teaselhook.core.id.Incarnation;
+import org.teaselhook.net.log.LogLine;
+import org.teaselhook.node.session.EntryIdentity;
+import org.teaselhook.node.session.SessionStreams;
+import org.teaselhook.wire.ConfigDocument;
+import org.teaselhook.wire.EntryServiceGrpc;
+import org.teaselhook.wire.PeerFrame;
+import org.teaselhook.wire.PeerHeartbeat;
+
+/**
+ * All links to other entries. Confined to the control thread.
+ */
+public final class Peers {
+
+    private final EntryIdentity self;
+    private final PeerChannels channels;
+    private final Executor control;
+    private final LongSupplier clock;
+    private final PeerEvents events;
+    private final Supplier<ConfigDocument> config;
+    private final Map<String, PeerLink> links = new HashMap<>();
+    private boolean leaving;
+
+    /**
+     * Creates a set without links.
+     *
+     * @param self who this entry is
+     * @param channels opens channels
+     * @param control runs on the control thread
+     * @param clock the entry's monotonic clock, in nanoseconds
+     * @param events told of what peers say
+     * @param config the configuration in force, version 0 while there is none
+     */
+    public Peers(
+            EntryIdentity self,
+            PeerChannels channels,
+            Executor control,
+            LongSupplier clock,
+            PeerEvents events,
+            Supplier<ConfigDocument> config) {
+        this.self = Objects.requireNonNull(self, "self is null");
+        this.channels = Objects.requireNonNull(channels, "channels is null");
+        this.control = Objects.requireNonNull(control, "control is null");
+        this.clock = Objects.requireNonNull(clock, "clock is null");
+        this.events = Objects.requireNonNull(events, "events is null");
+        this.config = Objects.requireNonNull(config, "config is null");
+    }
+
+    // -- links
+
+    /**
+     * Dials an address, unless it is this entry's own or dialed already.
+     *
+     * @param nowNanos the present time
+     * @param address the gRPC address (host:port)
+     */
+    public void add(long nowNanos, String address) {
+        if (address.equals(self.address()) || links.containsKey(address)) {
+            return;
+        }
+        LogLine.of("peer-dialed").with("address", address).info();
+        links.put(address, new PeerLink(address, channels, control, new LinkFrames(), nowNanos));
+    }
+
+    /**
+     * Drops links to addresses that neither answer nor are known any more.
+     *
+     * @param nowNanos the present time
+     * @param known the addresses to be kept
+     */
+    public void retain(long nowNanos, List<String> known) {
+        List<PeerLink> dropped = links.values().stream()
+                .filter(link -> !known.contains(link.address()) && !link.isLive(nowNanos))
+                .collect(Collectors.toList());
+        dropped.forEach(link -> {
+            links.remove(link.address());
+            link.close();
+            LogLine.of("peer-dropped").with("address", link.address()).info();
+        });
+    }
+
+    /**
+     * Sends a heartbeat on every link and replaces silent connections.
+     *
+     * @param nowNanos the present time
+     */
+    public void heartbeatAll(long nowNanos) {
+        links.values().forEach(link -> {
+            link.checkSilence(nowNanos);
+            link.sendHeartbeat(nowNanos);
+        });
+    }
+
+    /** Sends the configuration in force to every peer. */
+    public void pushConfig() {
+        links.values().forEach(link -> link.sendConfig(config.get()));
+    }
+
+    /**
+     * Tells every peer that this entry is leaving.
+     *
+     * @param nowNanos the present time
+     */
+    public void leave(long nowNanos) {
+        leaving = true;
+        heartbeatAll(nowNanos);
+    }
+
+    /**
+     * Gives every link time again: this process itself did not run.
+     *
+     * @param nowNanos the present time
+     */
+    public void resumedAfterPause(long nowNanos) {
+        links.values().forEach(link -> link.forgivePause(nowNanos));
+    }
+
+    /** Closes every link. */
+    public void close() {
+        links.values().forEach(PeerLink::close);
+    }
+
+    // -- frames
+
+    /**
+     * Takes a frame from a stream that another entry dialed.
+     *
+     * @param nowNanos the present time
+     * @param stream answers go here
+     * @param frame the frame
+     */
+    public void received(long nowNanos, StreamObserver<PeerFrame> stream, PeerFrame frame) {
+        if (frame.hasConfig()) {
+            events.configReceived(frame.getConfig());
+        }
+        if (!frame.hasHeartbeat()) {
+            return;
+        }
+        PeerHeartbeat heartbeat = frame.getHeartbeat();
+        add(nowNanos, heartbeat.getAddress());
+        SessionStreams.send(
+                stream,
+                PeerFrame.newBuilder()
+                        .setHeartbeat(heartbeat(0, heartbeat.getSequence()))
+                        .build());
+        if (heartbeat.getConfigVersion() < config.get().getVersion()) {
+            SessionStreams.send(
+                    stream, PeerFrame.newBuilder().setConfig(config.get()).build());
+        }
+    }
+
+    private PeerHeartbeat heartbeat(long sequence, long echoSequence) {
+        return PeerHeartbeat.newBuilder()
+                .setName(self.name())
+                .setIncarnation(self.incarnation().value())
+                .setZone(self.zone())
+                .setAddress(self.address())
+                .setConfigVersion(config.get().getVersion())
+                .setLeaving(leaving)
+                .setSequence(sequence)
+                .setEchoSequence(echoSequence)
+                .build();
+    }
+
+    private final class LinkFrames implements PeerLink.PeerFrames {
+
+        @Override
+        public PeerHeartbeat heartbeat(long sequence, long echoSequence) {
+            return Peers.this.heartbeat(sequence, echoSequence);
+        }
+
+        @Override
+        public void received(PeerLink link, PeerFrame frame) {
+            if (frame.hasConfig()) {
+                events.configReceived(frame.getConfig());
+            }
+            if (frame.hasHeartbeat()) {
+                heartbeatReceived(link, frame.getHeartbeat());
+            }
+        }
+    }
+
+    private void heartbeatReceived(PeerLink link, PeerHeartbeat heartbeat) {
+        PeerInfo info = new PeerInfo(
+                heartbeat.getName(),
+                Incarnation.of(heartbeat.getIncarnation()),
+                heartbeat.getZone(),
+                heartbeat.getAddress(),
+                heartbeat.getConfigVersion(),
+                heartbeat.getLeaving());
+        long asOf = link.heard(info, heartbeat.getEchoSequence());
+        events.peerSpoke(info, asOf);
+        if (heartbeat.getConfigVersion() < config.get().getVersion()) {
+            link.sendConfig(config.get());
+        }
+    }
+
+    // -- accessors
+
+    /**
+     * Returns the entries that have spoken within the last 2 s and are not leaving.
+     *
+     * @return what they said, without this entry
+     */
+    public List<PeerInfo> live() {
+        long now = clock.getAsLong();
+        List<PeerInfo> result = new ArrayList<>();
+        for (PeerLink link : links.values()) {
+            link.peer().filter(peer -> link.isLive(now) && !peer.leaving()).ifPresent(result::add);
+        }
+        return result;
+    }
+
+    /**
+     * Finds the calls to a run of another entry, whether it is leaving or not.
+     *
+     * @param incarnation the run
+     * @return a stub, or empty if that run does not answer now
+     */
+    public Optional<EntryServiceGrpc.EntryServiceFutureStub> calls(Incarnation incarnation) {
+        long now = clock.getAsLong();
+        return links.values().stream()
+                .filter(link -> link.leadsTo(incarnation) && link.isLive(now))
+                .findFirst()
+                .map(PeerLink::calls);
+    }
+}
