--- /dev/null
+++ b/node/src/main/java/org/teaselhook/node/entry/NamedOutcome.java
@@ -0,0 +1,11 @@
+package org.teaselhook.node.entry;
+
+import org.teaselhook.core.outcome.Outcome;
+
+/**
+ * An outcome with the name under which the submission can be found again.
+ *
+ * @param name the name
+ * @param outcome the outcome
+ */
+record NamedOutcome(String name, Outcome outcome) {}
--- a/wire/src/main/java/org/teaselhook/wire/ForwardRequest.java
+++ b/wire/src/main/java/org/teaselhook/wire/ForwardRequest.java
@@ -306,6 +306,36 @@
     return joinOnly_;
   }
 
+  public static final int CANCEL_FIELD_NUMBER = 10;
+  private boolean cancel_ = false;
+  /**
+   * <pre>
+   * Cancel the submission if it runs here.
+   * </pre>
+   *
+   * <code>bool cancel = 10;</code>
+   * @return The cancel.
+   */
+  @java.lang.Override
+  public boolean getCancel() {
+    return cancel_;
+  }
+
+  public static final int DIGEST_FIELD_NUMBER = 11;
+  private long digest_ = 0L;
+  /**
+   * <pre>
+   * Digest of service, kinds and bodies; 0 when the asker does not know it.
+   * </pre>
+   *
+   * <code>fixed64 digest = 11;</code>
+   * @return The digest.
+   */
+  @java.lang.Override
+  public long getDigest() {
+    return digest_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -347,6 +377,12 @@
     if (joinOnly_ != false) {
       output.writeBool(9, joinOnly_);
     }
+    if (cancel_ != false) {
+      output.writeBool(10, cancel_);
+    }
+    if (digest_ != 0L) {
+      output.writeFixed64(11, digest_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -388,6 +424,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(9, joinOnly_);
     }
+    if (cancel_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(10, cancel_);
+    }
+    if (digest_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeFixed64Size(11, digest_);
+    }
     return size;
   }
   @java.lang.Override
@@ -430,6 +474,10 @@
         .equals(other.getTasksList())) return false;
     if (getJoinOnly()
         != other.getJoinOnly()) return false;
+    if (getCancel()
+        != other.getCancel()) return false;
+    if (getDigest()
+        != other.getDigest()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -465,6 +513,12 @@
     hash = (37 * hash) + JOIN_ONLY_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getJoinOnly());
+    hash = (37 * hash) + CANCEL_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getCancel());
+    hash = (37 * hash) + DIGEST_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getDigest());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -611,6 +665,8 @@
       }
       bitField0_ = (bitField0_ & ~0x00000080);
       joinOnly_ = false;
+      cancel_ = false;
+      digest_ = 0L;
       return this;
     }
 
@@ -681,6 +737,12 @@
       if (((from_bitField0_ & 0x00000100) != 0)) {
         result.joinOnly_ = joinOnly_;
       }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.cancel_ = cancel_;
+      }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.digest_ = digest_;
+      }
     }
 
     @java.lang.Override
@@ -753,6 +815,12 @@
       if (other.getJoinOnly() != false) {
         setJoinOnly(other.getJoinOnly());
       }
+      if (other.getCancel() != false) {
+        setCancel(other.getCancel());
+      }
+      if (other.getDigest() != 0L) {
+        setDigest(other.getDigest());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -830,6 +898,16 @@
               bitField0_ |= 0x00000100;
               break;
             } // case 72
+            case 80: {
+              cancel_ = input.readBool();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 80
+            case 89: {
+              digest_ = input.readFixed64();
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 89
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1529,6 +1607,94 @@
       return this;
     }
 
+    private boolean cancel_ ;
+    /**
+     * <pre>
+     * Cancel the submission if it runs here.
+     * </pre>
+     *
+     * <code>bool cancel = 10;</code>
+     * @return The cancel.
+     */
+    @java.lang.Override
+    public boolean getCancel() {
+      return cancel_;
+    }
+    /**
+     * <pre>
+     * Cancel the submission if it runs here.
+     * </pre>
+     *
+     * <code>bool cancel = 10;</code>
+     * @param value The cancel to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCancel(boolean value) {
+
+      cancel_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Cancel the submission if it runs here.
+     * </pre>
+     *
+     * <code>bool cancel = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCancel() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      cancel_ = false;
+      onChanged();
+      return this;
+    }
+
+    private long digest_ ;
+    /**
+     * <pre>
+     * Digest of service, kinds and bodies; 0 when the asker does not know it.
+     * </pre>
+     *
+     * <code>fixed64 digest = 11;</code>
+     * @return The digest.
+     */
+    @java.lang.Override
+    public long getDigest() {
+      return digest_;
+    }
+    /**
+     * <pre>
+     * Digest of service, kinds and bodies; 0 when the asker does not know it.
+     * </pre>
+     *
+     * <code>fixed64 digest = 11;</code>
+     * @param value The digest to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDigest(long value) {
+
+      digest_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Digest of service, kinds and bodies; 0 when the asker does not know it.
+     * </pre>
+     *
+     * <code>fixed64 digest = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDigest() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      digest_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:teaselhook.v1.ForwardRequest)
   }
 
--- a/wire/src/main/java/org/teaselhook/wire/ForwardRequestOrBuilder.java
+++ b/wire/src/main/java/org/teaselhook/wire/ForwardRequestOrBuilder.java
@@ -117,4 +117,24 @@
    * @return The joinOnly.
    */
   boolean getJoinOnly();
+
+  /**
+   * <pre>
+   * Cancel the submission if it runs here.
+   * </pre>
+   *
+   * <code>bool cancel = 10;</code>
+   * @return The cancel.
+   */
+  boolean getCancel();
+
+  /**
+   * <pre>
+   * Digest of service, kinds and bodies; 0 when the asker does not know it.
+   * </pre>
+   *
+   * <code>fixed64 digest = 11;</code>
+   * @return The digest.
+   */
+  long getDigest();
 }
