Decide placement, retries, refusals and answers in the dispatcher

The dispatcher takes submissions, learns run times per kind, refuses what cannot be finished in time, places tasks on granted slots, hedges and retries unclaimed requests within budgets, and answers each submission once. Invariants are checked before each effect. wantedSlots takes the present time, like every method.

--- /dev/null
+++ b/core/src/main/java/org/teaselhook/core/dispatch/ActiveSubmission.java
@@ -0,0 +1,87 @@
+package org.teaselhook.core.dispatch;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+import org.teaselhook.core.outcome.Answer;
+
+/**
+ * A submission that is not answered yet.
+ */
+final class ActiveSubmission {
+
+    private final Submission submission;
+    private final ServicePool pool;
+    private final List<ActiveTask> tasks;
+    private final Answer[] answers;
+    private Timers.Timer deadline;
+    private int unfinished;
+    private boolean ran;
+    private boolean answered;
+
+    ActiveSubmission(Submission submission, ServicePool pool) {
+        this.submission = submission;
+        this.pool = pool;
+        this.tasks = new ArrayList<>(submission.size());
+        this.answers = new Answer[submission.size()];
+        this.unfinished = submission.size();
+        for (int i = 0; i < submission.size(); i++) {
+            tasks.add(new ActiveTask(this, i, submission.tasks().get(i)));
+        }
+    }
+
+    // -- accessors
+
+    Submission submission() {
+        return submission;
+    }
+
+    ServicePool pool() {
+        return pool;
+    }
+
+    List<ActiveTask> tasks() {
+        return tasks;
+    }
+
+    int unfinished() {
+        return unfinished;
+    }
+
+    boolean isAnswered() {
+        return answered;
+    }
+
+    /** Tells whether any task may have started. */
+    boolean mayHaveRun() {
+        return ran || tasks.stream().anyMatch(task -> !task.open().isEmpty());
+    }
+
+    List<Answer> answers() {
+        return Arrays.asList(answers);
+    }
+
+    // -- updates
+
+    void expireBy(Timers.Timer newDeadline) {
+        deadline = newDeadline;
+        deadline.set(submission.deadline());
+    }
+
+    void ran() {
+        ran = true;
+    }
+
+    void complete(ActiveTask task, Answer answer) {
+        task.done();
+        answers[task.index()] = answer;
+        unfinished--;
+    }
+
+    void answered() {
+        Invariant.ANSWERED_TWICE.check(!answered, submission.id());
+        answered = true;
+        deadline.clear();
+    }
+}
--- a/core/src/main/java/org/teaselhook/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/teaselhook/core/dispatch/Dispatcher.java
@@ -1,10 +1,14 @@
 package org.teaselhook.core.dispatch;
 
+import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.random.RandomGenerator;
 
 import org.teaselhook.core.id.Incarnation;
 import org.teaselhook.core.outcome.Answer;
+import org.teaselhook.core.outcome.Problem;
+import org.teaselhook.core.outcome.ProblemKind;
 import org.teaselhook.core.rules.Rules;
 
 /**
@@ -21,9 +25,13 @@
  */
 public final class Dispatcher {
 
-    private final DispatcherSettings settings;
-    private final DispatchOutput output;
-    private final RandomGenerator random;
+    private final Control control;
+    private final Fleet fleet;
+    private final Intake intake;
+    private final Forecast forecast;
+    private final Scheduler scheduler;
+    private final Settlement settlement;
+    private final Results results;
 
     /**
      * Creates a dispatcher that serves nothing until {@link #serving} says so.
@@ -33,9 +41,16 @@
      * @param random the source of randomness
      */
     public Dispatcher(DispatcherSettings settings, DispatchOutput output, RandomGenerator random) {
-        this.settings = Objects.requireNonNull(settings, "settings is null");
-        this.output = Objects.requireNonNull(output, "output is null");
-        this.random = Objects.requireNonNull(random, "random is null");
+        Objects.requireNonNull(settings, "settings is null");
+        Objects.requireNonNull(output, "output is null");
+        Objects.requireNonNull(random, "random is null");
+        control = new Control(settings, output, random);
+        fleet = new Fleet(control);
+        forecast = new Forecast(control);
+        intake = new Intake(control, fleet, forecast);
+        scheduler = new Scheduler(control, fleet, new Demand(control, fleet), this::expired);
+        settlement = new Settlement(control, intake, this::removed);
+        results = new Results(control, fleet, scheduler, settlement, forecast);
     }
 
     // -- submissions
@@ -46,7 +61,23 @@
      * @param nowNanos the present time
      * @param submission the submission, with an id never used before
      */
-    public void submit(long nowNanos, Submission submission) {}
+    public void submit(long nowNanos, Submission submission) {
+        control.counters().submissions++;
+        Optional<Problem> refusal = intake.refusal(nowNanos, submission);
+        if (refusal.isPresent()) {
+            settlement.refuse(nowNanos, submission, refusal.get(), queued(submission.service()));
+            return;
+        }
+        ServicePool pool = fleet.pool(submission.service());
+        ActiveSubmission active = settlement.open(submission, pool);
+        for (ActiveTask task : active.tasks()) {
+            task.timer(control.timers().timer(now -> results.wake(now, task)));
+            forecast.plan(nowNanos, task, pool);
+            scheduler.enqueue(nowNanos, task);
+        }
+        results.submitted();
+        scheduler.drain(nowNanos, pool);
+    }
 
     /**
      * Cancels a submission and answers it at once. Does nothing if it was answered before.
@@ -54,7 +85,12 @@
      * @param nowNanos the present time
      * @param submissionId the submission
      */
-    public void cancel(long nowNanos, String submissionId) {}
+    public void cancel(long nowNanos, String submissionId) {
+        Problem problem = Problem.of(ProblemKind.CANCELLED, "cancelled by the caller");
+        settlement
+                .find(submissionId)
+                .ifPresent(active -> settlement.fail(nowNanos, active, DecisionKind.CANCELLED, problem));
+    }
 
     // -- agents
 
@@ -66,7 +102,7 @@
      * @return the numbers of the orders in progress at this run of the agent, for it to settle
      */
     public long[] connected(long nowNanos, AgentInfo agent) {
-        return new long[0];
+        return fleet.connect(nowNanos, agent).numbers();
     }
 
     /**
@@ -76,7 +112,12 @@
      * @param agent the agent
      * @param state what it says
      */
-    public void updated(long nowNanos, Incarnation agent, AgentState state) {}
+    public void updated(long nowNanos, Incarnation agent, AgentState state) {
+        fleet.find(agent).ifPresent(worker -> {
+            fleet.update(nowNanos, worker, state).forEach(pool -> abandonIfUnserved(nowNanos, pool));
+            scheduler.drain(nowNanos, worker);
+        });
+    }
 
     /**
      * Adds granted slots.
@@ -85,7 +126,13 @@
      * @param agent the agent
      * @param slots the number of slots
      */
-    public void granted(long nowNanos, Incarnation agent, int slots) {}
+    public void granted(long nowNanos, Incarnation agent, int slots) {
+        fleet.find(agent).ifPresent(worker -> {
+            worker.grant(slots);
+            fleet.refresh(nowNanos, worker);
+            scheduler.drain(nowNanos, worker);
+        });
+    }
 
     /**
      * Gives back unused granted slots through {@link DispatchOutput#returnGrants}, as many as this entry does not need.
@@ -94,7 +141,15 @@
      * @param agent the agent
      * @param slots the greatest number of slots to return
      */
-    public void reclaim(long nowNanos, Incarnation agent, int slots) {}
+    public void reclaim(long nowNanos, Incarnation agent, int slots) {
+        fleet.find(agent).ifPresent(worker -> {
+            int returned = worker.giveBack(slots);
+            if (returned > 0) {
+                fleet.refresh(nowNanos, worker);
+                control.output().returnGrants(agent, returned);
+            }
+        });
+    }
 
     /**
      * Notes that nothing was heard from an agent for too long: nothing new goes there until it connects again.
@@ -102,7 +157,14 @@
      * @param nowNanos the present time
      * @param agent the agent
      */
-    public void silent(long nowNanos, Incarnation agent) {}
+    public void silent(long nowNanos, Incarnation agent) {
+        fleet.find(agent).ifPresent(worker -> {
+            worker.silent();
+            fleet.refresh(nowNanos, worker);
+            worker.attempts().forEach(attempt -> results.silent(nowNanos, attempt));
+            scheduler.drain(nowNanos, worker);
+        });
+    }
 
     /**
      * Notes that an agent is lost for good: its claimed tasks may have run.
@@ -110,7 +172,14 @@
      * @param nowNanos the present time
      * @param agent the agent
      */
-    public void gone(long nowNanos, Incarnation agent) {}
+    public void gone(long nowNanos, Incarnation agent) {
+        fleet.find(agent).ifPresent(worker -> {
+            List<ServicePool> shrunk = fleet.remove(worker);
+            worker.attempts().forEach(attempt -> lost(nowNanos, attempt));
+            shrunk.forEach(pool -> abandonIfUnserved(nowNanos, pool));
+            shrunk.forEach(pool -> scheduler.drain(nowNanos, pool));
+        });
+    }
 
     /**
      * Takes the result of an order. Late and repeated results change nothing and are counted.
@@ -122,8 +191,14 @@
      * @param answer the target's answer
      * @param runNanos the time at the target, in nanoseconds
      */
-    public void result(
-            long nowNanos, Incarnation agent, long number, TaskStatus status, Answer answer, long runNanos) {}
+    public void result(long nowNanos, Incarnation agent, long number, TaskStatus status, Answer answer, long runNanos) {
+        control.output().ack(agent, number);
+        Optional<Attempt> attempt = attempt(agent, number);
+        attempt.ifPresent(found -> {
+            results.result(nowNanos, found, status, answer, runNanos);
+            drain(nowNanos, found);
+        });
+    }
 
     /**
      * Takes an agent's word that an order did not start and never will.
@@ -133,16 +208,27 @@
      * @param number the dispatch number
      * @param reason the reason
      */
-    public void refused(long nowNanos, Incarnation agent, long number, RefusalReason reason) {}
+    public void refused(long nowNanos, Incarnation agent, long number, RefusalReason reason) {
+        control.output().ack(agent, number);
+        control.counters().refused(reason);
+        Optional<Attempt> attempt = attempt(agent, number);
+        attempt.ifPresent(found -> {
+            results.refused(nowNanos, found, reason);
+            drain(nowNanos, found);
+        });
+    }
 
     /**
      * Returns how many slots of an agent this entry could use beyond those that it holds.
      *
+     * @param nowNanos the present time
      * @param agent the agent
      * @return the number of slots, from 0
      */
-    public int wantedSlots(Incarnation agent) {
-        return 0;
+    public int wantedSlots(long nowNanos, Incarnation agent) {
+        return fleet.find(agent)
+                .map(worker -> fleet.wantedSlots(nowNanos, worker))
+                .orElse(0);
     }
 
     // -- configuration
@@ -154,7 +240,13 @@
      * @param rules the rules
      * @param version the configuration version
      */
-    public void rules(long nowNanos, Rules rules, long version) {}
+    public void rules(long nowNanos, Rules rules, long version) {
+        if (!control.adopt(rules, version)) {
+            return;
+        }
+        fleet.followZones(nowNanos).forEach(pool -> abandonIfUnserved(nowNanos, pool));
+        drainAll(nowNanos);
+    }
 
     /**
      * Says whether the entry's configuration is recent enough to start work. While it is not, nothing starts, and
@@ -163,14 +255,26 @@
      * @param nowNanos the present time
      * @param serving true if work may start
      */
-    public void serving(long nowNanos, boolean serving) {}
+    public void serving(long nowNanos, boolean serving) {
+        control.serving(serving);
+        if (serving) {
+            drainAll(nowNanos);
+            return;
+        }
+        Problem problem = Problem.of(ProblemKind.NOT_READY, "the configuration is not recent");
+        settlement.all().stream()
+                .filter(active -> !active.mayHaveRun())
+                .forEach(active -> settlement.fail(nowNanos, active, DecisionKind.FAILED, problem));
+    }
 
     /**
      * Refuses new submissions from now on; those in progress go on.
      *
      * @param nowNanos the present time
      */
-    public void stopping(long nowNanos) {}
+    public void stopping(long nowNanos) {
+        control.stop();
+    }
 
     // -- time
 
@@ -179,7 +283,9 @@
      *
      * @param nowNanos the present time
      */
-    public void tick(long nowNanos) {}
+    public void tick(long nowNanos) {
+        control.timers().run(nowNanos);
+    }
 
     /**
      * Returns when {@link #tick} has something to do next.
@@ -187,7 +293,7 @@
      * @return an instant, or {@link Long#MAX_VALUE} if nothing is pending
      */
     public long nextTickAt() {
-        return Long.MAX_VALUE;
+        return control.timers().nextAt();
     }
 
     // -- accessors
@@ -198,7 +304,9 @@
      * @return the present values
      */
     public DispatchStats stats() {
-        return new DispatchStats(0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, java.util.Map.of(), 0, 0, 0, 0);
+        int queued =
+                fleet.pools().stream().mapToInt(pool -> pool.queue().size()).sum();
+        return control.counters().stats(queued, scheduler.running(), fleet.size(), fleet.ejected());
     }
 
     /**
@@ -207,6 +315,55 @@
      * @return the number, from 0
      */
     public int size() {
-        return 0;
+        return settlement.size();
+    }
+
+    // -- steps
+
+    private int queued(String service) {
+        return fleet.findPool(service).map(pool -> pool.queue().size()).orElse(0);
+    }
+
+    private Optional<Attempt> attempt(Incarnation agent, long number) {
+        Optional<Attempt> attempt = fleet.find(agent).flatMap(worker -> scheduler.find(worker, number));
+        if (attempt.isEmpty()) {
+            control.counters().unknownResults++;
+        }
+        return attempt;
+    }
+
+    private void drain(long nowNanos, Attempt ended) {
+        scheduler.drain(nowNanos, ended.member().worker());
+        scheduler.drain(nowNanos, ended.task().submission().pool());
+    }
+
+    private void drainAll(long nowNanos) {
+        fleet.pools().forEach(pool -> scheduler.drain(nowNanos, pool));
+    }
+
+    private void lost(long nowNanos, Attempt attempt) {
+        scheduler.close(nowNanos, attempt, true);
+        String detail = "worker=" + attempt.member().worker().info().name() + " number=" + attempt.number();
+        results.failed(nowNanos, attempt, Problem.of(ProblemKind.WORKER_LOST, detail));
+    }
+
+    private void expired(long nowNanos, ActiveTask task) {
+        results.expired(nowNanos, task);
+    }
+
+    private void removed(ActiveTask task) {
+        scheduler.dequeue(task);
+        task.open().forEach(scheduler::cancel);
+    }
+
+    /** Answers what waits for a service that no worker in service serves any more. */
+    private void abandonIfUnserved(long nowNanos, ServicePool pool) {
+        if (pool.membersInService() > 0 || pool.queue().isEmpty()) {
+            return;
+        }
+        Problem problem = Problem.of(ProblemKind.NO_WORKER, "service=" + pool.service());
+        settlement.all().stream()
+                .filter(active -> active.pool() == pool && !active.mayHaveRun())
+                .forEach(active -> settlement.fail(nowNanos, active, DecisionKind.FAILED, problem));
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/teaselhook/core/dispatch/Member.java
@@ -0,0 +1,70 @@
+package org.teaselhook.core.dispatch;
+
+import org.teaselhook.core.health.WorkerHealth;
+import org.teaselhook.core.placement.Candidate;
+
+/**
+ * A worker's part in one service.
+ */
+final class Member extends Candidate {
+
+    private final Worker worker;
+    private final ServicePool pool;
+    private final WorkerHealth health;
+    private int running;
+
+    Member(Worker worker, ServicePool pool) {
+        this.worker = worker;
+        this.pool = pool;
+        this.health = WorkerHealth.join(pool.peers(), worker.info().slots());
+    }
+
+    // -- accessors
+
+    Worker worker() {
+        return worker;
+    }
+
+    ServicePool pool() {
+        return pool;
+    }
+
+    WorkerHealth health() {
+        return health;
+    }
+
+    int running() {
+        return running;
+    }
+
+    @Override
+    public int free() {
+        return pool.usesGrants() ? worker.grants() : worker.info().slots() - worker.running();
+    }
+
+    @Override
+    public boolean near() {
+        return worker.near();
+    }
+
+    /** Tells whether an order, a probe if nothing else, could be sent now. */
+    boolean hasSlot(long nowNanos) {
+        return worker.isUsable(nowNanos) && free() > 0;
+    }
+
+    boolean isReady(long nowNanos) {
+        return hasSlot(nowNanos) && health.accepts(running);
+    }
+
+    // -- updates
+
+    void opened() {
+        running++;
+        pool.opened();
+    }
+
+    void closed() {
+        running--;
+        pool.closed();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaselhook/core/dispatch/ServicePool.java
@@ -0,0 +1,157 @@
+package org.teaselhook.core.dispatch;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import org.teaselhook.core.estimate.RunTimeEstimate;
+import org.teaselhook.core.estimate.RunTimes;
+import org.teaselhook.core.health.HealthState;
+import org.teaselhook.core.health.PeerGroup;
+import org.teaselhook.core.placement.CandidateSet;
+import org.teaselhook.core.queue.FairQueue;
+
+/**
+ * A service at this entry: its queue, its workers, and the slots that its queue is served by.
+ */
+final class ServicePool {
+
+    private static final double CAPACITY_MEMORY_NANOS = 500_000_000.0;
+
+    private final String service;
+    private final boolean usesGrants;
+    private final FairQueue<ActiveTask> queue = FairQueue.empty();
+    private final RunTimes runTimes = RunTimes.empty();
+    private final PeerGroup peers = PeerGroup.empty();
+    private final CandidateSet<Member> ready = CandidateSet.empty();
+    private final List<Member> members = new ArrayList<>();
+    private final Set<Member> ejected = new LinkedHashSet<>();
+    private int running;
+    private int slotsInService;
+    private int membersInService;
+    private double capacity;
+    private long capacityAt;
+    private int nextAnnounced;
+
+    ServicePool(String service, boolean usesGrants) {
+        this.service = service;
+        this.usesGrants = usesGrants;
+    }
+
+    // -- accessors
+
+    String service() {
+        return service;
+    }
+
+    boolean usesGrants() {
+        return usesGrants;
+    }
+
+    FairQueue<ActiveTask> queue() {
+        return queue;
+    }
+
+    PeerGroup peers() {
+        return peers;
+    }
+
+    CandidateSet<Member> ready() {
+        return ready;
+    }
+
+    List<Member> members() {
+        return members;
+    }
+
+    int membersInService() {
+        return membersInService;
+    }
+
+    int slotsInService() {
+        return slotsInService;
+    }
+
+    RunTimeEstimate runTime(TaskRequest task) {
+        return runTimes.of(task.kind(), task.declaredRunNanos());
+    }
+
+    /** Finds an ejected worker that may get a probe now. */
+    Optional<Member> dueForProbe(long nowNanos) {
+        return ejected.stream()
+                .filter(member -> member.health().isProbeDue(nowNanos) && member.hasSlot(nowNanos))
+                .findFirst();
+    }
+
+    /** Returns the slots this wait could use at one more worker. */
+    int wantedPerMember() {
+        return membersInService == 0 ? 0 : (queue.size() + membersInService - 1) / membersInService;
+    }
+
+    // -- capacity
+
+    /**
+     * Returns the slots that serve this entry's queue: all those in service while nothing waits, and those that it is
+     * seen to get while something does.
+     */
+    double capacity(long nowNanos) {
+        double target = queue.isEmpty() ? slotsInService : Math.min(slotsInService, Math.max(1, running));
+        double kept = Math.exp(-(nowNanos - capacityAt) / CAPACITY_MEMORY_NANOS);
+        capacity = target + (capacity - target) * kept;
+        capacityAt = nowNanos;
+        return Math.max(1, Math.min(capacity, slotsInService));
+    }
+
+    void opened() {
+        running++;
+    }
+
+    void closed() {
+        running--;
+    }
+
+    // -- members
+
+    void add(Member member) {
+        members.add(member);
+    }
+
+    void remove(Member member) {
+        members.remove(member);
+        ejected.remove(member);
+        ready.set(member, false);
+        member.health().leave();
+    }
+
+    void refresh(long nowNanos, Member member) {
+        ready.set(member, member.isReady(nowNanos));
+        if (member.health().state() == HealthState.EJECTED) {
+            ejected.add(member);
+        } else {
+            ejected.remove(member);
+        }
+    }
+
+    void countInService(Member member, int sign) {
+        membersInService += sign;
+        slotsInService += sign * member.worker().info().slots();
+    }
+
+    /** Restores the longest ejected worker if more are ejected than the bound allows. */
+    Optional<Member> restoreBeyondBound() {
+        if (!peers.exceedsBound() || ejected.isEmpty()) {
+            return Optional.empty();
+        }
+        Member member = ejected.iterator().next();
+        member.health().ramp();
+        return Optional.of(member);
+    }
+
+    /** Returns the next member in turn, to hear of the wanted slots. */
+    Member nextToAnnounce() {
+        nextAnnounced = (nextAnnounced + 1) % members.size();
+        return members.get(nextAnnounced);
+    }
+}
--- a/core/src/main/java/org/teaselhook/core/health/WorkerHealth.java
+++ b/core/src/main/java/org/teaselhook/core/health/WorkerHealth.java
@@ -32,6 +32,7 @@
     private int goodProbes;
     private long probeInterval = FIRST_PROBE_NANOS;
     private long nextProbeAt;
+    private boolean left;
 
     private WorkerHealth(PeerGroup peers, int slots) {
         this.peers = peers;
@@ -109,6 +110,9 @@
      * @param ratio the run time over the typical run time of the kind
      */
     public void succeeded(long nowNanos, double ratio) {
+        if (left) {
+            return;
+        }
         double logRatio = Math.log(Math.max(ratio, 1e-3));
         if (state == HealthState.EJECTED) {
             probed(nowNanos, logRatio - peers.slownessWithout(0) < FIT_SLOWNESS);
@@ -127,6 +131,9 @@
      * @param nowNanos the present time
      */
     public void failed(long nowNanos) {
+        if (left) {
+            return;
+        }
         if (state == HealthState.EJECTED) {
             probed(nowNanos, false);
             return;
@@ -142,7 +149,7 @@
      * @param ratio the time so far over the typical run time of the kind
      */
     public void late(long nowNanos, double ratio) {
-        if (state == HealthState.EJECTED) {
+        if (left || state == HealthState.EJECTED) {
             return;
         }
         observe(0, Math.log(Math.max(ratio, 1)));
@@ -169,8 +176,9 @@
         limit = Math.min(slots, FIRST_LIMIT);
     }
 
-    /** Removes the worker from its group. */
+    /** Removes the worker from its group; later observations are ignored. */
     public void leave() {
+        left = true;
         peers.changeSize(-1);
         if (state == HealthState.EJECTED) {
             peers.changeEjected(-1);
