Add the history of a run and its checker

A run records what callers, targets and operators saw on one monotonic clock; the checker is a pure function from that history to typed violations with their evidence. Starts are linked to submissions by the task's body, so that a second submission id under the same key cannot hide a second start. A return of a zone whose answer was lost ends the check of an earlier removal only from the time it was sent, since it may take effect at any later time.

--- /dev/null
+++ b/bench/src/main/java/org/teaselhook/bench/history/HistoryChecker.java
@@ -0,0 +1,58 @@
+package org.teaselhook.bench.history;
+
+import java.util.List;
+
+/**
+ * Checks a history against what must always hold. It has no state and reads no clock.
+ *
+ * <pre>{@code
+ * List<Violation> violations = HistoryChecker.of(HistoryLimits.standard()).check(recorder.history());
+ * }</pre>
+ */
+public final class HistoryChecker {
+
+    private final List<HistoryCheck> checks;
+
+    private HistoryChecker(List<HistoryCheck> checks) {
+        this.checks = checks;
+    }
+
+    // -- factories
+
+    /**
+     * Returns a checker of every property.
+     *
+     * @param limits the times within which changes must be in force
+     * @return the checker
+     */
+    public static HistoryChecker of(HistoryLimits limits) {
+        return new HistoryChecker(List.of(
+                StartChecks::startedTwice,
+                StartChecks::startedUnasked,
+                NotRunChecks::notRunButStarted,
+                NotRunChecks::notRunAfterStart,
+                AnswerChecks::wrongAnswers,
+                AnswerChecks::differentAnswers,
+                AnswerChecks::completeButNotStarted,
+                new ZoneCheck(limits.zoneOut()),
+                new LeavingTargetCheck(limits.targetLeaving()),
+                ConfigurationChecks::versionFell,
+                ConfigurationChecks::changeLost,
+                ConfigurationChecks::changeAppliedTwice,
+                StopChecks::callsCut,
+                StopChecks::tasksCut,
+                StopChecks::invariants));
+    }
+
+    // -- checking
+
+    /**
+     * Finds every violation.
+     *
+     * @param history the history of a run
+     * @return the violations; empty if everything held
+     */
+    public List<Violation> check(History history) {
+        return checks.stream().flatMap(check -> check.violations(history)).toList();
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/teaselhook/bench/history/NotRunChecks.java
@@ -0,0 +1,47 @@
+package org.teaselhook.bench.history;
+
+import java.util.List;
+import java.util.function.BiPredicate;
+import java.util.stream.Stream;
+
+import org.teaselhook.bench.history.HistoryEvent.Started;
+
+/** What holds of calls that were answered not run. */
+final class NotRunChecks {
+
+    private NotRunChecks() {}
+
+    /** A start after the call was sent that belongs to no other call of the key. */
+    static Stream<Violation> notRunButStarted(History history) {
+        return history.callsByKey().values().stream()
+                .flatMap(calls -> refuted(
+                        history,
+                        calls,
+                        ViolationKind.NOT_RUN_BUT_STARTED,
+                        (call, start) -> start.atNanos() >= call.sent().atNanos()
+                                && calls.stream()
+                                        .noneMatch(other -> other != call && other.couldStartAt(start.atNanos()))));
+    }
+
+    /** A start before the call was sent: the key's work had been done, at least in part. */
+    static Stream<Violation> notRunAfterStart(History history) {
+        return history.callsByKey().values().stream()
+                .flatMap(calls -> refuted(
+                        history,
+                        calls,
+                        ViolationKind.NOT_RUN_AFTER_START,
+                        (call, start) -> start.atNanos() < call.sent().atNanos()));
+    }
+
+    private static Stream<Violation> refuted(
+            History history, List<Call> calls, ViolationKind kind, BiPredicate<Call, Started> refutes) {
+        return calls.stream()
+                .filter(call -> call.ended(AnswerKind.NOT_RUN))
+                .flatMap(call -> call.sent().bodies().stream()
+                        .flatMap(body -> history.starts(body).stream())
+                        .filter(start -> refutes.test(call, start))
+                        .limit(1)
+                        .map(start -> Violation.of(
+                                kind, call.sent(), start, call.answer().orElseThrow())));
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/teaselhook/bench/history/Violation.java
@@ -0,0 +1,38 @@
+package org.teaselhook.bench.history;
+
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * A proof that a history breaks what must always hold.
+ *
+ * @param kind what is broken
+ * @param evidence the events that show it, in the order of time
+ */
+public record Violation(ViolationKind kind, List<HistoryEvent> evidence) {
+
+    /** Copies the evidence. */
+    public Violation {
+        Objects.requireNonNull(kind, "kind is null");
+        evidence = List.copyOf(evidence);
+    }
+
+    /**
+     * Returns a violation.
+     *
+     * @param kind what is broken
+     * @param evidence the events that show it
+     * @return the violation
+     */
+    public static Violation of(ViolationKind kind, HistoryEvent... evidence) {
+        return new Violation(kind, List.of(evidence));
+    }
+
+    @Override
+    public String toString() {
+        StringBuilder text = new StringBuilder(kind.name()).append(": ").append(kind.message());
+        evidence.forEach(
+                event -> text.append(System.lineSeparator()).append("    ").append(event));
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/bench/src/test/java/org/teaselhook/bench/history/HistoryCheckerTest.java
@@ -0,0 +1,290 @@
+package org.teaselhook.bench.history;
+
+import java.util.List;
+
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.teaselhook.bench.history.AnswerKind.CLOSED;
+import static org.teaselhook.bench.history.AnswerKind.MAY_HAVE_RUN;
+import static org.teaselhook.bench.history.AnswerKind.NOT_RUN;
+import static org.teaselhook.bench.history.AnswerKind.NOT_SENT;
+import static org.teaselhook.bench.history.AnswerKind.TIMED_OUT;
+import static org.teaselhook.bench.history.HandMade.history;
+import static org.teaselhook.bench.history.ViolationKind.CHANGE_APPLIED_TWICE;
+import static org.teaselhook.bench.history.ViolationKind.CHANGE_LOST;
+import static org.teaselhook.bench.history.ViolationKind.COMPLETE_BUT_NOT_STARTED;
+import static org.teaselhook.bench.history.ViolationKind.CUT_BY_STOP;
+import static org.teaselhook.bench.history.ViolationKind.DIFFERENT_ANSWERS;
+import static org.teaselhook.bench.history.ViolationKind.FOREIGN_ANSWER;
+import static org.teaselhook.bench.history.ViolationKind.INVARIANT;
+import static org.teaselhook.bench.history.ViolationKind.NOT_RUN_AFTER_START;
+import static org.teaselhook.bench.history.ViolationKind.NOT_RUN_BUT_STARTED;
+import static org.teaselhook.bench.history.ViolationKind.PARTIAL_ANSWER;
+import static org.teaselhook.bench.history.ViolationKind.STARTED_AT_LEAVING_TARGET;
+import static org.teaselhook.bench.history.ViolationKind.STARTED_IN_ZONE_OUT;
+import static org.teaselhook.bench.history.ViolationKind.STARTED_TWICE;
+import static org.teaselhook.bench.history.ViolationKind.STARTED_UNASKED;
+import static org.teaselhook.bench.history.ViolationKind.VERSION_FELL;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+
+public class HistoryCheckerTest {
+
+    private static final HistoryChecker CHECKER = HistoryChecker.of(HistoryLimits.standard());
+
+    // -- check
+
+    @DataProvider
+    public Object[][] soundCalls() {
+        return new Object[][] {
+            {"empty", history()},
+            {"job complete", history().job("k", 2).start("k/1").start("k/0").complete(1, "k/0 x", "k/1 y")},
+            {"job refused", history().job("k", 2).answer(1, NOT_RUN)},
+            {"job failed in part", history().job("k", 2).start("k/0").answer(1, MAY_HAVE_RUN)},
+            {
+                "late start of what may run",
+                history().booking("k").answer(1, MAY_HAVE_RUN).start("k/0")
+            },
+            {
+                "resubmission joins",
+                history()
+                        .booking("k")
+                        .start("k/0")
+                        .booking("k")
+                        .complete(2, "k/0 x")
+                        .complete(1, "k/0 x")
+            },
+            {
+                "refused, then run",
+                history()
+                        .booking("k")
+                        .answer(1, NOT_RUN)
+                        .booking("k")
+                        .start("k/0")
+                        .complete(2, "k/0 x")
+            },
+            {
+                "one refused of two",
+                history().booking("k").booking("k").start("k/0").answer(1, NOT_RUN)
+            },
+            {
+                "idempotent retried",
+                history().check("k").start("k/0").start("k/0").complete(1, "k/0 x")
+            },
+            {
+                "idempotent answered twice",
+                history()
+                        .check("k")
+                        .start("k/0")
+                        .complete(1, "k/0 x")
+                        .check("k")
+                        .start("k/0")
+                        .complete(2, "k/0 y")
+            },
+        };
+    }
+
+    @DataProvider
+    public Object[][] soundChanges() {
+        return new Object[][] {
+            {"start just after removal", history().check("k").out("thrissur", 2).start("k/0")},
+            {"start elsewhere", history().check("k").out("thrissur", 2).pause(3).start("k/0", "kottayam")},
+            {
+                "start after return",
+                history()
+                        .check("k")
+                        .out("thrissur", 2)
+                        .in("thrissur", 3)
+                        .pause(3)
+                        .start("k/0")
+            },
+            {
+                "return of unknown fate sent before the removal",
+                history()
+                        .check("k")
+                        .lost("thrissur", false)
+                        .out("thrissur", 2)
+                        .pause(3)
+                        .start("k/0")
+            },
+            {
+                "removal of unknown fate",
+                history().check("k").lost("thrissur", true).pause(3).start("k/0")
+            },
+            {"start just after leaving", history().check("k").left("thrissur").start("k/0")},
+            {
+                "target is back",
+                history()
+                        .check("k")
+                        .left("thrissur")
+                        .joined("thrissur")
+                        .pause(3)
+                        .start("k/0")
+            },
+            {
+                "versions rise",
+                history().version("e", 1).version("f", 3).version("e", 1).version("e", 2)
+            },
+            {"change kept", history().kept(1, "op-1").out("thrissur", 2).kept(2, "op-2")},
+            {"change older than the history", history().out("thrissur", 2).kept(5, "op-5")},
+            {
+                "stop after the answer",
+                history().booking("k").answer(1, NOT_RUN).stopping("entry-1").stopped("entry-1")
+            },
+            {
+                "refused connection to a stopped entry",
+                history().stopping("entry-1").booking("k").stopped("entry-1").answer(1, NOT_SENT)
+            },
+            {"killed while stopping", history().booking("k").stopping("entry-1").answer(1, CLOSED)},
+            {
+                "caller gave up waiting during a stop",
+                history().booking("k").stopping("entry-1").answer(1, TIMED_OUT).stopped("entry-1")
+            },
+            {"task cut by a kill", history().booking("k").start("k/0").cut("k/0")},
+        };
+    }
+
+    @Test(dataProvider = "soundCalls")
+    public void shouldAcceptCalls(String name, HandMade history) {
+        assertEquals(CHECKER.check(history.done()), List.of(), name);
+    }
+
+    @Test(dataProvider = "soundChanges")
+    public void shouldAcceptChanges(String name, HandMade history) {
+        assertEquals(CHECKER.check(history.done()), List.of(), name);
+    }
+
+    @DataProvider
+    public Object[][] brokenStarts() {
+        return new Object[][] {
+            {STARTED_TWICE, history().job("k", 2).start("k/1").start("k/1").answer(1, MAY_HAVE_RUN)},
+            {STARTED_TWICE, history().booking("k").start("k/0").booking("k").start("k/0")},
+            {STARTED_UNASKED, history().start("k/0").booking("k")},
+            {STARTED_UNASKED, history().start("other/0")},
+            {NOT_RUN_BUT_STARTED, history().booking("k").start("k/0").answer(1, NOT_RUN)},
+            {NOT_RUN_BUT_STARTED, history().booking("k").answer(1, NOT_RUN).start("k/0")},
+            {NOT_RUN_BUT_STARTED, history().check("k").start("k/0").answer(1, NOT_RUN)},
+            {NOT_RUN_BUT_STARTED, history().job("k", 3).start("k/2").answer(1, NOT_RUN)},
+            {
+                NOT_RUN_BUT_STARTED,
+                history()
+                        .booking("k")
+                        .answer(1, NOT_RUN)
+                        .start("k/0")
+                        .booking("k")
+                        .answer(2, MAY_HAVE_RUN)
+            },
+            {
+                NOT_RUN_BUT_STARTED,
+                history()
+                        .booking("k")
+                        .booking("k")
+                        .answer(1, NOT_SENT)
+                        .answer(2, NOT_RUN)
+                        .start("k/0")
+            },
+            {
+                NOT_RUN_AFTER_START,
+                history()
+                        .booking("k")
+                        .start("k/0")
+                        .answer(1, CLOSED)
+                        .booking("k")
+                        .answer(2, NOT_RUN)
+            },
+        };
+    }
+
+    @DataProvider
+    public Object[][] brokenAnswers() {
+        return new Object[][] {
+            {PARTIAL_ANSWER, history().job("k", 2).start("k/0").start("k/1").complete(1, "k/0 x")},
+            {FOREIGN_ANSWER, history().job("k", 2).start("k/0").start("k/1").complete(1, "k/1 x", "k/0 x")},
+            {FOREIGN_ANSWER, history().check("k").start("k/0").complete(1, "k/01 x")},
+            {
+                DIFFERENT_ANSWERS,
+                history()
+                        .booking("k")
+                        .start("k/0")
+                        .complete(1, "k/0 x")
+                        .booking("k")
+                        .complete(2, "k/0 y")
+            },
+            {COMPLETE_BUT_NOT_STARTED, history().job("k", 2).start("k/0").complete(1, "k/0 x", "k/1 x")},
+        };
+    }
+
+    @DataProvider
+    public Object[][] brokenChanges() {
+        return new Object[][] {
+            {
+                STARTED_IN_ZONE_OUT,
+                history().check("k").out("thrissur", 2).pause(3).start("k/0")
+            },
+            {
+                STARTED_IN_ZONE_OUT,
+                history()
+                        .check("k")
+                        .in("thrissur", 1)
+                        .out("thrissur", 2)
+                        .pause(3)
+                        .start("k/0")
+                        .in("thrissur", 3)
+            },
+            {
+                STARTED_IN_ZONE_OUT,
+                history()
+                        .check("k")
+                        .out("thrissur", 2)
+                        .in("kottayam", 3)
+                        .pause(3)
+                        .start("k/0")
+            },
+            {
+                STARTED_AT_LEAVING_TARGET,
+                history().check("k").left("thrissur").pause(3).start("k/0")
+            },
+            {VERSION_FELL, history().version("e", 1).version("e", 3).version("e", 2)},
+            {CHANGE_LOST, history().out("thrissur", 2).kept(1, "op-1").kept(3, "op-3")},
+            {CHANGE_LOST, history().out("thrissur", 2).kept(1, "op-1").kept(2, "op-9")},
+            {CHANGE_APPLIED_TWICE, history().out("thrissur", 2).kept(2, "op-2").kept(3, "op-2")},
+            {
+                CUT_BY_STOP,
+                history().booking("k").stopping("entry-1").answer(1, CLOSED).stopped("entry-1")
+            },
+            {
+                CUT_BY_STOP,
+                history()
+                        .booking("k")
+                        .start("k/0")
+                        .stopping("agent-1")
+                        .cut("k/0")
+                        .stopped("agent-1")
+            },
+            {INVARIANT, history().invariant("event=invariant-violated")},
+        };
+    }
+
+    @Test(dataProvider = "brokenStarts")
+    public void shouldFindBrokenStarts(ViolationKind kind, HandMade history) {
+        assertFinds(kind, history);
+    }
+
+    @Test(dataProvider = "brokenAnswers")
+    public void shouldFindBrokenAnswers(ViolationKind kind, HandMade history) {
+        assertFinds(kind, history);
+    }
+
+    @Test(dataProvider = "brokenChanges")
+    public void shouldFindBrokenChanges(ViolationKind kind, HandMade history) {
+        assertFinds(kind, history);
+    }
+
+    private static void assertFinds(ViolationKind kind, HandMade history) {
+        List<Violation> violations = CHECKER.check(history.done());
+
+        assertEquals(violations.stream().map(Violation::kind).toList(), List.of(kind));
+        assertFalse(violations.get(0).evidence().isEmpty());
+    }
+}
