Add the agent

One control thread decides and one traffic thread moves bytes. The agent dials each entry, shares its slots, starts tasks after the admission check, and keeps each result until it is acknowledged. A silent connection is replaced without waiting for it.

--- a/core/src/main/java/org/teaselhook/core/admission/Admission.java
+++ b/core/src/main/java/org/teaselhook/core/admission/Admission.java
@@ -86,6 +86,17 @@
         return Settlement.NOT_STARTED;
     }
 
+    /**
+     * Refuses a dispatch that has not arrived.
+     *
+     * @param entry the run of the entry
+     * @param dispatch the dispatch number
+     * @return true if the number was never seen; it is refused from now on
+     */
+    public boolean cancel(Incarnation entry, long dispatch) {
+        return dispatch > retiredUpTo(entry) && recordOf(entry).remember(dispatch);
+    }
+
     // -- updates
 
     /**
--- a/core/src/main/java/org/teaselhook/core/grant/GrantSharing.java
+++ b/core/src/main/java/org/teaselhook/core/grant/GrantSharing.java
@@ -184,6 +184,18 @@
         return slots - running() - granted();
     }
 
+    /**
+     * Counts the slots that a dispatch of an entry may take.
+     *
+     * @param entry the run of the entry
+     * @param granted whether the dispatch uses up a granted slot
+     * @return the number of slots
+     */
+    public int available(Incarnation entry, boolean granted) {
+        int idle = granted ? granted(entry) : 0;
+        return idle > 0 ? idle : free();
+    }
+
     /**
      * Counts the slots in which tasks run.
      *
--- /dev/null
+++ b/node/src/main/java/org/teaselhook/node/agent/AgentControl.java
@@ -0,0 +1,392 @@
+package org.teaselhook.node.agent;
+
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import org.teaselhook.core.admission.Admission;
+import org.teaselhook.core.admission.Settlement;
+import org.teaselhook.core.admission.StartConditions;
+import org.teaselhook.core.admission.StartRequest;
+import org.teaselhook.core.admission.Verdict;
+import org.teaselhook.core.dispatch.RefusalReason;
+import org.teaselhook.core.grant.GrantChange;
+import org.teaselhook.core.grant.GrantSharing;
+import org.teaselhook.core.id.Incarnation;
+import org.teaselhook.net.http.HttpResult;
+import org.teaselhook.net.log.LogLine;
+import org.teaselhook.wire.AgentFrame;
+import org.teaselhook.wire.AgentHeartbeat;
+import org.teaselhook.wire.ConfigDocument;
+import org.teaselhook.wire.Dispatch;
+import org.teaselhook.wire.EntryFrame;
+import org.teaselhook.wire.EntryHeartbeat;
+import org.teaselhook.wire.EntryHello;
+import org.teaselhook.wire.TargetOffer;
+import org.teaselhook.wire.TaskResult;
+
+/**
+ * The agent's state: decides on dispatches, shares the slots, keeps results. Confined to the control thread.
+ */
+final class AgentControl {
+
+    static final long KEEP_NANOS = TimeUnit.SECONDS.toNanos(60);
+
+    private final AgentIdentity agent;
+    private final TaskRunner runner;
+    private final AgentEvents events;
+    private final AgentMetrics metrics;
+    private final Admission admission;
+    private final GrantSharing sharing;
+    private final TargetTable targets = new TargetTable();
+    private final Map<Incarnation, EntryState> entries = new HashMap<>();
+    private final Map<EntryStream, Incarnation> streams = new HashMap<>();
+    private Configuration configuration = Configuration.unknown();
+    private boolean leaving;
+
+    AgentControl(AgentIdentity agent, TaskRunner runner, AgentEvents events, AgentMetrics metrics) {
+        this.agent = agent;
+        this.runner = runner;
+        this.events = events;
+        this.metrics = metrics;
+        this.admission = Admission.of(agent.incarnation());
+        this.sharing = GrantSharing.of(agent.slots());
+    }
+
+    // -- accessors
+
+    AgentFrame hello(long connection, long nowNanos) {
+        return AgentFrames.hello(agent, connection, heartbeat(nowNanos));
+    }
+
+    AgentHeartbeat heartbeat(long nowNanos) {
+        AgentHeartbeat.Builder state = AgentHeartbeat.newBuilder()
+                .setAgentNanos(nowNanos)
+                .setConfigVersion(configuration.version())
+                .setLeaving(leaving)
+                .setFreeSlots(agent.slots() - sharing.running());
+        for (Target target : targets.all()) {
+            state.addTargets(TargetOffer.newBuilder()
+                    .setTarget(target.name())
+                    .setService(target.service())
+                    .setLeaving(!target.isAvailable()));
+        }
+        return state.build();
+    }
+
+    AgentStatus status() {
+        return new AgentStatus(
+                configuration.version(),
+                configuration.rules().isOut(agent.zone()),
+                leaving,
+                streams.size(),
+                targets.anyAvailable(),
+                sharing.running(),
+                sharing.granted(),
+                admission.startedCount());
+    }
+
+    // -- connections
+
+    /** Takes the entry's greeting, and returns the older stream to the same run of the entry, which lapses. */
+    Optional<EntryStream> connected(EntryStream stream, EntryHello hello, AgentTime time) {
+        Incarnation id = Incarnation.of(hello.getIncarnation());
+        EntryState entry = entries.computeIfAbsent(id, ignored -> new EntryState(hello.getName()));
+        Optional<EntryStream> older = entry.stream().filter(s -> s != stream);
+        older.ifPresent(streams::remove);
+        entry.connect(stream);
+        streams.put(stream, id);
+        sharing.connect(id);
+        LogLine.of("entry-connected")
+                .with("entry", hello.getName())
+                .with("incarnation", id)
+                .with("in_progress", hello.getInProgressCount())
+                .with("kept", entry.kept().size())
+                .info();
+        entry.kept().forEach(result -> entry.send(AgentFrames.result(result, 0)));
+        hello.getInProgressList().forEach(dispatch -> settle(id, entry, dispatch));
+        heard(id, hello.getState(), time);
+        return older;
+    }
+
+    /** Notes that a stream is gone, and returns false if the entry had never greeted on it. */
+    boolean disconnected(EntryStream stream, long nowNanos) {
+        Incarnation id = streams.remove(stream);
+        if (id == null) {
+            return false;
+        }
+        entries.get(id).disconnect(nowNanos);
+        sharing.disconnect(id);
+        shareSlots(nowNanos);
+        return true;
+    }
+
+    private void settle(Incarnation id, EntryState entry, long dispatch) {
+        Settlement settlement = admission.settle(id, dispatch);
+        if (settlement == Settlement.NOT_STARTED) {
+            refused(id, dispatch, RefusalReason.NEVER_ARRIVED);
+            entry.send(AgentFrames.refusal(dispatch, RefusalReason.NEVER_ARRIVED, 0));
+        } else if (settlement == Settlement.FORGOTTEN) {
+            entry.send(AgentFrames.result(AgentFrames.unknown(dispatch), 0));
+        }
+    }
+
+    // -- frames
+
+    void received(EntryStream stream, EntryFrame frame, AgentTime time) {
+        Incarnation id = streams.get(stream);
+        if (id == null) {
+            return;
+        }
+        switch (frame.getFrameCase()) {
+            case DISPATCH -> dispatched(id, frame.getDispatch(), time);
+            case ACK -> frame.getAck().getDispatchList().forEach(dispatch -> acknowledged(id, dispatch));
+            case HEARTBEAT -> heard(id, frame.getHeartbeat(), time);
+            case CONFIG -> configured(frame.getConfig(), time.nanos());
+            case CANCEL -> cancelled(id, frame.getCancel().getDispatch());
+            case GRANT_RETURN -> {
+                sharing.giveBack(id, frame.getGrantReturn().getSlots());
+                shareSlots(time.nanos());
+            }
+            default ->
+                LogLine.of("frame-ignored")
+                        .with("entry", id)
+                        .with("frame", frame.getFrameCase())
+                        .warn();
+        }
+    }
+
+    private void heard(Incarnation id, EntryHeartbeat heartbeat, AgentTime time) {
+        sharing.want(id, heartbeat.getWantedSlots());
+        if (heartbeat.getLeaving()) {
+            sharing.decline(id);
+        }
+        shareSlots(time.nanos());
+    }
+
+    private void acknowledged(Incarnation id, long dispatch) {
+        admission.acknowledge(id, dispatch);
+        entries.get(id).acknowledge(dispatch);
+    }
+
+    private void configured(ConfigDocument document, long nowNanos) {
+        Optional<Configuration> newer = configuration.newer(document.getVersion(), document.getText());
+        if (newer.isEmpty()) {
+            return;
+        }
+        configuration = newer.get();
+        LogLine.of("configuration")
+                .with("version", configuration.version())
+                .with("zone_out", configuration.rules().isOut(agent.zone()))
+                .info();
+        announceState(nowNanos);
+    }
+
+    private void cancelled(Incarnation id, long dispatch) {
+        if (admission.cancel(id, dispatch)) {
+            refused(id, dispatch, RefusalReason.CANCELLED);
+            entries.get(id).send(AgentFrames.refusal(dispatch, RefusalReason.CANCELLED, 0));
+        }
+    }
+
+    // -- tasks
+
+    private void dispatched(Incarnation id, Dispatch task, AgentTime time) {
+        Optional<Target> target = targets.choose(task.getService());
+        StartRequest request = new StartRequest(
+                id,
+                task.getDispatch(),
+                new Incarnation(task.getAgentIncarnation()),
+                task.getEchoAgentNanos(),
+                task.getStartByAgentNanos(),
+                task.getConfigVersion());
+        StartConditions conditions = new StartConditions(
+                configuration.version(),
+                configuration.rules().isOut(agent.zone()),
+                leaving,
+                target.isPresent(),
+                sharing.available(id, task.getGranted()));
+        Verdict verdict = admission.decide(request, conditions, time.nanos());
+        if (verdict instanceof Verdict.Start start) {
+            start(id, task, target.orElseThrow(), start.startByNanos(), time);
+        } else if (verdict instanceof Verdict.Refuse refuse) {
+            refuse(id, task, refuse.reason(), time.nanos());
+        } else {
+            LogLine.of("duplicate")
+                    .with("entry", id)
+                    .with("dispatch", task.getDispatch())
+                    .warn();
+        }
+    }
+
+    private void start(Incarnation id, Dispatch task, Target target, long startByNanos, AgentTime time) {
+        sharing.start(id, task.getGranted());
+        entries.get(id).begin();
+        target.begin();
+        metrics.started();
+        LogLine.of("start")
+                .with("entry", id)
+                .with("dispatch", task.getDispatch())
+                .with("submission", task.getSubmission())
+                .with("task", task.getTaskIndex())
+                .with("kind", task.getKind())
+                .with("target", target.name())
+                .with("running", sharing.running())
+                .info();
+        long timeoutMillis = Math.max(1, (task.getFinishByAgentNanos() - time.nanos()) / 1_000_000L);
+        RunningTask running = new RunningTask(id, task, target, time.nanos());
+        runner.run(target.address(), id, task, time.wallMillisOf(startByNanos), timeoutMillis)
+                .thenAccept(result -> events.finished(running, result));
+    }
+
+    private void refuse(Incarnation id, Dispatch task, RefusalReason reason, long nowNanos) {
+        if (task.getGranted()) {
+            sharing.refuse(id);
+        }
+        refused(id, task.getDispatch(), reason);
+        entries.get(id).send(AgentFrames.refusal(task.getDispatch(), reason, shareSlots(nowNanos, id)));
+    }
+
+    private void refused(Incarnation id, long dispatch, RefusalReason reason) {
+        metrics.refused(reason);
+        LogLine.of("refusal")
+                .with("entry", id)
+                .with("dispatch", dispatch)
+                .with("reason", reason)
+                .info();
+    }
+
+    /** Takes the end of a task. */
+    void finished(RunningTask running, HttpResult result, long nowNanos) {
+        running.target().end();
+        sharing.finish(running.entry());
+        entries.get(running.entry()).end();
+        Optional<RefusalReason> notStarted = running.notStarted(result);
+        if (notStarted.isPresent()) {
+            withdraw(running, notStarted.get(), nowNanos);
+        } else {
+            complete(running, running.result(result, nowNanos), nowNanos);
+        }
+    }
+
+    private void withdraw(RunningTask running, RefusalReason reason, long nowNanos) {
+        admission.withdraw(running.entry(), running.dispatch());
+        refused(running.entry(), running.dispatch(), reason);
+        if (reason == RefusalReason.CONNECT_FAILED) {
+            running.target().suspect();
+            announceState(nowNanos);
+        }
+        int granted = shareSlots(nowNanos, running.entry());
+        entries.get(running.entry()).send(AgentFrames.refusal(running.dispatch(), reason, granted));
+    }
+
+    private void complete(RunningTask running, TaskResult result, long nowNanos) {
+        EntryState entry = entries.get(running.entry());
+        metrics.finished(result.getStatus());
+        LogLine.of("result")
+                .with("entry", running.entry())
+                .with("dispatch", result.getDispatch())
+                .with("status", result.getStatus())
+                .with("http_status", result.getHttpStatus())
+                .with("run_ms", result.getRunNanos() / 1_000_000L)
+                .info();
+        entry.keep(result);
+        entry.send(AgentFrames.result(result, shareSlots(nowNanos, running.entry())));
+    }
+
+    // -- targets
+
+    void announce(String name, String service, InetSocketAddress address, long nowNanos) {
+        if (targets.announce(name, service, address, nowNanos)) {
+            LogLine.of("target-available")
+                    .with("target", name)
+                    .with("service", service)
+                    .info();
+            announceState(nowNanos);
+        }
+    }
+
+    boolean withdraw(String name, long nowNanos) {
+        boolean known = targets.withdraw(name);
+        if (known) {
+            LogLine.of("target-leaving").with("target", name).info();
+            announceState(nowNanos);
+        }
+        return known;
+    }
+
+    // -- time and stopping
+
+    void tick(long nowNanos) {
+        if (targets.lapse(nowNanos)) {
+            LogLine.of("target-lapsed").warn();
+            announceState(nowNanos);
+        }
+        entries.forEach((id, entry) -> retireIfAbandoned(id, entry, nowNanos));
+        entries.values().removeIf(entry -> entry.isAbandoned(nowNanos, KEEP_NANOS));
+        shareSlots(nowNanos);
+    }
+
+    private void retireIfAbandoned(Incarnation id, EntryState entry, long nowNanos) {
+        if (entry.isAbandoned(nowNanos, KEEP_NANOS)) {
+            admission.retire(id);
+            LogLine.of("entry-forgotten")
+                    .with("entry", entry.name())
+                    .with("incarnation", id)
+                    .info();
+        }
+    }
+
+    void leave(long nowNanos) {
+        leaving = true;
+        LogLine.of("leaving").with("running", sharing.running()).info();
+        announceState(nowNanos);
+    }
+
+    /** Whether no task runs, and every connected entry has acknowledged every result. */
+    boolean isDrained() {
+        return sharing.running() == 0
+                && entries.values().stream().allMatch(entry -> entry.kept().isEmpty());
+    }
+
+    boolean isIdle() {
+        return sharing.running() == 0;
+    }
+
+    // -- slots
+
+    private void announceState(long nowNanos) {
+        AgentFrame frame = AgentFrames.heartbeat(heartbeat(nowNanos));
+        entries.values().forEach(entry -> entry.send(frame));
+        shareSlots(nowNanos);
+    }
+
+    private void shareSlots(long nowNanos) {
+        share(nowNanos).forEach((id, granted) -> entries.get(id).send(AgentFrames.grant(granted)));
+    }
+
+    /** Shares the free slots, and returns those granted to one entry, for the frame that goes there anyway. */
+    private int shareSlots(long nowNanos, Incarnation along) {
+        Map<Incarnation, Integer> granted = share(nowNanos);
+        Integer result = granted.remove(along);
+        granted.forEach((id, slots) -> entries.get(id).send(AgentFrames.grant(slots)));
+        return result == null ? 0 : result;
+    }
+
+    private Map<Incarnation, Integer> share(long nowNanos) {
+        boolean zoneOut = configuration.rules().isOut(agent.zone());
+        sharing.open(configuration.isKnown() && !zoneOut && !leaving && targets.anyAvailable());
+        Map<Incarnation, Integer> granted = new HashMap<>();
+        for (GrantChange change : sharing.share(nowNanos)) {
+            if (change.reclaimed() > 0) {
+                entries.get(change.entry()).send(AgentFrames.reclaim(change.reclaimed()));
+            }
+            if (change.granted() > 0) {
+                granted.put(change.entry(), change.granted());
+            }
+        }
+        return granted;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/teaselhook/node/agent/AgentNode.java
@@ -0,0 +1,213 @@
+package org.teaselhook.node.agent;
+
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import org.teaselhook.core.id.Incarnation;
+import org.teaselhook.net.http.EventLoops;
+import org.teaselhook.net.http.HttpClient;
+import org.teaselhook.net.http.HttpLimits;
+import org.teaselhook.net.http.HttpServer;
+import org.teaselhook.net.log.LogLine;
+import org.teaselhook.node.control.ControlLoop;
+import org.teaselhook.node.health.HealthPages;
+import org.teaselhook.node.settings.AgentSettings;
+import org.teaselhook.wire.EntryFrame;
+
+/**
+ * An agent: one control thread and one traffic thread.
+ *
+ * <pre>{@code
+ * AgentNode agent = AgentNode.start(settings);
+ * agent.stop().toCompletableFuture().join();
+ * }</pre>
+ */
+public final class AgentNode implements AutoCloseable {
+
+    private static final long TICK_MILLIS = 100;
+    private static final long HEARTBEAT_MILLIS = 500;
+    private static final long CONNECT_TIMEOUT_MILLIS = 1_000;
+    private static final long ACK_WAIT_NANOS = TimeUnit.SECONDS.toNanos(5);
+    private static final int MAX_ANNOUNCEMENT_BYTES = 16 * 1024;
+    private static final int MAX_HTTP_CONNECTIONS = 256;
+    private static final long HTTP_IDLE_MILLIS = 30_000;
+
+    private final AgentClock clock = new AgentClock();
+    private final EventLoops loops = EventLoops.of(1);
+    private final Incarnation incarnation = Incarnation.random(ThreadLocalRandom.current());
+    private final ControlLoop loop;
+    private final HttpClient client;
+    private final AgentControl control;
+    private final EntryLinks links;
+    private final HttpServer server;
+    private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+    private volatile AgentStatus status = AgentStatus.initial();
+    private long idleSinceNanos;
+    private boolean stopping;
+
+    private AgentNode(AgentSettings settings) {
+        this.loop = ControlLoop.start("agent-control", clock::nanos, AgentNode::failed);
+        this.client = HttpClient.create(loops, settings.connections(), CONNECT_TIMEOUT_MILLIS);
+        AgentIdentity identity =
+                new AgentIdentity(settings.name(), incarnation, settings.zone(), settings.rack(), settings.slots());
+        AgentMetrics metrics = new AgentMetrics(() -> status);
+        this.control = new AgentControl(
+                identity,
+                TaskRunner.http(client),
+                (task, result) -> loop.execute(() -> control().finished(task, result, clock.nanos())),
+                metrics);
+        this.links =
+                new EntryLinks(new GrpcDialer(loops), new LoopEvents(), control, settings.entries(), clock.nanos());
+        HealthPages pages = new HealthPages(metrics.registry(), () -> status.unready());
+        this.server = HttpServer.start(
+                loops,
+                settings.http(),
+                new AgentHttp(pages, this::announce, this::withdraw),
+                HttpLimits.of(MAX_ANNOUNCEMENT_BYTES, MAX_HTTP_CONNECTIONS, HTTP_IDLE_MILLIS));
+        loop.every(TICK_MILLIS, this::tick);
+        loop.every(HEARTBEAT_MILLIS, this::beat);
+        LogLine.of("agent-started")
+                .with("name", settings.name())
+                .with("incarnation", incarnation)
+                .with("zone", settings.zone())
+                .with("slots", settings.slots())
+                .with("http_port", server.port())
+                .info();
+    }
+
+    // -- factories
+
+    /**
+     * Starts an agent, which dials the entries of its settings at once.
+     *
+     * @param settings the settings
+     * @return the running agent
+     * @throws IllegalStateException if its HTTP address cannot be bound
+     */
+    public static AgentNode start(AgentSettings settings) {
+        return new AgentNode(Objects.requireNonNull(settings, "settings is null"));
+    }
+
+    // -- accessors
+
+    /**
+     * Returns the port on which targets announce themselves.
+     *
+     * @return the port
+     */
+    public int httpPort() {
+        return server.port();
+    }
+
+    /**
+     * Returns this run of the agent.
+     *
+     * @return the incarnation
+     */
+    public Incarnation incarnation() {
+        return incarnation;
+    }
+
+    // -- stopping
+
+    /**
+     * Stops gracefully: nothing new starts, every running task ends, and its result is delivered. Results that no entry
+     * acknowledges are waited for 5 s.
+     *
+     * @return a stage that completes when the agent is closed
+     */
+    public CompletionStage<Void> stop() {
+        loop.execute(this::leave);
+        return stopped;
+    }
+
+    /** Closes at once: connections break, and running tasks are abandoned. */
+    @Override
+    public void close() {
+        loop.close();
+        release();
+    }
+
+    private void leave() {
+        if (!stopping) {
+            stopping = true;
+            idleSinceNanos = clock.nanos();
+            control.leave(clock.nanos());
+        }
+    }
+
+    private void closeIfDrained(long nowNanos) {
+        if (!control.isIdle()) {
+            idleSinceNanos = nowNanos;
+        }
+        if (control.isDrained() || nowNanos - idleSinceNanos > ACK_WAIT_NANOS) {
+            LogLine.of("agent-stopped").with("drained", control.isDrained()).info();
+            links.finishAll();
+            Thread closer = new Thread(this::close, "agent-close");
+            closer.start();
+        }
+    }
+
+    private void release() {
+        server.close();
+        client.close();
+        loops.close();
+        stopped.complete(null);
+    }
+
+    // -- events on the control thread
+
+    private AgentControl control() {
+        return control;
+    }
+
+    private void tick(long nowNanos) {
+        control.tick(nowNanos);
+        links.tick(nowNanos);
+        status = control.status();
+        if (stopping) {
+            closeIfDrained(nowNanos);
+        }
+    }
+
+    private void beat(long nowNanos) {
+        links.sendAll(AgentFrames.heartbeat(control.heartbeat(nowNanos)));
+    }
+
+    private CompletionStage<Void> announce(Announcement announcement) {
+        return onLoop(() -> {
+            control.announce(announcement.name(), announcement.service(), announcement.address(), clock.nanos());
+            return null;
+        });
+    }
+
+    private CompletionStage<Boolean> withdraw(String target) {
+        return onLoop(() -> control.withdraw(target, clock.nanos()));
+    }
+
+    private <T> CompletionStage<T> onLoop(Supplier<T> action) {
+        return CompletableFuture.supplyAsync(action, loop);
+    }
+
+    private static void failed(Throwable failure) {
+        LogLine.of("internal-error").with("failure", failure).warn();
+    }
+
+    /** Hands the events of streams to the control thread. */
+    private final class LoopEvents implements StreamEvents {
+
+        @Override
+        public void received(EntryStream stream, EntryFrame frame) {
+            loop.execute(() -> links.received(stream, frame, clock.read()));
+        }
+
+        @Override
+        public void ended(EntryStream stream, String reason) {
+            loop.execute(() -> links.ended(stream, reason, clock.nanos()));
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/teaselhook/node/agent/AgentTime.java
@@ -0,0 +1,16 @@
+package org.teaselhook.node.agent;
+
+/**
+ * One reading of the agent's clocks. The wall clock is read first, so that a pause between the two readings can only
+ * make deadlines derived from both earlier.
+ *
+ * @param wallMillis milliseconds since the epoch
+ * @param nanos the agent's monotonic clock
+ */
+record AgentTime(long wallMillis, long nanos) {
+
+    /** Returns the wall-clock time of a monotonic instant, rounded down. */
+    long wallMillisOf(long instantNanos) {
+        return wallMillis + Math.floorDiv(instantNanos - nanos, 1_000_000L);
+    }
+}
