Run the dispatcher against fake agents with faults drawn at random

Losses, silences, refusals, repeated and late results, deaths, leavings, zones taken out, stale configuration, slow and failing workers, cancellations; twelve seeds in the build, more by -Dteaselhook.seeds. Checked: claimed tasks start at most once, each submission is answered once and in time, answers are whole and the caller's own, 'not run' is true, nothing starts in a zone out of service or on a grant not held.

--- /dev/null
+++ b/core/src/test/java/org/teaselhook/core/dispatch/DispatcherRandomisedTest.java
@@ -0,0 +1,444 @@
+package org.teaselhook.core.dispatch;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.LongStream;
+
+import org.teaselhook.core.id.Incarnation;
+import org.teaselhook.core.outcome.Answer;
+import org.teaselhook.core.outcome.Outcome;
+import org.teaselhook.core.placement.PlacementPolicy;
+import org.teaselhook.core.queue.KeyedHeap;
+import org.teaselhook.core.rules.Rules;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * Runs a dispatcher against fake agents with faults drawn at random, and checks what must always hold. A failure names
+ * its seed; the same seed gives the same run.
+ */
+public final class DispatcherRandomisedTest implements DispatchOutput {
+
+    private static final long MILLI = 1_000_000L;
+    private static final long SECOND = 1_000 * MILLI;
+    private static final long RUN_NANOS = 60 * SECOND;
+    private static final long FAULTS_UNTIL = 50 * SECOND;
+    private static final String[] ZONES = {"ernakulam", "thrissur", "kottayam"};
+
+    private final Map<Incarnation, FakeAgent> agents = new HashMap<>();
+    private final Map<String, Submission> submissions = new HashMap<>();
+    private final Map<String, Outcome> outcomes = new HashMap<>();
+    private final Map<String, Integer> starts = new HashMap<>();
+    private final Set<Long> numbers = new HashSet<>();
+    private KeyedHeap<Runnable> events;
+    private Random random;
+    private Dispatcher dispatcher;
+    private PlacementPolicy policy;
+    private Set<String> zonesOut;
+    private boolean serving;
+    private boolean faults;
+    private long now;
+    private long version;
+    private int nextAgent;
+    private int nextSubmission;
+
+    // -- the run
+
+    @DataProvider
+    public Object[][] seeds() {
+        long first = Long.getLong("teaselhook.seed", 1);
+        long count = Long.getLong("teaselhook.seeds", 12);
+        return LongStream.range(first, first + count)
+                .mapToObj(
+                        seed -> new Object[] {seed, PlacementPolicy.values()[(int) (seed % 4 == 3 ? seed / 4 % 3 : 0)]})
+                .toArray(Object[][]::new);
+    }
+
+    @Test(dataProvider = "seeds")
+    public void shouldKeepEveryPromiseUnderFaults(long seed, PlacementPolicy placement) {
+        start(seed, placement);
+        for (int i = 0; i < 11; i++) {
+            join(ZONES[i % 3]);
+        }
+        after(0, this::arrive);
+        after(0, this::grantAll);
+        after(SECOND, this::fault);
+        run();
+        check();
+        System.out.printf("seed=%d policy=%s %s%n", seed, placement, dispatcher.stats());
+    }
+
+    private void start(long seed, PlacementPolicy placement) {
+        agents.clear();
+        submissions.clear();
+        outcomes.clear();
+        starts.clear();
+        numbers.clear();
+        events = KeyedHeap.empty();
+        random = new Random(seed);
+        policy = placement;
+        now = seed * SECOND;
+        version = 1;
+        zonesOut = new HashSet<>();
+        serving = true;
+        faults = true;
+        dispatcher = new Dispatcher(DispatcherSettings.of(ZONES[0], placement), this, new Random(seed));
+        dispatcher.rules(now, rules(), version);
+        dispatcher.serving(now, true);
+        after(FAULTS_UNTIL, this::calm);
+    }
+
+    private void run() {
+        long end = now + RUN_NANOS;
+        while (now < end) {
+            long nextEvent = events.peek().map(KeyedHeap.Handle::key).orElse(Long.MAX_VALUE);
+            long nextTick = dispatcher.nextTickAt();
+            now = Math.max(now, Math.min(nextEvent, nextTick));
+            if (nextTick <= nextEvent) {
+                dispatcher.tick(now);
+            } else {
+                KeyedHeap.Handle<Runnable> event = events.peek().orElseThrow();
+                events.remove(event);
+                event.value().run();
+            }
+        }
+    }
+
+    private void check() {
+        for (Submission submission : submissions.values()) {
+            Outcome outcome = outcomes.get(submission.id());
+            assertTrue(outcome != null, "not answered: " + submission.id());
+            outcome.fold(complete -> checkComplete(submission, complete), notRun -> checkNotRun(submission), m -> true);
+        }
+        assertEquals(dispatcher.size(), 0);
+        long complete = outcomes.values().stream()
+                .filter(o -> o instanceof Outcome.Complete)
+                .count();
+        assertTrue(complete > submissions.size() / 2, "complete=" + complete + " of " + submissions.size());
+    }
+
+    private boolean checkComplete(Submission submission, Outcome.Complete complete) {
+        for (int i = 0; i < submission.size(); i++) {
+            byte[] expected = submission.tasks().get(i).body();
+            assertEquals(complete.answers().get(i).body(), expected, submission.id());
+        }
+        return true;
+    }
+
+    private boolean checkNotRun(Submission submission) {
+        for (int i = 0; i < submission.size(); i++) {
+            assertFalse(starts.containsKey(submission.id() + "/" + i), "not run but started: " + submission.id());
+        }
+        return true;
+    }
+
+    // -- load
+
+    /** Arrivals end with the faults, so that every deadline passes within the run. */
+    private void arrive() {
+        if (!faults) {
+            return;
+        }
+        submitOne();
+        after((long) (-Math.log(1 - random.nextDouble()) * 8 * MILLI), this::arrive);
+    }
+
+    private void submitOne() {
+        String id = "s" + nextSubmission++;
+        boolean job = random.nextInt(20) == 0;
+        boolean idempotent = random.nextBoolean();
+        int size = job ? 1 + random.nextInt(40) : 1;
+        List<TaskRequest> tasks = new ArrayList<>();
+        for (int i = 0; i < size; i++) {
+            byte[] body = (id + "/" + i).getBytes(StandardCharsets.UTF_8);
+            tasks.add(TaskRequest.of("kind" + random.nextInt(3), "text/plain", body, idempotent, 100 * MILLI));
+        }
+        long timeout = (500 + random.nextInt(4_000)) * MILLI;
+        boolean claimed = job || !idempotent;
+        Submission submission =
+                new Submission(id, "patchdesk", "c" + random.nextInt(3), tasks, now, now + timeout, claimed);
+        submissions.put(id, submission);
+        dispatcher.submit(now, submission);
+        if (random.nextInt(30) == 0) {
+            after(random.nextInt(300) * MILLI, () -> dispatcher.cancel(now, id));
+        }
+    }
+
+    // -- agents
+
+    private FakeAgent join(String zone) {
+        FakeAgent agent = new FakeAgent(++nextAgent, "agent" + nextAgent, zone, 8);
+        agents.put(agent.id(), agent);
+        connect(agent);
+        return agent;
+    }
+
+    private void connect(FakeAgent agent) {
+        if (agent.dead) {
+            return;
+        }
+        agent.connection++;
+        agent.cut = false;
+        agent.granted = 0;
+        long[] inProgress = dispatcher.connected(now, agent.info);
+        dispatcher.updated(now, agent.id(), agent.state(version));
+        for (long number : inProgress) {
+            settle(agent, number);
+        }
+    }
+
+    private void settle(FakeAgent agent, long number) {
+        if (agent.kept.containsKey(number)) {
+            sendResult(agent, number);
+        } else if (!agent.knows(number) || agent.refused.contains(number)) {
+            refuse(agent, number, RefusalReason.NEVER_ARRIVED);
+        }
+    }
+
+    private void grantAll() {
+        for (FakeAgent agent : agents.values()) {
+            grant(agent);
+            if (agent.granted > 0 && random.nextInt(10) == 0) {
+                deliver(agent, () -> dispatcher.reclaim(now, agent.id(), 1));
+            }
+            deliver(agent, () -> dispatcher.updated(now, agent.id(), agent.state(version)));
+        }
+        after(100 * MILLI, this::grantAll);
+    }
+
+    private void grant(FakeAgent agent) {
+        int free = agent.free();
+        boolean isOpen = policy.usesGrants() && !agent.leaving && !agent.cut && !agent.dead;
+        if (isOpen && free > 0) {
+            agent.granted += free;
+            deliver(agent, () -> dispatcher.granted(now, agent.id(), free));
+        }
+    }
+
+    private void receive(FakeAgent agent, DispatchOrder order) {
+        if (!agent.seen.add(order.number())) {
+            return;
+        }
+        Optional<RefusalReason> refusal = refusalOf(agent, order);
+        if (order.granted()) {
+            agent.granted--;
+            assertTrue(agent.granted >= 0, "more orders than grants: " + agent.info);
+        }
+        if (refusal.isPresent()) {
+            refuse(agent, order.number(), refusal.get());
+            return;
+        }
+        start(agent, order);
+    }
+
+    private Optional<RefusalReason> refusalOf(FakeAgent agent, DispatchOrder order) {
+        if (agent.leaving) {
+            return Optional.of(RefusalReason.LEAVING);
+        }
+        if (now > order.startBy()) {
+            return Optional.of(RefusalReason.START_BY_PASSED);
+        }
+        if (!order.granted() && agent.free() <= 0) {
+            return Optional.of(RefusalReason.NO_FREE_SLOT);
+        }
+        boolean unlucky = faults && random.nextInt(100) == 0;
+        return unlucky ? Optional.of(RefusalReason.CONNECT_FAILED) : Optional.empty();
+    }
+
+    private void start(FakeAgent agent, DispatchOrder order) {
+        String task = order.submissionId() + "/" + order.taskIndex();
+        int count = starts.merge(task, 1, Integer::sum);
+        boolean claimed = submissions.get(order.submissionId()).claimed();
+        assertTrue(!claimed || count == 1, "claimed task started twice: " + task);
+        agent.running.put(order.number(), order);
+        boolean fails = agent.failsEverything || faults && random.nextInt(200) == 0;
+        long run = fails ? MILLI : (long) ((20 + random.nextInt(200)) * MILLI * agent.slowness);
+        after(run, () -> finish(agent, order, fails, run));
+    }
+
+    private void finish(FakeAgent agent, DispatchOrder order, boolean fails, long run) {
+        if (agent.dead) {
+            return;
+        }
+        agent.running.remove(order.number());
+        TaskStatus failure = random.nextBoolean() ? TaskStatus.TARGET_ERROR : TaskStatus.UNKNOWN;
+        TaskStatus status = fails ? failure : TaskStatus.COMPLETE;
+        Answer answer = Answer.of(fails ? 500 : 200, "text/plain", order.task().body());
+        agent.kept.put(order.number(), new FakeAgent.Kept(status, answer, run));
+        sendResult(agent, order.number());
+        grant(agent);
+    }
+
+    private void sendResult(FakeAgent agent, long number) {
+        FakeAgent.Kept kept = agent.kept.get(number);
+        int copies = faults && random.nextInt(20) == 0 ? 2 : 1;
+        for (int i = 0; i < copies; i++) {
+            deliver(
+                    agent,
+                    () -> dispatcher.result(now, agent.id(), number, kept.status(), kept.answer(), kept.runNanos()));
+        }
+    }
+
+    private void refuse(FakeAgent agent, long number, RefusalReason reason) {
+        agent.seen.add(number);
+        agent.refused.add(number);
+        deliver(agent, () -> dispatcher.refused(now, agent.id(), number, reason));
+    }
+
+    // -- frames
+
+    /** Delivers in order on one connection; a cut connection loses what was on the way. */
+    private void deliver(FakeAgent agent, Runnable frame) {
+        int connection = agent.connection;
+        after(MILLI, () -> {
+            if (agent.connection == connection && !agent.cut && !agent.dead) {
+                frame.run();
+            }
+        });
+    }
+
+    @Override
+    public void dispatch(DispatchOrder order) {
+        assertTrue(numbers.add(order.number()), "number used twice: " + order.number());
+        FakeAgent agent = agents.get(order.agent());
+        assertTrue(serving, "started while not serving");
+        assertFalse(zonesOut.contains(agent.info.zone()), "started in a zone out of service");
+        deliver(agent, () -> receive(agent, order));
+    }
+
+    @Override
+    public void cancel(Incarnation agentId, long number) {
+        FakeAgent agent = agents.get(agentId);
+        deliver(agent, () -> {
+            if (!agent.knows(number)) {
+                refuse(agent, number, RefusalReason.CANCELLED);
+            }
+        });
+    }
+
+    @Override
+    public void ack(Incarnation agentId, long number) {
+        FakeAgent agent = agents.get(agentId);
+        deliver(agent, () -> agent.kept.remove(number));
+    }
+
+    @Override
+    public void answered(String submissionId, Outcome outcome) {
+        Submission submission = submissions.get(submissionId);
+        assertTrue(now <= submission.deadline() + MILLI, "answered late: " + submissionId);
+        assertTrue(outcomes.put(submissionId, outcome) == null, "answered twice: " + submissionId);
+    }
+
+    @Override
+    public void returnGrants(Incarnation agentId, int slots) {
+        FakeAgent agent = agents.get(agentId);
+        deliver(agent, () -> agent.granted -= slots);
+    }
+
+    @Override
+    public void want(Incarnation agentId, int slots) {
+        assertTrue(slots > 0 && slots <= 8, "slots=" + slots);
+    }
+
+    @Override
+    public void decided(Decision decision) {
+        assertFalse(decision.reason().isEmpty());
+    }
+
+    // -- faults
+
+    private void fault() {
+        if (!faults) {
+            return;
+        }
+        FakeAgent agent = anyAgent();
+        switch (random.nextInt(8)) {
+            case 0, 1 -> cut(agent);
+            case 2 -> kill(agent);
+            case 3 -> takeOut(ZONES[random.nextInt(3)]);
+            case 4 -> leave(agent);
+            case 5 -> agent.failsEverything = !agent.failsEverything;
+            case 6 -> agent.slowness = agent.slowness > 1 ? 1 : 10;
+            default -> stopServing();
+        }
+        after(random.nextInt(2_000) * MILLI, this::fault);
+    }
+
+    private FakeAgent anyAgent() {
+        List<FakeAgent> alive = agents.values().stream().filter(a -> !a.dead).toList();
+        return alive.get(random.nextInt(alive.size()));
+    }
+
+    private void cut(FakeAgent agent) {
+        agent.cut = true;
+        int connection = agent.connection;
+        boolean returns = random.nextInt(3) > 0;
+        after(2 * SECOND, () -> {
+            if (agent.connection == connection) {
+                dispatcher.silent(now, agent.id());
+            }
+        });
+        after((returns ? 500 + random.nextInt(3_000) : 12_000) * MILLI, () -> connect(agent));
+        after(8 * SECOND, () -> {
+            if (agent.connection == connection) {
+                dispatcher.gone(now, agent.id());
+            }
+        });
+    }
+
+    private void kill(FakeAgent agent) {
+        agent.dead = true;
+        after(2 * SECOND, () -> dispatcher.silent(now, agent.id()));
+        after(8 * SECOND, () -> dispatcher.gone(now, agent.id()));
+        after(SECOND, () -> join(agent.info.zone()));
+    }
+
+    private void leave(FakeAgent agent) {
+        agent.leaving = true;
+        after(3 * SECOND, () -> kill(agent));
+    }
+
+    private void takeOut(String zone) {
+        zonesOut.add(zone);
+        dispatcher.rules(now, rules(), ++version);
+        after(3 * SECOND, () -> bringBack(zone));
+    }
+
+    private void bringBack(String zone) {
+        zonesOut.remove(zone);
+        dispatcher.rules(now, rules(), ++version);
+    }
+
+    private void stopServing() {
+        serving = false;
+        dispatcher.serving(now, false);
+        after(500 * MILLI, () -> {
+            serving = true;
+            dispatcher.serving(now, true);
+        });
+    }
+
+    private void calm() {
+        faults = false;
+        agents.values().forEach(agent -> agent.failsEverything = false);
+    }
+
+    private Rules rules() {
+        return Rules.of(List.of(), List.of(), zonesOut);
+    }
+
+    private void after(long nanos, Runnable event) {
+        events.add(now + nanos, event);
+    }
+}
