--- a/core/src/main/java/org/teaselhook/core/grant/GrantSharing.java
+++ b/core/src/main/java/org/teaselhook/core/grant/GrantSharing.java
@@ -133,7 +133,8 @@
     }
 
     /**
-     * Records that an entry gave unused slots back, as the answer to a reclaim or by itself.
+     * Records that an entry gave unused slots back. One that does so without being asked is granted none until it wants
+     * some.
      *
      * @param entry the run of the entry
      * @param returned the number of slots, perhaps 0
@@ -142,6 +143,15 @@
         shareOf(entry).giveBack(returned);
     }
 
+    /**
+     * Records that an entry needs no idle slots, because it is stopping.
+     *
+     * @param entry the run of the entry
+     */
+    public void decline(Incarnation entry) {
+        shareOf(entry).decline();
+    }
+
     // -- decisions
 
     /**
@@ -174,6 +184,18 @@
         return slots - running() - granted();
     }
 
+    /**
+     * Counts the slots that a dispatch of an entry may take.
+     *
+     * @param entry the run of the entry
+     * @param granted whether the dispatch uses up a granted slot
+     * @return the number of slots
+     */
+    public int available(Incarnation entry, boolean granted) {
+        int idle = granted ? granted(entry) : 0;
+        return idle > 0 ? idle : free();
+    }
+
     /**
      * Counts the slots in which tasks run.
      *
@@ -205,8 +227,9 @@
 
     private void grantFree() {
         for (int free = free(); free > 0; free--) {
-            Optional<EntryShare> next =
-                    wanting().min(LEAST_HELD).or(() -> connected().min(LEAST_SPARE));
+            Optional<EntryShare> next = wanting().min(LEAST_HELD).or(() -> shares.values().stream()
+                    .filter(EntryShare::takesIdle)
+                    .min(LEAST_SPARE));
             if (next.isEmpty()) {
                 return;
             }
