Silence selected connections of a relay by their client's port

A cut between one pair of processes needs to tell whose connection passes a relay that serves all clients of one entry. The check of refusals after an earlier start is confined to claimed submissions: single idempotent requests are not claimed, each call is a submission of its own.

--- a/bench/src/main/java/org/teaselhook/bench/history/NotRunChecks.java
+++ b/bench/src/main/java/org/teaselhook/bench/history/NotRunChecks.java
@@ -23,9 +23,13 @@
                                         .noneMatch(other -> other != call && other.couldStartAt(start.atNanos()))));
     }
 
-    /** A start before the call was sent: the key's work had been done, at least in part. */
+    /**
+     * A start before the call was sent: the key's work had been done, at least in part. Single idempotent requests are
+     * not claimed, so that each call is a submission of its own.
+     */
     static Stream<Violation> notRunAfterStart(History history) {
         return history.callsByKey().values().stream()
+                .filter(calls -> calls.get(0).sent().startsOnce())
                 .flatMap(calls -> refuted(
                         history,
                         calls,
--- a/standin/src/main/java/org/teaselhook/standin/relay/RelayLink.java
+++ b/standin/src/main/java/org/teaselhook/standin/relay/RelayLink.java
@@ -1,5 +1,6 @@
 package org.teaselhook.standin.relay;
 
+import java.net.InetSocketAddress;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -9,6 +10,7 @@
 /** One connection through a relay: a channel on each side and a pipe in each direction. */
 final class RelayLink {
 
+    private final int clientPort;
     private final Channel client;
     private final Channel server;
     private final RelayPipe toServer;
@@ -16,6 +18,7 @@
     private final CompletableFuture<Void> closed = new CompletableFuture<>();
 
     private RelayLink(Channel client, Channel server, RelayState state) {
+        this.clientPort = ((InetSocketAddress) client.remoteAddress()).getPort();
         this.client = client;
         this.server = server;
         this.toServer = new RelayPipe(RelayDirection.TO_SERVER, state, server);
@@ -26,6 +29,7 @@
 
     static RelayLink join(Channel client, Channel server, RelayState state) {
         RelayLink link = new RelayLink(client, server, state);
+        link.silence(state.silentFromStart(link.clientPort()));
         client.pipeline().addLast(link.toServer);
         server.pipeline().addLast(link.toClient);
         client.closeFuture().addListener(done -> link.completeWhenBothClosed());
@@ -37,6 +41,10 @@
 
     // -- accessors
 
+    int clientPort() {
+        return clientPort;
+    }
+
     CompletionStage<Void> closed() {
         return closed;
     }
--- a/standin/src/main/java/org/teaselhook/standin/relay/RelayState.java
+++ b/standin/src/main/java/org/teaselhook/standin/relay/RelayState.java
@@ -1,7 +1,6 @@
 package org.teaselhook.standin.relay;
 
 import java.util.EnumMap;
-import java.util.EnumSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.atomic.LongAdder;
@@ -10,7 +9,7 @@
 final class RelayState {
 
     private final Map<RelayDirection, LongAdder> bytes = new EnumMap<>(RelayDirection.class);
-    private volatile Set<RelayDirection> silentForNew = EnumSet.noneOf(RelayDirection.class);
+    private volatile RelaySilence silenceForNew = RelaySilence.none();
     private volatile long latencyNanos;
 
     RelayState() {
@@ -21,8 +20,8 @@
 
     // -- accessors
 
-    boolean isSilentForNew(RelayDirection direction) {
-        return silentForNew.contains(direction);
+    Set<RelayDirection> silentFromStart(int clientPort) {
+        return silenceForNew.directionsFor(clientPort);
     }
 
     long latencyNanos() {
@@ -35,8 +34,8 @@
 
     // -- changes
 
-    void silenceNew(Set<RelayDirection> directions) {
-        silentForNew = Set.copyOf(directions);
+    void silenceNew(RelaySilence silence) {
+        silenceForNew = silence;
     }
 
     void delayBy(long nanos) {
--- a/standin/src/test/java/org/teaselhook/standin/relay/RelayTest.java
+++ b/standin/src/test/java/org/teaselhook/standin/relay/RelayTest.java
@@ -110,6 +110,16 @@
         }
     }
 
+    @Test
+    public void shouldSwallowBytesOfSelectedClientsOnly() throws IOException {
+        try (Ends silent = connect();
+                Ends open = connect()) {
+            relay.silence(EnumSet.allOf(RelayDirection.class), port -> port == silent.client.getLocalPort());
+            silent.assertPassesUnless(true, RelayDirection.TO_SERVER);
+            open.assertPasses(RelayDirection.TO_SERVER);
+        }
+    }
+
     // -- close
 
     @Test
