--- a/node/src/main/java/org/teaselhook/node/entry/RunningSubmission.java
+++ b/node/src/main/java/org/teaselhook/node/entry/RunningSubmission.java
@@ -13,13 +13,15 @@
     private final SubmissionName name;
     private final long digest;
     private final String dispatchId;
+    private final Hold hold;
     private final CompletableFuture<Outcome> outcome = new CompletableFuture<>();
     private int waiting;
 
-    RunningSubmission(SubmissionName name, long digest, String dispatchId) {
+    RunningSubmission(SubmissionName name, long digest, String dispatchId, Hold hold) {
         this.name = name;
         this.digest = digest;
         this.dispatchId = dispatchId;
+        this.hold = hold;
     }
 
     SubmissionName name() {
@@ -35,6 +37,11 @@
         return dispatchId;
     }
 
+    /** Returns what is given back if nothing of it runs. */
+    Hold hold() {
+        return hold;
+    }
+
     CompletableFuture<Outcome> outcome() {
         return outcome;
     }
--- /dev/null
+++ b/node/src/main/java/org/teaselhook/node/entry/SubmissionNames.java
@@ -0,0 +1,39 @@
+package org.teaselhook.node.entry;
+
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import org.teaselhook.core.id.Incarnation;
+import org.teaselhook.node.caller.SubmissionName;
+
+/**
+ * Tells names that entries issued from callers' keys.
+ */
+final class SubmissionNames {
+
+    private static final String GENERATED_PREFIX = "r-";
+    private static final Pattern ISSUED = Pattern.compile("[tr]-([0-9a-f]{16})-.+");
+
+    private SubmissionNames() {}
+
+    /** Makes a name for a request without key and ticket. */
+    static SubmissionName generate(Incarnation self, long number) {
+        return SubmissionName.generated(GENERATED_PREFIX + self + "-" + number);
+    }
+
+    /** Reads a name that an entry issued: a ticket or a generated id. */
+    static SubmissionName ofIssued(String text) {
+        return text.startsWith(GENERATED_PREFIX) ? SubmissionName.generated(text) : SubmissionName.ticket(text);
+    }
+
+    /** Finds the run of the entry that issued a name; empty for a caller's key. */
+    static Optional<Incarnation> issuer(String text) {
+        Matcher matcher = ISSUED.matcher(text);
+        if (!matcher.matches()) {
+            return Optional.empty();
+        }
+        long value = Long.parseUnsignedLong(matcher.group(1), 16);
+        return value == 0 ? Optional.empty() : Optional.of(Incarnation.of(value));
+    }
+}
--- a/node/src/main/java/org/teaselhook/node/entry/SubmissionRegistry.java
+++ b/node/src/main/java/org/teaselhook/node/entry/SubmissionRegistry.java
@@ -34,8 +34,8 @@
 
     // -- running submissions
 
-    RunningSubmission add(SubmissionName name, long digest, String dispatchId) {
-        RunningSubmission running = new RunningSubmission(name, digest, dispatchId);
+    RunningSubmission add(SubmissionName name, long digest, String dispatchId, Hold hold) {
+        RunningSubmission running = new RunningSubmission(name, digest, dispatchId, hold);
         byName.put(name, running);
         byDispatchId.put(dispatchId, running);
         return running;
--- a/node/src/main/java/org/teaselhook/node/peer/Peers.java
+++ b/node/src/main/java/org/teaselhook/node/peer/Peers.java
@@ -225,6 +225,16 @@
         return result;
     }
 
+    /**
+     * Tells whether every entry that is known has spoken within the last 2 s.
+     *
+     * @return true if none is missing
+     */
+    public boolean allLive() {
+        long now = clock.getAsLong();
+        return links.values().stream().allMatch(link -> link.isLive(now));
+    }
+
     /**
      * Finds the calls to a run of another entry, whether it is leaving or not.
      *
