Decide claims by an append-only log per shard

Ledger holds one log per shard: a row is appended at the first free sequence on condition that the floor row is as it was read, so whoever appends has read every retained row below. A row without known result is read back and appended again unchanged. Trimming raises the floor row in the same transaction. A breaker refuses claims at once while the table service is down or slow. Claims runs the ledger on a control thread; Tickets admit without a write.

--- a/core/src/main/java/org/teaselhook/core/claim/LedgerEvent.java
+++ b/core/src/main/java/org/teaselhook/core/claim/LedgerEvent.java
@@ -1,5 +1,6 @@
 package org.teaselhook.core.claim;
 
+import java.util.Locale;
 import java.util.Objects;
 
 /**
@@ -39,6 +40,24 @@
         /** The table service is back. */
         BREAKER_CLOSED,
         /** A row could not be decoded; claims of its shard are refused. */
-        UNREADABLE
+        UNREADABLE;
+
+        /**
+         * Returns the kind's name in kebab case.
+         *
+         * @return the name
+         */
+        public String label() {
+            return name().toLowerCase(Locale.ROOT).replace('_', '-');
+        }
+
+        /**
+         * Tells whether events of this kind happen all the time in a healthy system.
+         *
+         * @return true for appends and reads
+         */
+        public boolean isRoutine() {
+            return this == APPENDED || this == CAUGHT_UP;
+        }
     }
 }
--- a/core/src/main/java/org/teaselhook/core/claim/LedgerLimits.java
+++ b/core/src/main/java/org/teaselhook/core/claim/LedgerLimits.java
@@ -3,7 +3,7 @@
 /**
  * The bounds of a ledger.
  *
- * @param retentionMillis how long a claim is remembered at least; a key may be used again for a new request after it
+ * @param retentionMillis how long a key is remembered at least after a start under it
  * @param maxBatchClaims the greatest number of claims in one row
  * @param maxQueuedClaims the greatest number of claims that wait per shard
  * @param maxRetainedClaims the greatest number of claims within the retention time per shard
--- /dev/null
+++ b/core/src/main/java/org/teaselhook/core/claim/ShardLog.java
@@ -0,0 +1,322 @@
+package org.teaselhook.core.claim;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+import org.teaselhook.core.claim.LedgerEvent.Kind;
+import org.teaselhook.core.id.Incarnation;
+import org.teaselhook.core.table.Row;
+import org.teaselhook.core.table.TableResult;
+import org.teaselhook.core.table.Transaction;
+
+/**
+ * One shard's log as one process sees it. There is at most one call to the table service at a time.
+ *
+ * <p>A row is appended at the first free sequence, on condition that this sequence is free and that the floor row is
+ * as it was read. Whoever appends has therefore read every retained row below. A row without known result is appended
+ * again unchanged, at the same sequence, until the log shows that it is there or never can be.
+ */
+final class ShardLog {
+
+    private static final int SCAN_ROWS = 100;
+    private static final int TRIM_ROWS = 400;
+    private static final long NO_GAP = -1;
+    private static final long TAIL_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(5);
+    private static final Duration NOT_READY_RETRY_AFTER = Duration.ofSeconds(1);
+
+    private final int shard;
+    private final Incarnation self;
+    private final LedgerLimits limits;
+    private final RandomGenerator random;
+    private final LedgerOutput output;
+    private final LogKeys keys;
+    private final RetentionPolicy retention;
+    private final ShardClaims claims;
+
+    private Phase phase = Phase.IDLE;
+    private Optional<LogBatch> batch = Optional.empty();
+    private boolean stale = true;
+    private boolean warm;
+    private boolean unreadable;
+    private long next;
+    private long floor;
+    private long floorVersion = Transaction.ABSENT_VERSION;
+    private long gapFloorVersion = NO_GAP;
+    private long callStartedNanos;
+    private long lastAppendNanos;
+    private long lastFreshNanos;
+    private long lastTrimNanos;
+
+    ShardLog(int shard, Incarnation self, LedgerLimits limits, RandomGenerator random, LedgerOutput output) {
+        this.shard = shard;
+        this.self = self;
+        this.limits = limits;
+        this.random = random;
+        this.output = output;
+        this.keys = LogKeys.of(shard);
+        this.claims = new ShardClaims(self, limits, output);
+        this.retention = RetentionPolicy.of(limits.retentionMillis());
+    }
+
+    private enum Phase {
+        IDLE,
+        READING_FLOOR,
+        SCANNING,
+        APPENDING,
+        TRIMMING
+    }
+
+    // -- claims
+
+    void claim(long claimId, ClaimRow.Claim claim, long deadlineNanos, Optional<Duration> refusal, ClockReading now) {
+        boolean ready = warm && !unreadable;
+        claims.claim(claimId, claim, deadlineNanos, ready ? refusal : Optional.of(NOT_READY_RETRY_AFTER), now);
+    }
+
+    void abandon(String key) {
+        claims.abandon(key);
+    }
+
+    void expire(ClockReading now) {
+        claims.expire(now);
+    }
+
+    void refuseAll(Duration retryAfter) {
+        claims.refuseAll(retryAfter);
+    }
+
+    // -- state
+
+    boolean isIdle() {
+        return phase == Phase.IDLE;
+    }
+
+    boolean isWarm() {
+        return warm;
+    }
+
+    boolean isUnsettled() {
+        return batch.isPresent();
+    }
+
+    int heldKeys() {
+        return claims.heldKeys();
+    }
+
+    long callStartedNanos() {
+        return callStartedNanos;
+    }
+
+    /** Tells whether a call is to be made now. */
+    boolean wantsCall(ClockReading now) {
+        boolean pausing = unreadable && now.nanos() - callStartedNanos < TAIL_INTERVAL_NANOS;
+        return !pausing
+                && (stale
+                        || batch.isPresent()
+                        || wantsAppend(now)
+                        || wantsTrim(now)
+                        || now.nanos() - lastFreshNanos >= TAIL_INTERVAL_NANOS);
+    }
+
+    private boolean wantsAppend(ClockReading now) {
+        long sinceAppendNanos = now.nanos() - lastAppendNanos;
+        return claims.hasQueued()
+                && !unreadable
+                && sinceAppendNanos >= TimeUnit.MILLISECONDS.toNanos(limits.appendIntervalMillis());
+    }
+
+    private boolean wantsTrim(ClockReading now) {
+        return now.nanos() - lastTrimNanos >= retention.trimIntervalNanos() && floorAfterTrim(now) > floor;
+    }
+
+    private long floorAfterTrim(ClockReading now) {
+        return claims.floorAfterTrim(TRIM_ROWS, floor, now);
+    }
+
+    // -- calls
+
+    /** Makes the most urgent call. */
+    void makeCall(ClockReading now) {
+        if (!stale && batch.isEmpty() && wantsAppend(now)) {
+            startBatch(now);
+        }
+        if (stale) {
+            call(Phase.READING_FLOOR, new TableCall.Read(keys.floor()), now);
+        } else if (batch.isPresent()) {
+            call(Phase.APPENDING, new TableCall.Commit(batch.get().append(keys, floorVersion)), now);
+        } else if (wantsTrim(now)) {
+            trim(now);
+        } else {
+            call(Phase.READING_FLOOR, new TableCall.Read(keys.floor()), now);
+        }
+    }
+
+    private void call(Phase started, TableCall call, ClockReading now) {
+        phase = started;
+        callStartedNanos = now.nanos();
+        output.call(shard, call);
+    }
+
+    private void startBatch(ClockReading now) {
+        ClaimRow row = new ClaimRow(self, random.nextLong(), now.wallMillis(), claims.startBatch());
+        batch = Optional.of(new LogBatch(next, row, now));
+        lastAppendNanos = now.nanos();
+    }
+
+    private void trim(ClockReading now) {
+        lastTrimNanos = now.nanos();
+        long newFloor = floorAfterTrim(now);
+        Transaction transaction = Transaction.empty()
+                .require(keys.floor(), floorVersion)
+                .put(keys.floor(), LogKeys.encodeFloor(newFloor));
+        for (long sequence = floor; sequence < newFloor; sequence++) {
+            transaction = transaction.delete(keys.row(sequence));
+        }
+        call(Phase.TRIMMING, new TableCall.Commit(transaction), now);
+    }
+
+    private void scan(ClockReading now) {
+        call(Phase.SCANNING, new TableCall.Scan(keys.row(next), keys.afterRows(), SCAN_ROWS), now);
+    }
+
+    // -- results
+
+    /** Takes the result of the call that is outstanding. */
+    void completed(TableResult result, ClockReading now) {
+        Phase finished = phase;
+        phase = Phase.IDLE;
+        switch (finished) {
+            case READING_FLOOR -> floorRead(result, now);
+            case SCANNING -> scanned(result, now);
+            case APPENDING -> appended(result, now);
+            case TRIMMING -> trimmed(result, now);
+            default -> throw new IllegalStateException("no call is outstanding on shard " + shard);
+        }
+    }
+
+    private void floorRead(TableResult result, ClockReading now) {
+        if (result instanceof TableResult.NotFound) {
+            scan(now);
+        } else if (result instanceof TableResult.Found found) {
+            LogKeys.decodeFloor(found.row().value())
+                    .ifPresentOrElse(read -> raiseFloor(read, found.row().version(), now), () -> unreadable(next));
+        }
+    }
+
+    private void raiseFloor(long read, long version, ClockReading now) {
+        floorVersion = version;
+        floor = read;
+        claims.forgetBelow(read);
+        if (read > next) {
+            dropBatch();
+            next = read;
+        }
+        scan(now);
+    }
+
+    /** Gives up a row whose sequence is below the floor: if it was appended, it is past the retention time. */
+    private void dropBatch() {
+        if (batch.isPresent()) {
+            batch = Optional.empty();
+            claims.dropBatch();
+        }
+    }
+
+    private void scanned(TableResult result, ClockReading now) {
+        if (!(result instanceof TableResult.Rows rows)) {
+            stale = true;
+            return;
+        }
+        long before = next;
+        boolean contiguous = rows.rows().stream().allMatch(row -> integrate(row, now));
+        if (next > before) {
+            event(Kind.CAUGHT_UP, next, (int) (next - before), now);
+        }
+        if (contiguous && rows.rows().size() == SCAN_ROWS) {
+            scan(now);
+            return;
+        }
+        stale = !contiguous;
+        if (contiguous) {
+            warm = true;
+            unreadable = false;
+            gapFloorVersion = NO_GAP;
+            lastFreshNanos = now.nanos();
+        }
+    }
+
+    private boolean integrate(Row row, ClockReading now) {
+        if (keys.sequence(row.key()) != next) {
+            gapFound();
+            return false;
+        }
+        Optional<ClaimRow> decoded = ClaimRow.decode(row.value());
+        if (decoded.isEmpty()) {
+            unreadable(next);
+            return false;
+        }
+        integrate(decoded.get(), now);
+        return true;
+    }
+
+    private void integrate(ClaimRow row, ClockReading now) {
+        if (batch.isPresent() && batch.get().isSameAs(row)) {
+            event(Kind.SETTLED, next, batch.get().size(), now);
+            settle(batch.get(), now);
+            return;
+        }
+        if (batch.isPresent()) {
+            batch = Optional.empty();
+            claims.requeueBatch();
+        }
+        claims.addRead(next, row, now);
+        next++;
+    }
+
+    private void appended(TableResult result, ClockReading now) {
+        LogBatch sent = batch.orElseThrow();
+        if (result instanceof TableResult.Committed) {
+            event(Kind.APPENDED, sent.sequence(), sent.size(), now);
+            lastFreshNanos = now.nanos();
+            settle(sent, now);
+            return;
+        }
+        stale = true;
+        Kind kind = result instanceof TableResult.Conflict ? Kind.CONFLICT : Kind.UNSETTLED;
+        event(kind, sent.sequence(), sent.size(), now);
+    }
+
+    private void settle(LogBatch settled, ClockReading now) {
+        batch = Optional.empty();
+        next = settled.sequence() + 1;
+        claims.addOwn(settled.sequence(), settled.row(), settled.firstSent(), now);
+    }
+
+    private void trimmed(TableResult result, ClockReading now) {
+        stale = true;
+        if (result instanceof TableResult.Committed) {
+            event(Kind.TRIMMED, floor, 0, now);
+        }
+    }
+
+    /** A gap closes with a newer floor; one that stays means that the table service lost rows. */
+    private void gapFound() {
+        if (gapFloorVersion == floorVersion) {
+            unreadable(next);
+        }
+        gapFloorVersion = floorVersion;
+    }
+
+    private void unreadable(long sequence) {
+        if (!unreadable) {
+            output.event(new LedgerEvent(Kind.UNREADABLE, shard, sequence, 0, 0));
+        }
+        unreadable = true;
+    }
+
+    private void event(Kind kind, long sequence, int count, ClockReading now) {
+        output.event(new LedgerEvent(kind, shard, sequence, count, now.nanos() - callStartedNanos));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaselhook/core/claim/TicketSigner.java
@@ -0,0 +1,53 @@
+package org.teaselhook.core.claim;
+
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+import java.util.Arrays;
+import java.util.HexFormat;
+import java.util.random.RandomGenerator;
+
+/**
+ * Computes the codes of tickets with a secret drawn at start.
+ */
+final class TicketSigner {
+
+    private static final String ALGORITHM = "HmacSHA256";
+    private static final int SECRET_BYTES = 32;
+    private static final int CODE_BYTES = 16;
+
+    private final SecretKeySpec secret;
+
+    private TicketSigner(SecretKeySpec secret) {
+        this.secret = secret;
+    }
+
+    static TicketSigner withRandomSecret(RandomGenerator random) {
+        byte[] bytes = new byte[SECRET_BYTES];
+        random.nextBytes(bytes);
+        return new TicketSigner(new SecretKeySpec(bytes, ALGORITHM));
+    }
+
+    Ticket sign(Ticket ticket) {
+        return new Ticket(ticket.issuer(), ticket.expiryMillis(), ticket.nonce(), code(ticket));
+    }
+
+    boolean isOwn(Ticket ticket) {
+        byte[] expected = code(ticket).getBytes(StandardCharsets.US_ASCII);
+        return MessageDigest.isEqual(expected, ticket.code().getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private String code(Ticket ticket) {
+        try {
+            Mac mac = Mac.getInstance(ALGORITHM);
+            mac.init(secret);
+            byte[] full = mac.doFinal(ticket.signedPart().getBytes(StandardCharsets.US_ASCII));
+            return HexFormat.of().formatHex(Arrays.copyOf(full, CODE_BYTES));
+        } catch (GeneralSecurityException e) {
+            throw new IllegalStateException("this Java runtime lacks " + ALGORITHM, e);
+        }
+    }
+}
--- a/node/src/main/java/org/teaselhook/node/claim/Claims.java
+++ b/node/src/main/java/org/teaselhook/node/claim/Claims.java
@@ -1,6 +1,14 @@
 package org.teaselhook.node.claim;
 
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 
 import org.teaselhook.core.claim.ClaimResult;
 import org.teaselhook.core.claim.LedgerLimits;
@@ -16,10 +24,20 @@
  */
 public final class Claims implements AutoCloseable {
 
-    private Claims() {}
+    private static final long TICK_MILLIS = 5;
+
+    private final ScheduledExecutorService control;
+    private final LedgerLoop loop;
+
+    private Claims(ScheduledExecutorService control, LedgerLoop loop) {
+        this.control = control;
+        this.loop = loop;
+    }
+
+    // -- factories
 
     /**
-     * Starts the control thread.
+     * Starts the control thread, which begins to read the claims within the retention time.
      *
      * @param self the incarnation that claims
      * @param table the table service
@@ -28,16 +46,29 @@
      * @return the runner
      */
     public static Claims start(Incarnation self, TableService table, LedgerLimits limits, ClaimListener listener) {
-        throw new UnsupportedOperationException();
+        Objects.requireNonNull(table, "table is null");
+        Objects.requireNonNull(listener, "listener is null");
+        ScheduledExecutorService control = Executors.newSingleThreadScheduledExecutor(Claims::daemon);
+        LedgerLoop loop = new LedgerLoop(self, limits, new SecureRandom(), table, listener, control);
+        control.scheduleAtFixedRate(loop::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        return new Claims(control, loop);
     }
 
+    private static Thread daemon(Runnable task) {
+        Thread thread = new Thread(task, "claims");
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    // -- operations
+
     /**
-     * Reads the claims within the retention time. Until it has completed once, every claim is refused as unavailable.
+     * Waits for the claims within the retention time to be read. Until then, every claim is refused as unavailable.
      *
      * @return completes when all shards have been read, which may take until the table service is back
      */
     public CompletionStage<Void> warmUp() {
-        throw new UnsupportedOperationException();
+        return loop.warmUp();
     }
 
     /**
@@ -47,10 +78,15 @@
      * @param bodyDigest a digest of the request's body and kind, to tell a resubmission from another request
      * @param deadlineNanos the time on {@link System#nanoTime()} after which a claim is of no use
      * @param nowNanos the present time on {@link System#nanoTime()}
-     * @return the result, by the deadline
+     * @return the result, by the deadline; it completes on the control thread
      */
     public CompletionStage<ClaimResult> claim(String key, long bodyDigest, long deadlineNanos, long nowNanos) {
-        throw new UnsupportedOperationException();
+        Objects.requireNonNull(key, "key is null");
+        CompletableFuture<ClaimResult> result = new CompletableFuture<>();
+        if (!execute(() -> loop.claim(result, key, bodyDigest, deadlineNanos))) {
+            result.complete(new ClaimResult.Unavailable(Duration.ZERO));
+        }
+        return result;
     }
 
     /**
@@ -60,12 +96,23 @@
      * @param key the key
      */
     public void abandon(String key) {
-        throw new UnsupportedOperationException();
+        Objects.requireNonNull(key, "key is null");
+        execute(() -> loop.abandon(key));
     }
 
     /** Stops the control thread. Claims that are still open complete as unavailable. */
     @Override
     public void close() {
-        throw new UnsupportedOperationException();
+        execute(loop::stop);
+        control.shutdown();
+    }
+
+    private boolean execute(Runnable task) {
+        try {
+            control.execute(task);
+            return true;
+        } catch (RejectedExecutionException e) {
+            return false;
+        }
     }
 }
--- /dev/null
+++ b/node/src/test/java/org/teaselhook/node/claim/ClaimsTest.java
@@ -0,0 +1,144 @@
+package org.teaselhook.node.claim;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+
+import org.teaselhook.core.claim.ClaimResult;
+import org.teaselhook.core.claim.LedgerLimits;
+import org.teaselhook.core.id.Incarnation;
+import org.teaselhook.net.http.HttpClient;
+import org.teaselhook.net.table.HttpTableService;
+import org.teaselhook.standin.table.TableFaults;
+import org.teaselhook.standin.table.TableServer;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+public class ClaimsTest {
+
+    private static final long CALL_TIMEOUT_MILLIS = 500;
+    private static final Incarnation FIRST = Incarnation.of(1);
+    private static final Incarnation SECOND = Incarnation.of(2);
+
+    private TableServer server;
+    private HttpClient client;
+    private List<Claims> started;
+
+    @BeforeMethod
+    public void start() {
+        server = TableServer.start(new InetSocketAddress("127.0.0.1", 0), TableFaults.none(), 1);
+        client = HttpClient.create(32, 1_000);
+        started = new ArrayList<>();
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+        started.forEach(Claims::close);
+        client.close();
+        server.close();
+    }
+
+    // -- claim
+
+    @Test
+    public void shouldLetOneIncarnationWin() throws Exception {
+        Claims first = claims(FIRST);
+        Claims second = claims(SECOND);
+        assertEquals(get(claim(first, "key", 1)), ClaimResult.won());
+        assertEquals(get(claim(first, "key", 1)), ClaimResult.mine());
+        assertEquals(get(claim(second, "key", 1)), new ClaimResult.HeldBy(FIRST));
+        assertEquals(get(claim(second, "key", 2)), ClaimResult.otherBody());
+    }
+
+    @Test
+    public void shouldKnowClaimsAfterWarmUpWithoutFurtherReads() throws Exception {
+        assertEquals(get(claim(claims(FIRST), "key", 1)), ClaimResult.won());
+        Claims second = claims(SECOND);
+        server.faults(TableFaults.none().withOutage(TableFaults.Outage.SILENT));
+        assertEquals(get(claim(second, "key", 1)), new ClaimResult.HeldBy(FIRST));
+    }
+
+    @Test
+    public void shouldShareWritesAmongConcurrentClaims() throws Exception {
+        Claims first = claims(FIRST);
+        server.faults(TableFaults.none().withLatency(0, 3));
+        List<CompletionStage<ClaimResult>> results = IntStream.range(0, 2_000)
+                .mapToObj(i -> claim(first, "key-" + i, 1))
+                .toList();
+        for (CompletionStage<ClaimResult> result : results) {
+            assertEquals(get(result), ClaimResult.won());
+        }
+        assertTrue(server.counters().writes() < 200, server.counters().toString());
+    }
+
+    @Test
+    public void shouldSettleLostAnswersAndWinOnce() throws Exception {
+        Claims first = claims(FIRST);
+        server.faults(TableFaults.none().withLostAnswers(1));
+        CompletionStage<ClaimResult> lost = claim(first, "key", 1);
+        assertEquals(get(lost), ClaimResult.won());
+        assertEquals(get(claim(first, "key", 1)), ClaimResult.mine());
+    }
+
+    @Test
+    public void shouldRefuseAtOnceDuringOutageAndRecover() throws Exception {
+        Claims first = claims(FIRST);
+        server.faults(TableFaults.none().withOutage(TableFaults.Outage.SILENT));
+        assertTrue(get(claim(first, "a", 1)) instanceof ClaimResult.Unavailable);
+        long before = System.nanoTime();
+        assertTrue(get(claim(first, "b", 1)) instanceof ClaimResult.Unavailable);
+        assertTrue(System.nanoTime() - before < TimeUnit.MILLISECONDS.toNanos(CALL_TIMEOUT_MILLIS));
+
+        server.faults(TableFaults.none());
+        ClaimResult result = get(claim(first, "b", 1));
+        long giveUpNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+        while (result instanceof ClaimResult.Unavailable && System.nanoTime() < giveUpNanos) {
+            Thread.sleep(50);
+            result = get(claim(first, "b", 1));
+        }
+        assertEquals(result, ClaimResult.won());
+    }
+
+    @Test
+    public void shouldWinAgainAfterAbandon() throws Exception {
+        Claims first = claims(FIRST);
+        assertEquals(get(claim(first, "key", 1)), ClaimResult.won());
+        first.abandon("key");
+        assertEquals(get(claim(first, "key", 1)), ClaimResult.won());
+        assertEquals(get(claim(first, "key", 1)), ClaimResult.mine());
+    }
+
+    @Test
+    public void shouldRefuseOpenClaimsWhenClosed() throws Exception {
+        Claims first = claims(FIRST);
+        first.close();
+        assertTrue(get(claim(first, "key", 1)) instanceof ClaimResult.Unavailable);
+    }
+
+    // -- helpers
+
+    private Claims claims(Incarnation self) throws Exception {
+        InetSocketAddress address = new InetSocketAddress("127.0.0.1", server.port());
+        HttpTableService table = HttpTableService.of(client, address, CALL_TIMEOUT_MILLIS);
+        Claims claims = Claims.start(self, table, LedgerLimits.standard(), ClaimListener.none());
+        started.add(claims);
+        claims.warmUp().toCompletableFuture().get(10, TimeUnit.SECONDS);
+        return claims;
+    }
+
+    private static CompletionStage<ClaimResult> claim(Claims claims, String key, long digest) {
+        long now = System.nanoTime();
+        return claims.claim(key, digest, now + TimeUnit.SECONDS.toNanos(5), now);
+    }
+
+    private static ClaimResult get(CompletionStage<ClaimResult> stage) throws Exception {
+        return stage.toCompletableFuture().get(10, TimeUnit.SECONDS);
+    }
+}
