--- a/node/src/main/java/org/teaselhook/node/entry/OtherEntries.java
+++ b/node/src/main/java/org/teaselhook/node/entry/OtherEntries.java
@@ -9,10 +9,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
-import com.google.common.util.concurrent.FutureCallback;
-import com.google.common.util.concurrent.Futures;
-import com.google.common.util.concurrent.ListenableFuture;
-import com.google.common.util.concurrent.MoreExecutors;
 import org.teaselhook.core.claim.HomeEntry;
 import org.teaselhook.core.claim.LookupResult;
 import org.teaselhook.core.id.Incarnation;
@@ -26,7 +22,6 @@
 import org.teaselhook.node.control.ControlLoop;
 import org.teaselhook.node.peer.PeerInfo;
 import org.teaselhook.node.peer.Peers;
-import org.teaselhook.wire.ForwardReply;
 import org.teaselhook.wire.ForwardRequest;
 
 /**
@@ -94,31 +89,10 @@
             Incarnation to, ForwardRequest request, long timeoutMillis, CompletionStage<Void> closed) {
         return peers.calls(to)
                 .map(stub -> stub.withDeadlineAfter(timeoutMillis + SLACK_MILLIS, TimeUnit.MILLISECONDS))
-                .map(stub -> stage(stub.forward(request), closed))
+                .map(stub -> ForwardCall.send(stub, request, control, closed))
                 .orElseGet(() -> CompletableFuture.completedFuture(Optional.empty()));
     }
 
-    private CompletionStage<Optional<Outcome>> stage(
-            ListenableFuture<ForwardReply> call, CompletionStage<Void> closed) {
-        CompletableFuture<Optional<Outcome>> result = new CompletableFuture<>();
-        Futures.addCallback(
-                call,
-                new FutureCallback<>() {
-                    @Override
-                    public void onSuccess(ForwardReply reply) {
-                        control.execute(() -> result.complete(ForwardMessages.outcome(reply)));
-                    }
-
-                    @Override
-                    public void onFailure(Throwable failure) {
-                        control.execute(() -> result.complete(Optional.empty()));
-                    }
-                },
-                MoreExecutors.directExecutor());
-        closed.thenRun(() -> call.cancel(false));
-        return result;
-    }
-
     // -- before a refusal
 
     /**
--- a/node/src/main/java/org/teaselhook/node/peer/PeerLink.java
+++ b/node/src/main/java/org/teaselhook/node/peer/PeerLink.java
@@ -135,7 +135,7 @@
         return peer.isPresent() && nowNanos - provenAt <= SILENT_NANOS;
     }
 
-    EntryServiceGrpc.EntryServiceFutureStub calls() {
-        return EntryServiceGrpc.newFutureStub(channel);
+    EntryServiceGrpc.EntryServiceStub calls() {
+        return EntryServiceGrpc.newStub(channel);
     }
 }
--- a/node/src/main/java/org/teaselhook/node/peer/Peers.java
+++ b/node/src/main/java/org/teaselhook/node/peer/Peers.java
@@ -241,7 +241,7 @@
      * @param incarnation the run
      * @return a stub, or empty if that run does not answer now
      */
-    public Optional<EntryServiceGrpc.EntryServiceFutureStub> calls(Incarnation incarnation) {
+    public Optional<EntryServiceGrpc.EntryServiceStub> calls(Incarnation incarnation) {
         long now = clock.getAsLong();
         return links.values().stream()
                 .filter(link -> link.leadsTo(incarnation) && link.isLive(now))
