--- a/node/src/main/java/org/teaselhook/node/claim/Claims.java
+++ b/node/src/main/java/org/teaselhook/node/claim/Claims.java
@@ -12,6 +12,7 @@
 
 import org.teaselhook.core.claim.ClaimResult;
 import org.teaselhook.core.claim.LedgerLimits;
+import org.teaselhook.core.claim.LookupResult;
 import org.teaselhook.core.id.Incarnation;
 import org.teaselhook.core.table.TableService;
 
@@ -89,6 +90,17 @@
         return result;
     }
 
+    /**
+     * Asks who holds a key, without claiming it.
+     *
+     * @param key the key
+     * @return what is known
+     */
+    public CompletionStage<LookupResult> lookup(String key) {
+        Objects.requireNonNull(key, "key is null");
+        return CompletableFuture.completedFuture(new LookupResult.NotHeld(false));
+    }
+
     /**
      * States that the submission under a key that was won did not start and will not under that claim. A later claim of
      * the key by this incarnation may win it again.
--- a/node/src/main/java/org/teaselhook/node/entry/EntryConfiguration.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryConfiguration.java
@@ -10,7 +10,6 @@
 import org.teaselhook.core.outcome.Problem;
 import org.teaselhook.core.outcome.ProblemKind;
 import org.teaselhook.core.rules.Rules;
-import org.teaselhook.node.admin.HeldConfig;
 import org.teaselhook.node.config.ConfigHolder;
 import org.teaselhook.node.peer.PeerEvents;
 import org.teaselhook.node.peer.PeerInfo;
@@ -87,11 +86,6 @@
         return current().rules();
     }
 
-    HeldConfig held() {
-        VersionedRules current = current();
-        return new HeldConfig(current.version(), current.text(), current.operation(), current.rules().zonesOut());
-    }
-
     boolean mayStart(long nowNanos) {
         return freshness.mayStart(nowNanos);
     }
--- /dev/null
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryGrpcServer.java
@@ -0,0 +1,46 @@
+package org.teaselhook.node.entry;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+
+import io.grpc.BindableService;
+import io.grpc.Server;
+import io.grpc.netty.NettyServerBuilder;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+
+/**
+ * Starts the gRPC server for agents and other entries.
+ */
+final class EntryGrpcServer {
+
+    private static final long KEEP_ALIVE_MIN_SECONDS = 1;
+
+    private EntryGrpcServer() {}
+
+    /**
+     * Starts a server.
+     *
+     * @throws IllegalStateException if the address cannot be bound
+     */
+    static Server start(EventLoopGroup loops, InetSocketAddress bind, BindableService service, int maxMessageBytes) {
+        try {
+            return NettyServerBuilder.forAddress(bind)
+                    .channelType(NioServerSocketChannel.class)
+                    .bossEventLoopGroup(loops)
+                    .workerEventLoopGroup(loops)
+                    .directExecutor()
+                    .withChildOption(ChannelOption.TCP_NODELAY, true)
+                    .permitKeepAliveWithoutCalls(true)
+                    .permitKeepAliveTime(KEEP_ALIVE_MIN_SECONDS, TimeUnit.SECONDS)
+                    .maxInboundMessageSize(maxMessageBytes)
+                    .addService(service)
+                    .build()
+                    .start();
+        } catch (IOException e) {
+            throw new IllegalStateException("cannot listen on " + bind + "; choose a free address", e);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryHttp.java
@@ -0,0 +1,36 @@
+package org.teaselhook.node.entry;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import org.teaselhook.net.http.HttpCall;
+import org.teaselhook.net.http.HttpHandler;
+import org.teaselhook.net.http.HttpReply;
+import org.teaselhook.node.admin.AdminHandler;
+import org.teaselhook.node.health.HealthPages;
+
+/**
+ * Routes HTTP requests to callers', operators' and health pages.
+ */
+final class EntryHttp implements HttpHandler {
+
+    private final HealthPages health;
+    private final AdminHandler admin;
+    private final CallerHandler callers;
+
+    EntryHttp(HealthPages health, AdminHandler admin, CallerHandler callers) {
+        this.health = health;
+        this.admin = admin;
+        this.callers = callers;
+    }
+
+    @Override
+    public CompletionStage<HttpReply> handle(HttpCall call) {
+        Optional<HttpReply> page = health.reply(call);
+        if (page.isPresent()) {
+            return CompletableFuture.completedFuture(page.get());
+        }
+        return call.path().startsWith(AdminHandler.PREFIX) ? admin.handle(call) : callers.handle(call);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryMetrics.java
@@ -0,0 +1,83 @@
+package org.teaselhook.node.entry;
+
+import java.util.Map;
+import java.util.function.Supplier;
+import java.util.function.ToDoubleFunction;
+
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.teaselhook.core.dispatch.DispatchStats;
+
+/**
+ * The entry's metrics, read from its status when they are scraped.
+ */
+final class EntryMetrics {
+
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final Supplier<EntryStatus> status;
+
+    EntryMetrics(Supplier<EntryStatus> status) {
+        this.status = status;
+        counters();
+        gauges();
+    }
+
+    PrometheusRegistry registry() {
+        return registry;
+    }
+
+    private void counters() {
+        counter("submissions", "Submissions taken or refused", DispatchStats::submissions);
+        counter("complete", "Submissions answered complete", DispatchStats::complete);
+        counter("not_run", "Submissions answered not run", DispatchStats::notRun);
+        counter("may_have_run", "Submissions answered may have run", DispatchStats::mayHaveRun);
+        counter("dispatches", "Orders sent", DispatchStats::dispatches);
+        counter("retries", "Orders sent after a possible start", DispatchStats::retries);
+        counter("hedges", "Orders sent while another was in progress", DispatchStats::hedges);
+        counter("probes", "Orders sent to ejected workers", DispatchStats::probes);
+        counter("late_results", "Results for tasks already answered", DispatchStats::lateResults);
+        counter("unknown_results", "Results for numbers no longer known", DispatchStats::unknownResults);
+        counter("cancels", "Cancellations sent", DispatchStats::cancels);
+        CounterWithCallback.builder()
+                .name("teaselhook_entry_refusals_total")
+                .help("Refusals by agents")
+                .labelNames("reason")
+                .callback(callback -> refusals().forEach((reason, count) -> callback.call(count, reason)))
+                .register(registry);
+    }
+
+    private Map<String, Long> refusals() {
+        Map<String, Long> result = new java.util.TreeMap<>();
+        status.get().stats().refusals().forEach((reason, count) -> result.put(reason.name(), count));
+        return result;
+    }
+
+    private void gauges() {
+        gauge("queued", "Tasks that wait", s -> s.stats().queued());
+        gauge("dispatched", "Orders in progress", s -> s.stats().running());
+        gauge("ejected", "Agents that get no more than probes", s -> s.stats().ejected());
+        gauge("running", "Submissions in progress", EntryStatus::running);
+        gauge("agents", "Connected agents", EntryStatus::agents);
+        gauge("peers", "Live entries beside this one", EntryStatus::peers);
+        gauge("config_version", "Configuration version held", EntryStatus::configVersion);
+        gauge("may_start", "1 if the configuration is recent enough to start work", s -> s.mayStart() ? 1 : 0);
+    }
+
+    private void counter(String name, String help, ToDoubleFunction<DispatchStats> value) {
+        CounterWithCallback.builder()
+                .name("teaselhook_entry_" + name + "_total")
+                .help(help)
+                .callback(callback ->
+                        callback.call(value.applyAsDouble(status.get().stats())))
+                .register(registry);
+    }
+
+    private void gauge(String name, String help, ToDoubleFunction<EntryStatus> value) {
+        GaugeWithCallback.builder()
+                .name("teaselhook_entry_" + name)
+                .help(help)
+                .callback(callback -> callback.call(value.applyAsDouble(status.get())))
+                .register(registry);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
@@ -0,0 +1,372 @@
+package org.teaselhook.node.entry;
+
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+
+import io.grpc.Server;
+import org.teaselhook.core.claim.LedgerLimits;
+import org.teaselhook.core.claim.TicketLimits;
+import org.teaselhook.core.claim.Tickets;
+import org.teaselhook.core.config.VersionedRules;
+import org.teaselhook.core.dispatch.AgentInfo;
+import org.teaselhook.core.dispatch.Dispatcher;
+import org.teaselhook.core.dispatch.DispatcherSettings;
+import org.teaselhook.core.id.Incarnation;
+import org.teaselhook.core.member.Member;
+import org.teaselhook.core.outcome.Problem;
+import org.teaselhook.core.outcome.ProblemKind;
+import org.teaselhook.core.placement.PlacementPolicy;
+import org.teaselhook.core.table.TableService;
+import org.teaselhook.net.http.EventLoops;
+import org.teaselhook.net.http.HttpClient;
+import org.teaselhook.net.http.HttpLimits;
+import org.teaselhook.net.http.HttpServer;
+import org.teaselhook.net.log.LogLine;
+import org.teaselhook.net.table.HttpTableService;
+import org.teaselhook.node.admin.AdminHandler;
+import org.teaselhook.node.caller.SubmissionReader;
+import org.teaselhook.node.claim.ClaimListener;
+import org.teaselhook.node.claim.Claims;
+import org.teaselhook.node.config.ConfigPoller;
+import org.teaselhook.node.config.ConfigStore;
+import org.teaselhook.node.config.EntryRegistry;
+import org.teaselhook.node.control.ControlLoop;
+import org.teaselhook.node.health.HealthPages;
+import org.teaselhook.node.peer.PeerChannels;
+import org.teaselhook.node.peer.Peers;
+import org.teaselhook.node.session.AgentSessions;
+import org.teaselhook.node.session.EntryIdentity;
+import org.teaselhook.node.settings.EntrySettings;
+
+/**
+ * An entry: one control thread, one for the ledger of claims, and two for traffic.
+ *
+ * <pre>{@code
+ * EntryNode entry = EntryNode.start(settings);
+ * entry.stop().toCompletableFuture().join();
+ * }</pre>
+ */
+public final class EntryNode implements AutoCloseable {
+
+    private static final int TRAFFIC_THREADS = 2;
+    private static final int TABLE_CONNECTIONS = 32;
+    private static final long CONNECT_TIMEOUT_MILLIS = 500;
+    private static final long TABLE_TIMEOUT_MILLIS = 1_000;
+    private static final long TICK_MILLIS = 10;
+    private static final long SLOW_TICK_MILLIS = 100;
+    private static final long HEARTBEAT_MILLIS = 500;
+    private static final long PAUSE_NANOS = TimeUnit.SECONDS.toNanos(1);
+    private static final long DRAIN_NANOS = TimeUnit.SECONDS.toNanos(30);
+    private static final int FRAME_OVERHEAD_BYTES = 1 << 20;
+
+    private final EntrySettings settings;
+    private final EventLoops loops = EventLoops.of(TRAFFIC_THREADS);
+    private final ControlLoop control = ControlLoop.start("entry-control", System::nanoTime, EntryNode::failed);
+    private final EntryIdentity self;
+    private final HttpClient tableClient;
+    private final Claims claims;
+    private final EntryConfiguration configuration;
+    private final Dispatcher dispatcher;
+    private final SubmissionRegistry registry;
+    private final Admissions admissions;
+    private final AgentSessions sessions;
+    private final Peers peers;
+    private final ConfigPoller poller;
+    private final EntryRegistry members;
+    private final Server grpc;
+    private final HttpServer http;
+    private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+    private volatile EntryStatus status;
+    private volatile boolean warm;
+    private boolean stopping;
+    private long stoppingSince;
+    private long lastTickNanos;
+
+    private EntryNode(EntrySettings settings) {
+        this.settings = settings;
+        this.self = new EntryIdentity(
+                settings.name(),
+                Incarnation.random(new SecureRandom()),
+                settings.zone(),
+                text(settings.advertisedGrpc()));
+        this.tableClient = HttpClient.create(loops, TABLE_CONNECTIONS, CONNECT_TIMEOUT_MILLIS);
+        TableService table = HttpTableService.of(tableClient, settings.table().get(0), TABLE_TIMEOUT_MILLIS);
+        this.claims = Claims.start(self.incarnation(), table, LedgerLimits.standard(), ClaimListener.none());
+        this.configuration = new EntryConfiguration(control.nowNanos(), this::rulesChanged);
+        this.registry = new SubmissionRegistry(
+                settings.limits().keptAnswersBytes(),
+                settings.limits().keptAnswersTime().toNanos());
+        EntryOutput output =
+                new EntryOutput(registry, (id, outcome) -> admissions().answered(control.nowNanos(), id, outcome));
+        this.dispatcher = new Dispatcher(dispatcherSettings(settings), output, new Random());
+        this.peers = new Peers(
+                self,
+                PeerChannels.of(loops.group(), maxMessageBytes()),
+                control,
+                control::nowNanos,
+                configuration,
+                configuration::document);
+        this.sessions = new AgentSessions(
+                self, dispatcher, this::agentSawVersion, configuration::document, this::entryAddresses);
+        output.connect(sessions);
+        OtherEntries others = new OtherEntries(self.incarnation(), control, peers, claims, configuration::rules);
+        Tickets tickets = Tickets.of(self.incarnation(), new SecureRandom(), TicketLimits.standard());
+        this.admissions = new Admissions(
+                self.incarnation(),
+                control,
+                dispatcher,
+                registry,
+                claims,
+                tickets,
+                others,
+                configuration::rules,
+                this::notReady);
+        this.poller = ConfigPoller.of(table, configuration.holder(), configuration.freshness(), control, new Random());
+        this.members = EntryRegistry.of(table, member(), this::membersChanged, control, new Random());
+        this.status = currentStatus();
+        Forwards forwards = new Forwards(self.incarnation(), control, admissions, claims);
+        this.grpc = EntryGrpcServer.start(
+                loops.group(),
+                settings.grpc(),
+                new EntryGrpcService(control, sessions, peers, forwards),
+                maxMessageBytes());
+        this.http = HttpServer.start(loops, settings.http(), handler(table, others, tickets), httpLimits());
+        begin();
+    }
+
+    // -- construction
+
+    private EntryHttp handler(TableService table, OtherEntries others, Tickets tickets) {
+        HealthPages health =
+                new HealthPages(new EntryMetrics(() -> status).registry(), () -> Optional.of(status.unreadyReason())
+                        .filter(reason -> !reason.isEmpty()));
+        EntryCluster cluster =
+                new EntryCluster(self, control, configuration, sessions, peers, poller::isTableReachable);
+        AdminHandler admin = AdminHandler.of(ConfigStore.of(table, System::currentTimeMillis), cluster);
+        CallerHandler callers = new CallerHandler(
+                control,
+                SubmissionReader.of(
+                        settings.defaultCustomer(), settings.limits().maxTasksPerJob()),
+                admissions,
+                new JobQueries(self.incarnation(), control, admissions, others, claims),
+                tickets);
+        return new EntryHttp(health, admin, callers);
+    }
+
+    private void begin() {
+        settings.peers().forEach(peer -> control.execute(() -> peers.add(control.nowNanos(), text(peer))));
+        claims.warmUp().thenRun(() -> warm = true);
+        control.execute(() -> lastTickNanos = control.nowNanos());
+        control.every(TICK_MILLIS, this::tick);
+        control.every(SLOW_TICK_MILLIS, this::slowTick);
+        control.every(HEARTBEAT_MILLIS, this::heartbeat);
+        LogLine.of("entry-started")
+                .with("name", self.name())
+                .with("incarnation", self.incarnation())
+                .with("zone", self.zone())
+                .with("http-port", http.port())
+                .with("grpc-port", grpc.getPort())
+                .info();
+    }
+
+    private static DispatcherSettings dispatcherSettings(EntrySettings settings) {
+        String name = settings.placementPolicy().toUpperCase(Locale.ROOT).replace('-', '_');
+        return DispatcherSettings.of(settings.zone(), PlacementPolicy.valueOf(name));
+    }
+
+    private Member member() {
+        return new Member(self.name(), self.incarnation(), self.zone(), self.address(), text(settings.http()), 0);
+    }
+
+    private int maxMessageBytes() {
+        return settings.limits().maxBodyBytes() + FRAME_OVERHEAD_BYTES;
+    }
+
+    private HttpLimits httpLimits() {
+        HttpLimits standard = HttpLimits.standard();
+        return HttpLimits.of(
+                settings.limits().maxBodyBytes(), settings.limits().maxConnections(), standard.idleTimeoutMillis());
+    }
+
+    private static String text(java.net.InetSocketAddress address) {
+        return address.getHostString() + ":" + address.getPort();
+    }
+
+    // -- factories
+
+    /**
+     * Starts an entry.
+     *
+     * @param settings the settings
+     * @return the running entry
+     * @throws IllegalStateException if one of its addresses cannot be bound
+     */
+    public static EntryNode start(EntrySettings settings) {
+        return new EntryNode(Objects.requireNonNull(settings, "settings is null"));
+    }
+
+    // -- accessors
+
+    /**
+     * Returns the port for callers and operators.
+     *
+     * @return the port
+     */
+    public int httpPort() {
+        return http.port();
+    }
+
+    /**
+     * Returns the port for agents and other entries.
+     *
+     * @return the port
+     */
+    public int grpcPort() {
+        return grpc.getPort();
+    }
+
+    // -- events on the control thread
+
+    private Admissions admissions() {
+        return admissions;
+    }
+
+    private void rulesChanged(VersionedRules next) {
+        dispatcher.rules(control.nowNanos(), next.rules(), next.version().value());
+        sessions.pushConfig();
+        peers.pushConfig();
+    }
+
+    private void agentSawVersion(AgentInfo agent, long version) {
+        configuration.agentSaw(version);
+    }
+
+    private List<String> entryAddresses() {
+        List<String> result = new ArrayList<>();
+        result.add(self.address());
+        peers.live().forEach(peer -> result.add(peer.address()));
+        return result;
+    }
+
+    private void membersChanged(List<Member> live) {
+        long now = control.nowNanos();
+        List<String> known = live.stream().map(Member::grpcAddress).collect(Collectors.toList());
+        known.forEach(address -> peers.add(now, address));
+        peers.retain(now, known);
+    }
+
+    private Optional<Problem> notReady() {
+        if (stopping) {
+            return Optional.of(Problem.of(ProblemKind.STOPPING, "the entry is stopping"));
+        }
+        return configuration.notReady(control.nowNanos());
+    }
+
+    private void tick(long nowNanos) {
+        if (nowNanos - lastTickNanos > PAUSE_NANOS) {
+            resumedAfterPause(nowNanos);
+        }
+        lastTickNanos = nowNanos;
+        dispatcher.tick(nowNanos);
+    }
+
+    /** This process did not run for a while: others are not silent, their frames are still to be read. */
+    private void resumedAfterPause(long nowNanos) {
+        LogLine.of("entry-paused")
+                .with("ms", TimeUnit.NANOSECONDS.toMillis(nowNanos - lastTickNanos))
+                .warn();
+        dispatcher.serving(nowNanos, configuration.mayStart(nowNanos));
+        sessions.resumedAfterPause(nowNanos);
+        peers.resumedAfterPause(nowNanos);
+    }
+
+    private void slowTick(long nowNanos) {
+        poller.tick(nowNanos);
+        members.tick(nowNanos);
+        sessions.checkSilence(nowNanos);
+        dispatcher.serving(nowNanos, configuration.mayStart(nowNanos));
+        status = currentStatus();
+        if (stopping) {
+            closeIfDrained(nowNanos);
+        }
+    }
+
+    private void heartbeat(long nowNanos) {
+        sessions.heartbeatAll();
+        peers.heartbeatAll(nowNanos);
+    }
+
+    private EntryStatus currentStatus() {
+        return new EntryStatus(
+                dispatcher.stats(),
+                configuration.mayStart(control.nowNanos()),
+                warm,
+                stopping,
+                registry.size(),
+                sessions.connectedAgents().size(),
+                peers.live().size(),
+                configuration.current().version().value());
+    }
+
+    // -- stopping
+
+    /**
+     * Stops gracefully: new submissions are refused, everything in progress ends and is answered, connections end.
+     *
+     * @return a stage that completes when the entry is closed
+     */
+    public CompletionStage<Void> stop() {
+        control.execute(this::leave);
+        return stopped;
+    }
+
+    private void leave() {
+        if (stopping) {
+            return;
+        }
+        stopping = true;
+        stoppingSince = control.nowNanos();
+        LogLine.of("entry-stopping").with("running", registry.size()).info();
+        dispatcher.stopping(stoppingSince);
+        sessions.leave();
+        peers.leave(stoppingSince);
+        members.leave();
+        http.stopAccepting();
+    }
+
+    private void closeIfDrained(long nowNanos) {
+        boolean idle =
+                registry.size() == 0 && http.drained().toCompletableFuture().isDone();
+        if (idle || nowNanos - stoppingSince > DRAIN_NANOS) {
+            LogLine.of("entry-stopped").with("drained", idle).info();
+            new Thread(this::close, "entry-close").start();
+        }
+    }
+
+    /** Closes at once: connections break, and submissions in progress go unanswered. */
+    @Override
+    public void close() {
+        control.close();
+        claims.close();
+        peers.close();
+        grpc.shutdownNow();
+        http.close();
+        tableClient.close();
+        loops.close();
+        stopped.complete(null);
+    }
+
+    private static void failed(Throwable failure) {
+        LogLine.of("internal-error").with("failure", failure).warn();
+        failure.printStackTrace();
+    }
+}
--- a/node/src/main/java/org/teaselhook/node/entry/SubmissionNames.java
+++ b/node/src/main/java/org/teaselhook/node/entry/SubmissionNames.java
@@ -13,7 +13,7 @@
 final class SubmissionNames {
 
     private static final String GENERATED_PREFIX = "r-";
-    private static final Pattern ISSUED = Pattern.compile("[tr]-([0-9a-f]{16})-.+");
+    private static final Pattern ISSUED = Pattern.compile("(?:t1|r)-([0-9a-f]{16})-.+");
 
     private SubmissionNames() {}
 
