--- a/core/src/main/java/org/teaselhook/core/dispatch/Scheduler.java
+++ b/core/src/main/java/org/teaselhook/core/dispatch/Scheduler.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 
 import org.agrona.collections.Long2ObjectHashMap;
+import org.teaselhook.core.placement.CandidateSet;
 import org.teaselhook.core.queue.FairQueue;
 import org.teaselhook.core.retry.Budget;
 
@@ -15,7 +16,6 @@
     private static final double MOST_HEDGES_SAVED = 20;
     private static final double LATE_RATIO = 1.5;
     private static final long LATE_MARGIN_NANOS = 30_000_000L;
-    private static final int CHOICES = 3;
 
     private final Control control;
     private final Fleet fleet;
@@ -97,19 +97,17 @@
         return member.isPresent();
     }
 
+    /** Chooses a ready worker; the one that the task avoids only if there is no other. */
     private Optional<Member> choose(ServicePool pool, ActiveTask task) {
-        if (pool.ready().isEmpty()) {
+        CandidateSet<Member> ready = pool.ready();
+        if (ready.isEmpty()) {
             return Optional.empty();
         }
-        Member member = control.settings().policy().choose(pool.ready(), control.random());
-        for (int i = 1; i < CHOICES && isAvoided(task, member); i++) {
-            member = control.settings().policy().choose(pool.ready(), control.random());
-        }
-        return Optional.of(member);
-    }
-
-    private static boolean isAvoided(ActiveTask task, Member member) {
-        return task.avoided().filter(avoided -> avoided == member).isPresent();
+        Optional<Member> avoided = task.avoided().filter(member -> ready.size() > 1 && ready.contains(member));
+        avoided.ifPresent(member -> ready.set(member, false));
+        Member chosen = control.settings().policy().choose(ready, control.random());
+        avoided.ifPresent(member -> ready.set(member, true));
+        return Optional.of(chosen);
     }
 
     // -- orders
--- a/core/src/main/java/org/teaselhook/core/placement/CandidateSet.java
+++ b/core/src/main/java/org/teaselhook/core/placement/CandidateSet.java
@@ -47,6 +47,16 @@
         return members.size();
     }
 
+    /**
+     * Tells whether a worker can take a task.
+     *
+     * @param candidate the worker, a member of no other set
+     * @return true if it is a member
+     */
+    public boolean contains(C candidate) {
+        return candidate.index() >= 0;
+    }
+
     /**
      * Draws a worker.
      *
