--- a/core/src/main/java/org/teaselhook/core/admission/Admission.java
+++ b/core/src/main/java/org/teaselhook/core/admission/Admission.java
@@ -9,7 +9,7 @@
 
 /**
  * Decides at the instant of start whether a dispatched task may start, and remembers every decision: a number that was
- * refused is never started, and a number that was started is never started again. Used by one thread.
+ * refused is never started, and a number that was started is never started again. Thread-safe.
  *
  * <pre>{@code
  * Verdict verdict = admission.decide(request, conditions, nowNanos);
@@ -53,7 +53,7 @@
      * @param nowNanos the present time on the agent's monotonic clock
      * @return the decision
      */
-    public Verdict decide(StartRequest request, StartConditions conditions, long nowNanos) {
+    public synchronized Verdict decide(StartRequest request, StartConditions conditions, long nowNanos) {
         long dispatch = request.dispatch();
         if (dispatch <= retiredUpTo(request.entry())
                 || !recordOf(request.entry()).remember(dispatch)) {
@@ -74,7 +74,7 @@
      * @param dispatch the dispatch number
      * @return what can be said of it
      */
-    public Settlement settle(Incarnation entry, long dispatch) {
+    public synchronized Settlement settle(Incarnation entry, long dispatch) {
         if (dispatch <= retiredUpTo(entry)) {
             return Settlement.FORGOTTEN;
         }
@@ -93,7 +93,7 @@
      * @param dispatch the dispatch number
      * @return true if the number was never seen; it is refused from now on
      */
-    public boolean cancel(Incarnation entry, long dispatch) {
+    public synchronized boolean cancel(Incarnation entry, long dispatch) {
         return dispatch > retiredUpTo(entry) && recordOf(entry).remember(dispatch);
     }
 
@@ -105,7 +105,7 @@
      * @param entry the run of the entry
      * @param dispatch the dispatch number
      */
-    public void acknowledge(Incarnation entry, long dispatch) {
+    public synchronized void acknowledge(Incarnation entry, long dispatch) {
         EntryRecord entryRecord = entries.get(entry);
         if (entryRecord != null) {
             entryRecord.forget(dispatch);
@@ -118,7 +118,7 @@
      * @param entry the run of the entry
      * @param dispatch the dispatch number
      */
-    public void withdraw(Incarnation entry, long dispatch) {
+    public synchronized void withdraw(Incarnation entry, long dispatch) {
         acknowledge(entry, dispatch);
     }
 
@@ -128,7 +128,7 @@
      *
      * @param entry the run of the entry
      */
-    public void retire(Incarnation entry) {
+    public synchronized void retire(Incarnation entry) {
         EntryRecord entryRecord = entries.remove(entry);
         if (entryRecord != null) {
             retired.merge(entry, entryRecord.highest(), Math::max);
@@ -142,7 +142,7 @@
      *
      * @return the number of tasks
      */
-    public int startedCount() {
+    public synchronized int startedCount() {
         return entries.values().stream().mapToInt(EntryRecord::startedCount).sum();
     }
 
--- /dev/null
+++ b/core/src/test/java/org/teaselhook/core/admission/AdmissionTest.java
@@ -0,0 +1,198 @@
+package org.teaselhook.core.admission;
+
+import org.teaselhook.core.dispatch.RefusalReason;
+import org.teaselhook.core.id.Incarnation;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+public class AdmissionTest {
+
+    private static final long SECOND = 1_000_000_000L;
+    private static final long NOW = 1_000 * SECOND;
+    private static final long CONFIG = 7;
+    private static final Incarnation AGENT = Incarnation.of(1);
+    private static final Incarnation EARLIER_RUN = Incarnation.of(2);
+    private static final Incarnation ENTRY = Incarnation.of(3);
+    private static final Incarnation OTHER_ENTRY = Incarnation.of(4);
+    private static final StartConditions READY = new StartConditions(CONFIG, false, false, true, 8);
+
+    private final Verdict.Start start = new Verdict.Start(NOW + SECOND);
+
+    // -- decide
+
+    @DataProvider
+    public static Object[][] refused() {
+        return new Object[][] {
+            {RefusalReason.WRONG_INCARNATION, request(EARLIER_RUN, NOW, NOW + SECOND, CONFIG), READY},
+            {RefusalReason.CONFIG_UNKNOWN, request(AGENT, NOW, NOW + SECOND, CONFIG + 1), READY},
+            {RefusalReason.CONFIG_UNKNOWN, request(AGENT, NOW, NOW + SECOND, 0), conditions(0, false, false, true, 8)},
+            {RefusalReason.ZONE_OUT, request(AGENT, NOW, NOW + SECOND, CONFIG), conditions(CONFIG, true, false, true, 8)
+            },
+            {RefusalReason.LEAVING, request(AGENT, NOW, NOW + SECOND, CONFIG), conditions(CONFIG, false, true, true, 8)
+            },
+            {
+                RefusalReason.NO_TARGET,
+                request(AGENT, NOW, NOW + SECOND, CONFIG),
+                conditions(CONFIG, false, false, false, 8)
+            },
+            {
+                RefusalReason.NO_FREE_SLOT,
+                request(AGENT, NOW, NOW + SECOND, CONFIG),
+                conditions(CONFIG, false, false, true, 0)
+            },
+            {RefusalReason.START_BY_PASSED, request(AGENT, NOW, NOW, CONFIG), READY},
+            {RefusalReason.STALE_ENTRY, request(AGENT, NOW - 2 * SECOND - 1, NOW + SECOND, CONFIG), READY},
+            {RefusalReason.STALE_ENTRY, request(AGENT, NOW + 1, NOW + SECOND, CONFIG), READY},
+        };
+    }
+
+    @Test(dataProvider = "refused")
+    public void shouldRefuseForEverAndRememberIt(RefusalReason reason, StartRequest request, StartConditions seen) {
+        Admission admission = Admission.of(AGENT);
+
+        assertEquals(admission.decide(request, seen, NOW), new Verdict.Refuse(reason));
+
+        StartRequest sound = request(AGENT, NOW, NOW + SECOND, CONFIG);
+        assertEquals(admission.decide(sound, READY, NOW), Verdict.Duplicate.INSTANCE);
+        assertEquals(admission.settle(ENTRY, sound.dispatch()), Settlement.NOT_STARTED);
+        assertEquals(admission.startedCount(), 0);
+    }
+
+    @Test
+    public void shouldStartOnceWhenEveryConditionHolds() {
+        Admission admission = Admission.of(AGENT);
+        StartRequest request = request(AGENT, NOW - 2 * SECOND, NOW + SECOND, CONFIG);
+
+        assertEquals(admission.decide(request, READY, NOW), new Verdict.Start(NOW));
+        assertEquals(admission.decide(request, READY, NOW), Verdict.Duplicate.INSTANCE);
+        assertEquals(admission.settle(ENTRY, request.dispatch()), Settlement.STARTED);
+    }
+
+    @Test
+    public void shouldKeepNumbersOfTwoEntriesApart() {
+        Admission admission = Admission.of(AGENT);
+
+        assertEquals(admission.decide(request(ENTRY, 5), READY, NOW), start);
+        assertEquals(admission.decide(request(OTHER_ENTRY, 5), READY, NOW), start);
+        admission.acknowledge(ENTRY, 5);
+        assertEquals(admission.settle(OTHER_ENTRY, 5), Settlement.STARTED);
+    }
+
+    /** The agent was stopped for 10 s; the entry's dispatches and its heartbeats were buffered meanwhile. */
+    @Test
+    public void shouldRefuseBufferedDispatchesWhenFrozenProcessResumes() {
+        Admission admission = Admission.of(AGENT);
+        long resumed = NOW + 10 * SECOND;
+
+        for (long dispatch = 1; dispatch <= 20; dispatch++) {
+            long sentAt = NOW + dispatch * SECOND / 10;
+            StartRequest buffered = new StartRequest(ENTRY, dispatch, AGENT, sentAt, resumed + 60 * SECOND, CONFIG);
+            assertEquals(admission.decide(buffered, READY, resumed), new Verdict.Refuse(RefusalReason.STALE_ENTRY));
+        }
+        StartRequest fresh = new StartRequest(ENTRY, 21, AGENT, resumed, resumed + SECOND, CONFIG);
+        assertEquals(admission.decide(fresh, READY, resumed), new Verdict.Start(resumed + SECOND));
+    }
+
+    @Test
+    public void shouldNotLetTargetStartLaterThanTheEchoIsFresh() {
+        Admission admission = Admission.of(AGENT);
+        StartRequest request = request(AGENT, NOW - SECOND, NOW + 60 * SECOND, CONFIG);
+
+        assertEquals(admission.decide(request, READY, NOW), new Verdict.Start(NOW + SECOND));
+    }
+
+    @Test
+    public void shouldRefuseWhenZoneGoesOutBetweenTwoDispatches() {
+        Admission admission = Admission.of(AGENT);
+
+        assertEquals(admission.decide(request(ENTRY, 1), READY, NOW), start);
+        StartConditions out = conditions(CONFIG + 1, true, false, true, 7);
+        assertEquals(admission.decide(request(ENTRY, 2), out, NOW), new Verdict.Refuse(RefusalReason.ZONE_OUT));
+    }
+
+    // -- settle
+
+    @Test
+    public void shouldNotStartLateDispatchAfterNeverArrived() {
+        Admission admission = Admission.of(AGENT);
+
+        assertEquals(admission.settle(ENTRY, 9), Settlement.NOT_STARTED);
+        assertEquals(admission.decide(request(ENTRY, 9), READY, NOW), Verdict.Duplicate.INSTANCE);
+        assertEquals(admission.decide(request(ENTRY, 8), READY, NOW), start);
+    }
+
+    @Test
+    public void shouldSayNotStartedWhenTaskDidNotReachTarget() {
+        Admission admission = Admission.of(AGENT);
+        admission.decide(request(ENTRY, 1), READY, NOW);
+
+        admission.withdraw(ENTRY, 1);
+
+        assertEquals(admission.settle(ENTRY, 1), Settlement.NOT_STARTED);
+        assertEquals(admission.decide(request(ENTRY, 1), READY, NOW), Verdict.Duplicate.INSTANCE);
+    }
+
+    // -- cancel
+
+    @Test
+    public void shouldCancelOnlyWhatHasNotArrived() {
+        Admission admission = Admission.of(AGENT);
+        admission.decide(request(ENTRY, 1), READY, NOW);
+
+        assertFalse(admission.cancel(ENTRY, 1));
+        assertTrue(admission.cancel(ENTRY, 2));
+        assertEquals(admission.decide(request(ENTRY, 2), READY, NOW), Verdict.Duplicate.INSTANCE);
+    }
+
+    // -- retire
+
+    @Test
+    public void shouldNeverSayNotStartedOfWhatItForgot() {
+        Admission admission = Admission.of(AGENT);
+        admission.decide(request(ENTRY, 70_000), READY, NOW);
+
+        admission.retire(ENTRY);
+
+        assertEquals(admission.settle(ENTRY, 70_000), Settlement.FORGOTTEN);
+        assertEquals(admission.decide(request(ENTRY, 3), READY, NOW), Verdict.Duplicate.INSTANCE);
+        assertEquals(admission.decide(request(ENTRY, 70_001), READY, NOW), start);
+    }
+
+    // -- bounded memory of numbers
+
+    @DataProvider
+    public static Object[][] jumps() {
+        long window = SeenNumbers.WINDOW_NUMBERS;
+        return new Object[][] {{1}, {63}, {64}, {window - 1}, {window}, {3 * window + 17}, {Long.MAX_VALUE - 100}};
+    }
+
+    @Test(dataProvider = "jumps")
+    public void shouldRefuseNumbersBelowTheWindow(long jump) {
+        Admission admission = Admission.of(AGENT);
+        admission.decide(request(ENTRY, 100), READY, NOW);
+
+        assertEquals(admission.decide(request(ENTRY, 100 + jump), READY, NOW), start);
+
+        assertEquals(admission.decide(request(ENTRY, 100), READY, NOW), Verdict.Duplicate.INSTANCE);
+        assertEquals(admission.decide(request(ENTRY, 100 + jump), READY, NOW), Verdict.Duplicate.INSTANCE);
+        assertEquals(admission.settle(ENTRY, 100), Settlement.STARTED);
+        assertEquals(admission.decide(request(ENTRY, -1), READY, NOW), Verdict.Duplicate.INSTANCE);
+    }
+
+    private static StartRequest request(Incarnation entry, long dispatch) {
+        return new StartRequest(entry, dispatch, AGENT, NOW, NOW + SECOND, CONFIG);
+    }
+
+    private static StartRequest request(Incarnation agent, long echo, long startBy, long config) {
+        return new StartRequest(ENTRY, 11, agent, echo, startBy, config);
+    }
+
+    private static StartConditions conditions(
+            long config, boolean zoneOut, boolean leaving, boolean target, int freeSlots) {
+        return new StartConditions(config, zoneOut, leaving, target, freeSlots);
+    }
+}
