--- a/node/src/main/java/org/teaselhook/node/peer/Peers.java
+++ b/node/src/main/java/org/teaselhook/node/peer/Peers.java
@@ -225,13 +225,23 @@
         return result;
     }
 
+    /**
+     * Tells whether every entry that is known has spoken within the last 2 s.
+     *
+     * @return true if none is missing
+     */
+    public boolean allLive() {
+        long now = clock.getAsLong();
+        return links.values().stream().allMatch(link -> link.isLive(now));
+    }
+
     /**
      * Finds the calls to a run of another entry, whether it is leaving or not.
      *
      * @param incarnation the run
      * @return a stub, or empty if that run does not answer now
      */
-    public Optional<EntryServiceGrpc.EntryServiceFutureStub> calls(Incarnation incarnation) {
+    public Optional<EntryServiceGrpc.EntryServiceStub> calls(Incarnation incarnation) {
         long now = clock.getAsLong();
         return links.values().stream()
                 .filter(link -> link.leadsTo(incarnation) && link.isLive(now))
