--- /dev/null
+++ b/app/src/main/java/org/teaselhook/app/Daemon.java
@@ -0,0 +1,34 @@
+package org.teaselhook.app;
+
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+/**
+ * Keeps a daemon running until the process is told to end (SIGTERM or SIGINT), then stops it gracefully.
+ */
+final class Daemon {
+
+    private static final long STOP_TIMEOUT_SECONDS = 40;
+
+    private Daemon() {}
+
+    /** Waits for the end; the process exits after the daemon has stopped. */
+    static int runUntilTerminated(Supplier<CompletionStage<Void>> stop) throws InterruptedException {
+        CountDownLatch ended = new CountDownLatch(1);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(stop, ended), "stop"));
+        ended.await();
+        return 0;
+    }
+
+    private static void stop(Supplier<CompletionStage<Void>> stop, CountDownLatch ended) {
+        try {
+            stop.get().toCompletableFuture().get(STOP_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        } catch (Exception e) {
+            System.err.println("not stopped gracefully: " + e);
+        } finally {
+            ended.countDown();
+        }
+    }
+}
--- /dev/null
+++ b/app/src/main/java/org/teaselhook/app/SettingsOption.java
@@ -0,0 +1,41 @@
+package org.teaselhook.app;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+
+import org.teaselhook.node.settings.SettingFault;
+import org.teaselhook.node.settings.SettingsResult;
+import picocli.CommandLine.Option;
+
+/**
+ * The option that names the settings file of a daemon.
+ */
+final class SettingsOption {
+
+    @Option(
+            names = {"-s", "--settings"},
+            required = true,
+            paramLabel = "FILE",
+            description = "The settings file, in YAML.")
+    private Path file;
+
+    /** Reads the settings; prints every fault to standard error and returns empty if there is any. */
+    <T> Optional<T> read(Function<String, SettingsResult<T>> parse) {
+        try {
+            return parse.apply(Files.readString(file)).fold(Optional::of, this::report);
+        } catch (IOException e) {
+            System.err.println("cannot read " + file + ": " + e + "; give the path of a readable file");
+            return Optional.empty();
+        }
+    }
+
+    private <T> Optional<T> report(List<SettingFault> faults) {
+        System.err.println(file + " has " + faults.size() + " fault(s):");
+        faults.forEach(fault -> System.err.println("  " + fault.message()));
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/app/src/main/java/org/teaselhook/app/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The {@code teaselhook} command.
+ */
+package org.teaselhook.app;
--- a/core/src/main/java/org/teaselhook/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/teaselhook/core/dispatch/Dispatcher.java
@@ -92,6 +92,24 @@
                 .ifPresent(active -> settlement.fail(nowNanos, active, DecisionKind.CANCELLED, problem));
     }
 
+    /**
+     * Cancels a submission and answers it as not run, but only if none of its tasks may have started.
+     *
+     * @param nowNanos the present time
+     * @param submissionId the submission
+     * @return false if some task may have started, or the submission was answered before
+     */
+    public boolean cancelUnstarted(long nowNanos, String submissionId) {
+        boolean unstarted = settlement
+                .find(submissionId)
+                .filter(active -> !active.mayHaveRun())
+                .isPresent();
+        if (unstarted) {
+            cancel(nowNanos, submissionId);
+        }
+        return unstarted;
+    }
+
     // -- agents
 
     /**
--- a/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
@@ -301,7 +301,7 @@
     }
 
     private void heartbeat(long nowNanos) {
-        sessions.heartbeatAll();
+        sessions.heartbeatAll(nowNanos);
         peers.heartbeatAll(nowNanos);
     }
 
@@ -337,7 +337,7 @@
         stoppingSince = control.nowNanos();
         LogLine.of("entry-stopping").with("running", registry.size()).info();
         dispatcher.stopping(stoppingSince);
-        sessions.leave();
+        sessions.leave(stoppingSince);
         peers.leave(stoppingSince);
         members.leave();
         http.stopAccepting();
--- a/node/src/main/java/org/teaselhook/node/entry/EntryOutput.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryOutput.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.LongSupplier;
 
 import org.teaselhook.core.dispatch.Decision;
 import org.teaselhook.core.dispatch.DispatchOrder;
@@ -17,11 +18,13 @@
 final class EntryOutput implements DispatchOutput {
 
     private final SubmissionRegistry registry;
+    private final LongSupplier clock;
     private final BiConsumer<String, Outcome> answered;
     private AgentSessions sessions;
 
-    EntryOutput(SubmissionRegistry registry, BiConsumer<String, Outcome> answered) {
+    EntryOutput(SubmissionRegistry registry, LongSupplier clock, BiConsumer<String, Outcome> answered) {
         this.registry = registry;
+        this.clock = clock;
         this.answered = answered;
     }
 
@@ -57,7 +60,7 @@
 
     @Override
     public void want(Incarnation agent, int slots) {
-        sessions.heartbeatNow(agent);
+        sessions.heartbeatNow(clock.getAsLong(), agent);
     }
 
     @Override
--- a/node/src/main/java/org/teaselhook/node/session/AgentSessions.java
+++ b/node/src/main/java/org/teaselhook/node/session/AgentSessions.java
@@ -118,7 +118,7 @@
                 .with("slots", info.slots())
                 .with("in-progress", inProgress.length)
                 .info();
-        session.send(hello(session, inProgress));
+        session.send(hello(nowNanos, session, inProgress));
         session.send(configFrame());
         update(nowNanos, session, hello.getState().getAgentNanos(), Frames.state(hello.getState()));
     }
@@ -228,12 +228,13 @@
     /**
      * Sends a heartbeat out of turn, so that an agent learns at once what this entry wants.
      *
+     * @param nowNanos the present time
      * @param agent the agent
      */
-    public void heartbeatNow(Incarnation agent) {
+    public void heartbeatNow(long nowNanos, Incarnation agent) {
         AgentSession session = sessions.get(agent);
         if (session != null) {
-            session.send(heartbeatFrame(session));
+            session.send(heartbeatFrame(nowNanos, session));
         }
     }
 
@@ -243,10 +244,14 @@
         sessions.values().forEach(session -> session.send(frame));
     }
 
-    /** Tells every agent that this entry is leaving. */
-    public void leave() {
+    /**
+     * Tells every agent that this entry is leaving.
+     *
+     * @param nowNanos the present time
+     */
+    public void leave(long nowNanos) {
         leaving = true;
-        sessions.values().forEach(session -> session.send(heartbeatFrame(session)));
+        sessions.values().forEach(session -> session.send(heartbeatFrame(nowNanos, session)));
     }
 
     private void send(Incarnation agent, EntryFrame frame) {
@@ -256,27 +261,27 @@
         }
     }
 
-    private EntryFrame hello(AgentSession session, long[] inProgress) {
+    private EntryFrame hello(long nowNanos, AgentSession session, long[] inProgress) {
         EntryHello.Builder hello = EntryHello.newBuilder()
                 .setName(self.name())
                 .setIncarnation(self.incarnation().value())
                 .setZone(self.zone())
-                .setState(heartbeat(session));
+                .setState(heartbeat(nowNanos, session));
         for (long number : inProgress) {
             hello.addInProgress(number);
         }
         return EntryFrame.newBuilder().setHello(hello).build();
     }
 
-    private EntryFrame heartbeatFrame(AgentSession session) {
-        return EntryFrame.newBuilder().setHeartbeat(heartbeat(session)).build();
+    private EntryFrame heartbeatFrame(long nowNanos, AgentSession session) {
+        return EntryFrame.newBuilder().setHeartbeat(heartbeat(nowNanos, session)).build();
     }
 
-    private EntryHeartbeat heartbeat(AgentSession session) {
+    private EntryHeartbeat heartbeat(long nowNanos, AgentSession session) {
         return EntryHeartbeat.newBuilder()
                 .setEchoAgentNanos(session.clock().agentNanos())
                 .setConfigVersion(config.get().getVersion())
-                .setWantedSlots(dispatcher.wantedSlots(session.info().incarnation()))
+                .setWantedSlots(dispatcher.wantedSlots(nowNanos, session.info().incarnation()))
                 .addAllEntries(entryAddresses.get())
                 .setLeaving(leaving)
                 .build();
@@ -288,9 +293,13 @@
 
     // -- time
 
-    /** Sends a heartbeat to every agent. */
-    public void heartbeatAll() {
-        sessions.values().forEach(session -> session.send(heartbeatFrame(session)));
+    /**
+     * Sends a heartbeat to every agent.
+     *
+     * @param nowNanos the present time
+     */
+    public void heartbeatAll(long nowNanos) {
+        sessions.values().forEach(session -> session.send(heartbeatFrame(nowNanos, session)));
     }
 
     /**
