Serve a request and a job end to end

Cause: the first whole path: caller, entry, agent, target and back, with the claims and the configuration in the table service stand-in. Ruled out: refusing before a name is resolved, since a refusal says that the work was not done, which may be false of a submission that comes again.

--- /dev/null
+++ b/app/src/main/java/org/teaselhook/app/local/LocalClient.java
@@ -0,0 +1,41 @@
+package org.teaselhook.app.local;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+
+import org.teaselhook.net.http.HttpCall;
+import org.teaselhook.net.http.HttpClient;
+import org.teaselhook.net.http.HttpReply;
+import org.teaselhook.net.http.HttpResult;
+
+/**
+ * A blocking caller of a local site.
+ */
+final class LocalClient implements AutoCloseable {
+
+    private static final long TIMEOUT_MILLIS = 10_000;
+
+    private final HttpClient client = HttpClient.create(4, 1_000);
+    private final InetSocketAddress to;
+
+    LocalClient(InetSocketAddress to) {
+        this.to = to;
+    }
+
+    /** Sends a request; status 599 stands for no answer. */
+    HttpReply send(String method, String path, Map<String, String> headers, String body) {
+        HttpCall call = HttpCall.of(method, path, headers, body.getBytes(StandardCharsets.UTF_8));
+        HttpResult result =
+                client.send(to, call, TIMEOUT_MILLIS).toCompletableFuture().join();
+        if (result instanceof HttpResult.Replied replied) {
+            return replied.reply();
+        }
+        return HttpReply.of(599, "text/plain", result.toString());
+    }
+
+    @Override
+    public void close() {
+        client.close();
+    }
+}
--- a/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
@@ -105,8 +105,8 @@
         this.registry = new SubmissionRegistry(
                 settings.limits().keptAnswersBytes(),
                 settings.limits().keptAnswersTime().toNanos());
-        EntryOutput output =
-                new EntryOutput(registry, (id, outcome) -> admissions().answered(control.nowNanos(), id, outcome));
+        EntryOutput output = new EntryOutput(
+                registry, control::nowNanos, (id, outcome) -> admissions().answered(control.nowNanos(), id, outcome));
         this.dispatcher = new Dispatcher(dispatcherSettings(settings), output, new Random());
         this.peers = new Peers(
                 self,
--- a/node/src/main/java/org/teaselhook/node/session/AgentSessions.java
+++ b/node/src/main/java/org/teaselhook/node/session/AgentSessions.java
@@ -44,6 +44,7 @@
     private final Supplier<List<String>> entryAddresses;
     private final Map<Incarnation, AgentSession> sessions = new HashMap<>();
     private boolean leaving;
+    private boolean reclaimAnswered;
 
     /**
      * Creates an empty set of sessions.
@@ -167,6 +168,15 @@
         dispatcher.refused(nowNanos, agent, refusal.getDispatch(), Frames.reason(refusal.getReason()));
     }
 
+    /** The agent waits for exactly one answer, also when no slot comes back. */
+    private void reclaim(long nowNanos, AgentSession session, int slots) {
+        reclaimAnswered = false;
+        dispatcher.reclaim(nowNanos, session.info().incarnation(), slots);
+        if (!reclaimAnswered) {
+            session.send(Frames.grantReturn(0));
+        }
+    }
+
     private void grantAlong(long nowNanos, Incarnation agent, int slots) {
         if (slots > 0) {
             dispatcher.granted(nowNanos, agent, slots);
@@ -222,6 +232,7 @@
      * @param slots the number of slots
      */
     public void returnGrants(Incarnation agent, int slots) {
+        reclaimAnswered = true;
         send(agent, Frames.grantReturn(slots));
     }
 
@@ -274,7 +285,9 @@
     }
 
     private EntryFrame heartbeatFrame(long nowNanos, AgentSession session) {
-        return EntryFrame.newBuilder().setHeartbeat(heartbeat(nowNanos, session)).build();
+        return EntryFrame.newBuilder()
+                .setHeartbeat(heartbeat(nowNanos, session))
+                .build();
     }
 
     private EntryHeartbeat heartbeat(long nowNanos, AgentSession session) {
