--- a/core/src/main/java/org/teaselhook/core/claim/Ledger.java
+++ b/core/src/main/java/org/teaselhook/core/claim/Ledger.java
@@ -28,12 +28,12 @@
     private final boolean[] countedSlow = new boolean[Shards.COUNT];
     private int probing = NONE;
 
-    private Ledger(Incarnation self, LedgerLimits limits, RandomGenerator random, LedgerOutput output) {
+    private Ledger(Incarnation self, LedgerLimits limits, RandomGenerator random, LedgerOutput output, long nowNanos) {
         this.limits = limits;
         this.output = output;
         this.breaker = new Breaker(limits.probeIntervalMillis());
         this.shards = IntStream.range(0, Shards.COUNT)
-                .mapToObj(shard -> new ShardLog(shard, self, limits, random, output))
+                .mapToObj(shard -> new ShardLog(shard, self, limits, random, output, nowNanos))
                 .toArray(ShardLog[]::new);
     }
 
@@ -46,14 +46,16 @@
      * @param limits the bounds
      * @param random the source of the rows' nonces
      * @param output takes calls, answers and events
+     * @param nowNanos the present monotonic time
      * @return the ledger
      */
-    public static Ledger of(Incarnation self, LedgerLimits limits, RandomGenerator random, LedgerOutput output) {
+    public static Ledger of(
+            Incarnation self, LedgerLimits limits, RandomGenerator random, LedgerOutput output, long nowNanos) {
         Objects.requireNonNull(self, "self is null");
         Objects.requireNonNull(limits, "limits is null");
         Objects.requireNonNull(random, "random is null");
         Objects.requireNonNull(output, "output is null");
-        return new Ledger(self, limits, random, output);
+        return new Ledger(self, limits, random, output, nowNanos);
     }
 
     // -- claims
--- a/core/src/main/java/org/teaselhook/core/claim/LogBatch.java
+++ b/core/src/main/java/org/teaselhook/core/claim/LogBatch.java
@@ -8,8 +8,13 @@
  * @param sequence its sequence
  * @param row its value
  * @param firstSent when it was first sent
+ * @param unsettled whether a try ended without known result, so that the row may be there or may still be appended
  */
-record LogBatch(long sequence, ClaimRow row, ClockReading firstSent) {
+record LogBatch(long sequence, ClaimRow row, ClockReading firstSent, boolean unsettled) {
+
+    LogBatch asUnsettled() {
+        return new LogBatch(sequence, row, firstSent, true);
+    }
 
     /** Tells whether a row read at this sequence is the batch's own. */
     boolean isSameAs(ClaimRow read) {
--- a/core/src/main/java/org/teaselhook/core/claim/ShardLog.java
+++ b/core/src/main/java/org/teaselhook/core/claim/ShardLog.java
@@ -49,13 +49,22 @@
     private long lastFreshNanos;
     private long lastTrimNanos;
 
-    ShardLog(int shard, Incarnation self, LedgerLimits limits, RandomGenerator random, LedgerOutput output) {
+    ShardLog(
+            int shard,
+            Incarnation self,
+            LedgerLimits limits,
+            RandomGenerator random,
+            LedgerOutput output,
+            long nowNanos) {
         this.shard = shard;
         this.self = self;
         this.limits = limits;
         this.random = random;
         this.output = output;
         this.keys = LogKeys.of(shard);
+        this.lastAppendNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(limits.appendIntervalMillis());
+        this.lastFreshNanos = nowNanos;
+        this.lastTrimNanos = nowNanos;
         this.claims = new ShardClaims(self, limits, output);
         this.retention = RetentionPolicy.of(limits.retentionMillis());
     }
@@ -161,7 +170,7 @@
 
     private void startBatch(ClockReading now) {
         ClaimRow row = new ClaimRow(self, random.nextLong(), now.wallMillis(), claims.startBatch());
-        batch = Optional.of(new LogBatch(next, row, now));
+        batch = Optional.of(new LogBatch(next, row, now, false));
         lastAppendNanos = now.nanos();
     }
 
@@ -268,8 +277,7 @@
             return;
         }
         if (batch.isPresent()) {
-            batch = Optional.empty();
-            claims.requeueBatch();
+            requeueBatch();
         }
         claims.addRead(next, row, now);
         next++;
@@ -284,8 +292,24 @@
             return;
         }
         stale = true;
-        Kind kind = result instanceof TableResult.Conflict ? Kind.CONFLICT : Kind.UNSETTLED;
-        event(kind, sent.sequence(), sent.size(), now);
+        if (result instanceof TableResult.Conflict) {
+            event(Kind.CONFLICT, sent.sequence(), sent.size(), now);
+            requeueUnlessUnsettled(sent);
+        } else {
+            event(Kind.UNSETTLED, sent.sequence(), sent.size(), now);
+            batch = Optional.of(sent.asUnsettled());
+        }
+    }
+
+    private void requeueUnlessUnsettled(LogBatch refused) {
+        if (!refused.unsettled()) {
+            requeueBatch();
+        }
+    }
+
+    private void requeueBatch() {
+        batch = Optional.empty();
+        claims.requeueBatch();
     }
 
     private void settle(LogBatch settled, ClockReading now) {
--- a/node/src/main/java/org/teaselhook/node/claim/LedgerLoop.java
+++ b/node/src/main/java/org/teaselhook/node/claim/LedgerLoop.java
@@ -40,7 +40,7 @@
             TableService table,
             ClaimListener listener,
             Executor control) {
-        this.ledger = Ledger.of(self, limits, random, this);
+        this.ledger = Ledger.of(self, limits, random, this, System.nanoTime());
         this.table = table;
         this.listener = listener;
         this.control = control;
