--- a/core/src/test/java/org/teaselhook/core/rules/RulesParserTest.java
+++ b/core/src/test/java/org/teaselhook/core/rules/RulesParserTest.java
@@ -108,8 +108,15 @@
                 int at = random.nextInt(text.length());
                 text.replace(at, at + random.nextInt(2), String.valueOf(c));
             }
-            RulesResult result = RulesParser.parse(text.toString());
-            assertNotNull(result.fold(Rules::zonesOut, List::copyOf), "seed " + seed);
+            assertHasResult(text.toString(), seed);
+        }
+    }
+
+    private static void assertHasResult(String text, long seed) {
+        try {
+            assertNotNull(RulesParser.parse(text).fold(Rules::zonesOut, List::copyOf));
+        } catch (RuntimeException e) {
+            throw new AssertionError("seed " + seed, e);
         }
     }
 
--- a/node/src/main/java/org/teaselhook/node/entry/Admissions.java
+++ b/node/src/main/java/org/teaselhook/node/entry/Admissions.java
@@ -67,9 +67,7 @@
 
     /** Takes a submission; the stage completes with its outcome. */
     CompletionStage<NamedOutcome> admit(long nowNanos, Arrival arrival) {
-        SubmissionName name = arrival.request()
-                .name()
-                .orElseGet(() -> SubmissionNames.generate(self, nextId++));
+        SubmissionName name = arrival.request().name().orElseGet(() -> SubmissionNames.generate(self, nextId++));
         return resolve(nowNanos, name, arrival).thenApply(outcome -> new NamedOutcome(name.text(), outcome));
     }
 
@@ -139,8 +137,9 @@
         if (refusal.isPresent()) {
             return others.findElsewhere(nowNanos, name, arrival, refusal.get());
         }
-        Optional<Incarnation> home =
-                arrival.forwarded() ? Optional.empty() : others.home(name.text()).filter(entry -> !entry.equals(self));
+        Optional<Incarnation> home = arrival.forwarded()
+                ? Optional.empty()
+                : others.home(name.text()).filter(entry -> !entry.equals(self));
         return home.map(entry -> others.forward(nowNanos, entry, name, arrival)
                         .thenComposeAsync(
                                 reply -> reply.map(Admissions::done)
@@ -155,8 +154,7 @@
                 .thenComposeAsync(result -> claimed(control.nowNanos(), name, arrival, result), control);
     }
 
-    private CompletionStage<Outcome> claimed(
-            long nowNanos, SubmissionName name, Arrival arrival, ClaimResult result) {
+    private CompletionStage<Outcome> claimed(long nowNanos, SubmissionName name, Arrival arrival, ClaimResult result) {
         if (result instanceof ClaimResult.Won) {
             return startOrRefuse(nowNanos, name, arrival, Hold.CLAIM);
         }
@@ -176,8 +174,7 @@
         return others.findElsewhere(nowNanos, name, arrival, problem);
     }
 
-    private CompletionStage<Outcome> passOn(
-            long nowNanos, SubmissionName name, Incarnation holder, Arrival arrival) {
+    private CompletionStage<Outcome> passOn(long nowNanos, SubmissionName name, Incarnation holder, Arrival arrival) {
         return others.forward(nowNanos, holder, name, arrival)
                 .thenApply(reply -> reply.orElseGet(() -> Outcomes.holderLost(holder)));
     }
@@ -188,8 +185,7 @@
         return notReady.get().or(() -> AdmissionCheck.refusal(rules.get(), arrival.request()));
     }
 
-    private CompletionStage<Outcome> startOrRefuse(
-            long nowNanos, SubmissionName name, Arrival arrival, Hold hold) {
+    private CompletionStage<Outcome> startOrRefuse(long nowNanos, SubmissionName name, Arrival arrival, Hold hold) {
         Optional<Problem> refusal = refusal(arrival);
         if (refusal.isPresent()) {
             logRefused(name, refusal.get());
--- a/node/src/main/java/org/teaselhook/node/entry/EntryConfiguration.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryConfiguration.java
@@ -89,7 +89,11 @@
 
     HeldConfig held() {
         VersionedRules current = current();
-        return new HeldConfig(current.version(), current.text(), current.operation(), current.rules().zonesOut());
+        return new HeldConfig(
+                current.version(),
+                current.text(),
+                current.operation(),
+                current.rules().zonesOut());
     }
 
     boolean mayStart(long nowNanos) {
--- a/node/src/main/java/org/teaselhook/node/entry/ForwardMessages.java
+++ b/node/src/main/java/org/teaselhook/node/entry/ForwardMessages.java
@@ -37,8 +37,7 @@
                 .setService(request.service())
                 .setCustomer(request.customer())
                 .setJob(request.job())
-                .addAllTasks(
-                        request.tasks().stream().map(ForwardMessages::spec).collect(Collectors.toList()))
+                .addAllTasks(request.tasks().stream().map(ForwardMessages::spec).collect(Collectors.toList()))
                 .build();
     }
 
@@ -125,12 +124,13 @@
     /** Reads a reply; empty if the asked run of the entry is no longer there. */
     static Optional<Outcome> outcome(ForwardReply reply) {
         return switch (reply.getOutcome()) {
-            case FORWARD_COMPLETE -> Optional.of(Outcome.complete(reply.getAnswersList().stream()
-                    .map(answer -> Answer.of(
-                            answer.getHttpStatus(),
-                            answer.getContentType(),
-                            answer.getBody().toByteArray()))
-                    .collect(Collectors.toList())));
+            case FORWARD_COMPLETE ->
+                Optional.of(Outcome.complete(reply.getAnswersList().stream()
+                        .map(answer -> Answer.of(
+                                answer.getHttpStatus(),
+                                answer.getContentType(),
+                                answer.getBody().toByteArray()))
+                        .collect(Collectors.toList())));
             case FORWARD_NOT_RUN -> Optional.of(Outcome.notRun(problem(reply)));
             case FORWARD_MAY_HAVE_RUN -> Optional.of(Outcome.mayHaveRun(problem(reply)));
             default -> Optional.empty();
--- a/node/src/main/java/org/teaselhook/node/entry/Forwards.java
+++ b/node/src/main/java/org/teaselhook/node/entry/Forwards.java
@@ -47,8 +47,7 @@
         if (request.getCancel()) {
             admissions.cancel(nowNanos, name);
         }
-        Optional<CompletionStage<Outcome>> held =
-                admissions.find(nowNanos, name, ForwardMessages.digest(request));
+        Optional<CompletionStage<Outcome>> held = admissions.find(nowNanos, name, ForwardMessages.digest(request));
         return held.orElseGet(() -> notHere(name)).thenApply(outcome -> ForwardMessages.reply(name.text(), outcome));
     }
 
--- a/node/src/main/java/org/teaselhook/node/entry/OtherEntries.java
+++ b/node/src/main/java/org/teaselhook/node/entry/OtherEntries.java
@@ -56,8 +56,7 @@
     }
 
     /** Passes a submission on; empty if that run of the entry gave no answer. */
-    CompletionStage<Optional<Outcome>> forward(
-            long nowNanos, Incarnation to, SubmissionName name, Arrival arrival) {
+    CompletionStage<Optional<Outcome>> forward(long nowNanos, Incarnation to, SubmissionName name, Arrival arrival) {
         long timeoutMillis = TimeUnit.NANOSECONDS.toMillis(AdmissionCheck.timeoutNanos(rules.get(), arrival.request()));
         LogLine.of("submission-forwarded")
                 .with("submission", name.text())
@@ -78,11 +77,7 @@
 
     /** Has a run of an entry cancel what it holds under a name; empty if it gives no answer. */
     CompletionStage<Optional<Outcome>> cancel(Incarnation to, SubmissionName name, long timeoutMillis) {
-        return call(
-                to,
-                ForwardMessages.cancel(to, name, timeoutMillis),
-                timeoutMillis,
-                new CompletableFuture<>());
+        return call(to, ForwardMessages.cancel(to, name, timeoutMillis), timeoutMillis, new CompletableFuture<>());
     }
 
     private CompletionStage<Optional<Outcome>> call(
