--- /dev/null
+++ b/standin/src/main/java/org/teaselhook/standin/target/TargetServer.java
@@ -0,0 +1,236 @@
+package org.teaselhook.standin.target;
+
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.teaselhook.net.http.EventLoops;
+import org.teaselhook.net.http.HttpCall;
+import org.teaselhook.net.http.HttpClient;
+import org.teaselhook.net.http.HttpLimits;
+import org.teaselhook.net.http.HttpReply;
+import org.teaselhook.net.http.HttpServer;
+
+/**
+ * An HTTP target: runs tasks for a while by its {@link TargetBehaviour} and answers each with the body it got.
+ *
+ * <pre>{@code
+ * TargetSettings settings = TargetSettings.of("lab-1", "storefront", "vidzeme-a", agentHttp);
+ * TargetServer target = TargetServer.start(settings, TargetBehaviour.of(RunTime.fixed(50)), TaskListener.none());
+ * }</pre>
+ */
+public final class TargetServer implements AutoCloseable {
+
+    private static final String TASKS_PATH = "/v1/tasks/";
+    private static final long CONNECT_TIMEOUT_MILLIS = 500;
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    private final TargetSettings settings;
+    private final TaskListener listener;
+    private final EventLoops loops;
+    private final boolean ownsLoops;
+    private final HttpClient client;
+    private final HttpServer server;
+    private final Announcer announcer;
+    private final AtomicInteger running = new AtomicInteger();
+    private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+    private volatile TargetBehaviour behaviour;
+    private volatile boolean stopping;
+
+    private TargetServer(
+            TargetSettings settings,
+            TargetBehaviour behaviour,
+            TaskListener listener,
+            EventLoops loops,
+            boolean ownsLoops) {
+        this.settings = Objects.requireNonNull(settings, "settings is null");
+        this.behaviour = Objects.requireNonNull(behaviour, "behaviour is null");
+        this.listener = Objects.requireNonNull(listener, "listener is null");
+        this.loops = loops;
+        this.ownsLoops = ownsLoops;
+        this.client = HttpClient.create(loops, 1, CONNECT_TIMEOUT_MILLIS);
+        this.server = HttpServer.start(loops, settings.bind(), this::handle, HttpLimits.standard());
+        this.announcer = new Announcer(client, settings, server.port());
+    }
+
+    // -- factories
+
+    /**
+     * Starts a target with one traffic thread of its own and announces it.
+     *
+     * @param settings the settings
+     * @param behaviour how tasks are treated at first
+     * @param listener told of every start and end
+     * @return the running target
+     */
+    public static TargetServer start(TargetSettings settings, TargetBehaviour behaviour, TaskListener listener) {
+        return announced(new TargetServer(settings, behaviour, listener, EventLoops.of(1), true));
+    }
+
+    /**
+     * Starts a target on shared traffic threads and announces it.
+     *
+     * @param loops the traffic threads, which outlive the target
+     * @param settings the settings
+     * @param behaviour how tasks are treated at first
+     * @param listener told of every start and end
+     * @return the running target
+     */
+    public static TargetServer start(
+            EventLoops loops, TargetSettings settings, TargetBehaviour behaviour, TaskListener listener) {
+        return announced(new TargetServer(settings, behaviour, listener, loops, false));
+    }
+
+    private static TargetServer announced(TargetServer target) {
+        target.announcer.start(target.loops);
+        return target;
+    }
+
+    // -- accessors
+
+    /**
+     * Returns the port listened on.
+     *
+     * @return the port
+     */
+    public int port() {
+        return server.port();
+    }
+
+    /**
+     * Counts the tasks in progress, without those that are never answered.
+     *
+     * @return the number of tasks
+     */
+    public int running() {
+        return running.get();
+    }
+
+    // -- updates
+
+    /**
+     * Changes how tasks that start from now on are treated.
+     *
+     * @param next the behaviour
+     */
+    public void behaveAs(TargetBehaviour next) {
+        behaviour = Objects.requireNonNull(next, "next is null");
+    }
+
+    /**
+     * Withdraws the target from its agent and goes on running what arrives.
+     *
+     * @return a stage that completes when the agent has answered, or did not answer in time
+     */
+    public CompletionStage<Void> leave() {
+        return announcer.withdraw().thenApply(ignored -> null);
+    }
+
+    /**
+     * Withdraws the target, lets every task in progress end, and closes.
+     *
+     * @return a stage that completes when the target is closed
+     */
+    public CompletionStage<Void> stop() {
+        leave().whenComplete((ignored, failure) -> {
+            stopping = true;
+            closeIfDone();
+        });
+        return stopped;
+    }
+
+    /** Closes at once, without a word to the agent: connections break, and answers in progress are lost. */
+    @Override
+    public void close() {
+        announcer.stop();
+        server.close();
+        client.close();
+        if (ownsLoops) {
+            loops.close();
+        }
+        stopped.complete(null);
+    }
+
+    private void closeIfDone() {
+        if (stopping && running.get() == 0) {
+            server.stopAccepting();
+            server.drained().whenComplete((ignored, failure) -> close());
+        }
+    }
+
+    // -- tasks
+
+    private CompletionStage<HttpReply> handle(HttpCall call) {
+        String[] names = call.path().startsWith(TASKS_PATH)
+                ? call.path().substring(TASKS_PATH.length()).split("/", -1)
+                : new String[0];
+        if (!call.method().equals("POST") || names.length != 2) {
+            return CompletableFuture.completedFuture(
+                    HttpReply.of(404, "text/plain", "use POST /v1/tasks/SERVICE/KIND\n"));
+        }
+        TargetBehaviour current = behaviour;
+        long nowMillis = System.currentTimeMillis();
+        if (current.honoursStartBy() && nowMillis > startBy(call)) {
+            return CompletableFuture.completedFuture(notStarted());
+        }
+        TaskStart start = start(call, names[0], names[1], nowMillis);
+        listener.started(start);
+        return run(call, start, current);
+    }
+
+    private CompletionStage<HttpReply> run(HttpCall call, TaskStart start, TargetBehaviour current) {
+        CompletableFuture<HttpReply> reply = new CompletableFuture<>();
+        ThreadLocalRandom random = ThreadLocalRandom.current();
+        if (random.nextDouble() < current.silenceShare()) {
+            return reply;
+        }
+        running.incrementAndGet();
+        boolean fails = current.failsAtOnce() || random.nextDouble() < current.failureShare();
+        double millis =
+                current.failsAtOnce() ? 0 : current.runTimeOf(start.kind()).sampleMillis(random);
+        HttpReply result = fails ? failed() : echo(call);
+        long nanos = (long) (millis * NANOS_PER_MILLI);
+        loops.group().next().schedule(() -> end(start, reply, result), nanos, TimeUnit.NANOSECONDS);
+        return reply;
+    }
+
+    private void end(TaskStart start, CompletableFuture<HttpReply> reply, HttpReply result) {
+        listener.ended(start, result.status(), System.currentTimeMillis());
+        reply.complete(result);
+        running.decrementAndGet();
+        closeIfDone();
+    }
+
+    private TaskStart start(HttpCall call, String service, String kind, long nowMillis) {
+        return new TaskStart(
+                settings.name(),
+                settings.zone(),
+                service,
+                kind,
+                call.header("teaselhook-customer").orElse(""),
+                call.header("teaselhook-submission").orElse(""),
+                Integer.parseInt(call.header("teaselhook-task").orElse("0")),
+                call.header("teaselhook-attempt").orElse(""),
+                nowMillis,
+                System.nanoTime());
+    }
+
+    private static long startBy(HttpCall call) {
+        return call.header("teaselhook-start-by").map(Long::parseLong).orElse(Long.MAX_VALUE);
+    }
+
+    private static HttpReply notStarted() {
+        return HttpReply.of(503, "text/plain", "the start-by time has passed\n").with("teaselhook-not-started", "true");
+    }
+
+    private static HttpReply failed() {
+        return HttpReply.of(500, "text/plain", "the task failed\n");
+    }
+
+    private static HttpReply echo(HttpCall call) {
+        return HttpReply.of(200, call.header("content-type").orElse("application/octet-stream"), call.body());
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/teaselhook/standin/target/TaskStart.java
@@ -0,0 +1,27 @@
+package org.teaselhook.standin.target;
+
+/**
+ * One start of a task, as the target saw it.
+ *
+ * @param target the target's name
+ * @param zone the target's availability zone
+ * @param service the service
+ * @param kind the kind
+ * @param customer the customer
+ * @param submission the submission's id
+ * @param taskIndex the task's index in the submission
+ * @param attempt names the dispatch: the entry's run and the dispatch number
+ * @param wallMillis the wall-clock time of the start, in milliseconds since the epoch
+ * @param monotonicNanos the monotonic time of the start, in nanoseconds of this machine
+ */
+public record TaskStart(
+        String target,
+        String zone,
+        String service,
+        String kind,
+        String customer,
+        String submission,
+        int taskIndex,
+        String attempt,
+        long wallMillis,
+        long monotonicNanos) {}
