--- a/core/src/test/java/org/teaselhook/core/admission/AdmissionConcurrencyTest.java
+++ b/core/src/test/java/org/teaselhook/core/admission/AdmissionConcurrencyTest.java
@@ -61,8 +61,8 @@
     @Test
     public void shouldBeLinearizableInModelChecking() {
         new ModelCheckingOptions()
-                .iterations(5)
-                .invocationsPerIteration(60)
+                .iterations(10)
+                .invocationsPerIteration(150)
                 .threads(2)
                 .actorsPerThread(2)
                 .check(AdmissionConcurrencyTest.class);
