--- a/standin/src/main/java/org/teaselhook/standin/target/Announcer.java
+++ b/standin/src/main/java/org/teaselhook/standin/target/Announcer.java
@@ -1,5 +1,6 @@
 package org.teaselhook.standin.target;
 
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -25,7 +26,7 @@
 
     private final HttpClient client;
     private final TargetSettings settings;
-    private final byte[] announcement;
+    private byte[] announcement;
     private CompletionStage<HttpResult> last = CompletableFuture.completedFuture(null);
     private ScheduledFuture<?> schedule;
     private boolean withdrawn;
@@ -33,14 +34,20 @@
     Announcer(HttpClient client, TargetSettings settings, int port) {
         this.client = client;
         this.settings = settings;
-        this.announcement = announcement(settings, port);
+        this.announcement = announcement(new InetSocketAddress(settings.bind().getAddress(), port));
     }
 
-    private static byte[] announcement(TargetSettings settings, int port) {
+    /** Announces another address from now on. */
+    synchronized void announceAt(InetSocketAddress address) {
+        announcement = announcement(address);
+        announce();
+    }
+
+    private byte[] announcement(InetSocketAddress address) {
         ObjectNode json = JsonNodeFactory.instance.objectNode();
         json.put("name", settings.name());
         json.put("service", settings.service());
-        json.put("address", settings.bind().getAddress().getHostAddress() + ":" + port);
+        json.put("address", address.getAddress().getHostAddress() + ":" + address.getPort());
         return json.toString().getBytes(StandardCharsets.UTF_8);
     }
 
--- a/standin/src/main/java/org/teaselhook/standin/target/TargetBehaviour.java
+++ b/standin/src/main/java/org/teaselhook/standin/target/TargetBehaviour.java
@@ -18,6 +18,7 @@
  * @param failsAtOnce whether every task fails without running
  * @param slowFactor multiplies every run time
  * @param honoursStartBy whether a task that arrives past its start-by time is refused
+ * @param answersAttempt whether the answer is the body, a line feed and the attempt, in place of the body alone
  */
 public record TargetBehaviour(
         RunTime runTime,
@@ -26,7 +27,8 @@
         double silenceShare,
         boolean failsAtOnce,
         double slowFactor,
-        boolean honoursStartBy) {
+        boolean honoursStartBy,
+        boolean answersAttempt) {
 
     /** Copies the map. */
     public TargetBehaviour {
@@ -43,7 +45,7 @@
      * @return the behaviour
      */
     public static TargetBehaviour of(RunTime runTime) {
-        return new TargetBehaviour(runTime, Map.of(), 0, 0, false, 1, true);
+        return new TargetBehaviour(runTime, Map.of(), 0, 0, false, 1, true, false);
     }
 
     // -- transformations
@@ -58,7 +60,8 @@
     public TargetBehaviour with(String kind, RunTime time) {
         Map<String, RunTime> times = new HashMap<>(runTimeByKind);
         times.put(kind, time);
-        return new TargetBehaviour(runTime, times, failureShare, silenceShare, failsAtOnce, slowFactor, honoursStartBy);
+        return new TargetBehaviour(
+                runTime, times, failureShare, silenceShare, failsAtOnce, slowFactor, honoursStartBy, answersAttempt);
     }
 
     /**
@@ -69,7 +72,7 @@
      */
     public TargetBehaviour failing(double share) {
         return new TargetBehaviour(
-                runTime, runTimeByKind, share, silenceShare, failsAtOnce, slowFactor, honoursStartBy);
+                runTime, runTimeByKind, share, silenceShare, failsAtOnce, slowFactor, honoursStartBy, answersAttempt);
     }
 
     /**
@@ -80,7 +83,7 @@
      */
     public TargetBehaviour silent(double share) {
         return new TargetBehaviour(
-                runTime, runTimeByKind, failureShare, share, failsAtOnce, slowFactor, honoursStartBy);
+                runTime, runTimeByKind, failureShare, share, failsAtOnce, slowFactor, honoursStartBy, answersAttempt);
     }
 
     /**
@@ -91,7 +94,7 @@
      */
     public TargetBehaviour failingAtOnce(boolean fails) {
         return new TargetBehaviour(
-                runTime, runTimeByKind, failureShare, silenceShare, fails, slowFactor, honoursStartBy);
+                runTime, runTimeByKind, failureShare, silenceShare, fails, slowFactor, honoursStartBy, answersAttempt);
     }
 
     /**
@@ -102,7 +105,14 @@
      */
     public TargetBehaviour slowedBy(double factor) {
         return new TargetBehaviour(
-                runTime, runTimeByKind, failureShare, silenceShare, failsAtOnce, factor, honoursStartBy);
+                runTime,
+                runTimeByKind,
+                failureShare,
+                silenceShare,
+                failsAtOnce,
+                factor,
+                honoursStartBy,
+                answersAttempt);
     }
 
     /**
@@ -113,7 +123,18 @@
      */
     public TargetBehaviour honouringStartBy(boolean honours) {
         return new TargetBehaviour(
-                runTime, runTimeByKind, failureShare, silenceShare, failsAtOnce, slowFactor, honours);
+                runTime, runTimeByKind, failureShare, silenceShare, failsAtOnce, slowFactor, honours, answersAttempt);
+    }
+
+    /**
+     * Says whether the answer names the attempt.
+     *
+     * @param answers true to answer the body, a line feed and the attempt
+     * @return a new behaviour
+     */
+    public TargetBehaviour answeringAttempt(boolean answers) {
+        return new TargetBehaviour(
+                runTime, runTimeByKind, failureShare, silenceShare, failsAtOnce, slowFactor, honoursStartBy, answers);
     }
 
     RunTime runTimeOf(String kind) {
--- a/standin/src/main/java/org/teaselhook/standin/target/TargetServer.java
+++ b/standin/src/main/java/org/teaselhook/standin/target/TargetServer.java
@@ -1,5 +1,8 @@
 package org.teaselhook.standin.target;
 
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -35,6 +38,7 @@
     private final HttpClient client;
     private final HttpServer server;
     private final Announcer announcer;
+    private final ConnectionTasks connections;
     private final AtomicInteger running = new AtomicInteger();
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
     private volatile TargetBehaviour behaviour;
@@ -49,6 +53,7 @@
         this.settings = Objects.requireNonNull(settings, "settings is null");
         this.behaviour = Objects.requireNonNull(behaviour, "behaviour is null");
         this.listener = Objects.requireNonNull(listener, "listener is null");
+        this.connections = new ConnectionTasks(start -> listener.abandoned(start, System.currentTimeMillis()));
         this.loops = loops;
         this.ownsLoops = ownsLoops;
         this.client = HttpClient.create(loops, 1, CONNECT_TIMEOUT_MILLIS);
@@ -111,6 +116,15 @@
 
     // -- updates
 
+    /**
+     * Announces another address than the own one from now on, such as that of a relay in between.
+     *
+     * @param address the address
+     */
+    public void announceAt(InetSocketAddress address) {
+        announcer.announceAt(Objects.requireNonNull(address, "address is null"));
+    }
+
     /**
      * Changes how tasks that start from now on are treated.
      *
@@ -183,6 +197,7 @@
 
     private CompletionStage<HttpReply> run(HttpCall call, TaskStart start, TargetBehaviour current) {
         CompletableFuture<HttpReply> reply = new CompletableFuture<>();
+        connections.begin(call.closed(), start);
         ThreadLocalRandom random = ThreadLocalRandom.current();
         if (random.nextDouble() < current.silenceShare()) {
             return reply;
@@ -191,14 +206,15 @@
         boolean fails = current.failsAtOnce() || random.nextDouble() < current.failureShare();
         double millis =
                 current.failsAtOnce() ? 0 : current.runTimeOf(start.kind()).sampleMillis(random);
-        HttpReply result = fails ? failed() : echo(call);
+        HttpReply result = fails ? failed() : answer(call, start, current.answersAttempt());
         long nanos = (long) (millis * NANOS_PER_MILLI);
-        loops.group().next().schedule(() -> end(start, reply, result), nanos, TimeUnit.NANOSECONDS);
+        loops.group().next().schedule(() -> end(call, start, reply, result), nanos, TimeUnit.NANOSECONDS);
         return reply;
     }
 
-    private void end(TaskStart start, CompletableFuture<HttpReply> reply, HttpReply result) {
+    private void end(HttpCall call, TaskStart start, CompletableFuture<HttpReply> reply, HttpReply result) {
         listener.ended(start, result.status(), System.currentTimeMillis());
+        connections.end(call.closed());
         reply.complete(result);
         running.decrementAndGet();
         closeIfDone();
@@ -214,6 +230,7 @@
                 call.header("teaselhook-submission").orElse(""),
                 Integer.parseInt(call.header("teaselhook-task").orElse("0")),
                 call.header("teaselhook-attempt").orElse(""),
+                call.body(),
                 nowMillis,
                 System.nanoTime());
     }
@@ -230,7 +247,15 @@
         return HttpReply.of(500, "text/plain", "the task failed\n");
     }
 
-    private static HttpReply echo(HttpCall call) {
-        return HttpReply.of(200, call.header("content-type").orElse("application/octet-stream"), call.body());
+    private static HttpReply answer(HttpCall call, TaskStart start, boolean withAttempt) {
+        String contentType = call.header("content-type").orElse("application/octet-stream");
+        return HttpReply.of(200, contentType, withAttempt ? bodyAndAttempt(start) : call.body());
+    }
+
+    private static byte[] bodyAndAttempt(TaskStart start) {
+        byte[] suffix = ("\n" + start.attempt()).getBytes(StandardCharsets.UTF_8);
+        byte[] result = Arrays.copyOf(start.body(), start.body().length + suffix.length);
+        System.arraycopy(suffix, 0, result, start.body().length, suffix.length);
+        return result;
     }
 }
--- a/standin/src/main/java/org/teaselhook/standin/target/TaskListener.java
+++ b/standin/src/main/java/org/teaselhook/standin/target/TaskListener.java
@@ -21,6 +21,16 @@
      */
     void ended(TaskStart start, int status, long wallMillis);
 
+    /**
+     * Called when the agent closes the connection of a task that is not answered. The task itself goes on.
+     *
+     * @param start the start
+     * @param wallMillis the wall-clock time, in milliseconds since the epoch
+     */
+    default void abandoned(TaskStart start, long wallMillis) {
+        // of interest to few listeners
+    }
+
     /**
      * Returns a listener that does nothing.
      *
--- a/standin/src/main/java/org/teaselhook/standin/target/TaskStart.java
+++ b/standin/src/main/java/org/teaselhook/standin/target/TaskStart.java
@@ -11,6 +11,7 @@
  * @param submission the submission's id
  * @param taskIndex the task's index in the submission
  * @param attempt names the dispatch: the entry's run and the dispatch number
+ * @param body the task's body, which must not be changed
  * @param wallMillis the wall-clock time of the start, in milliseconds since the epoch
  * @param monotonicNanos the monotonic time of the start, in nanoseconds of this machine
  */
@@ -23,5 +24,6 @@
         String submission,
         int taskIndex,
         String attempt,
+        byte[] body,
         long wallMillis,
         long monotonicNanos) {}
