--- /dev/null
+++ b/bench/src/main/java/org/teaselhook/bench/failure/FailureReport.java
@@ -0,0 +1,66 @@
+package org.teaselhook.bench.failure;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+import org.teaselhook.bench.history.AnswerKind;
+import org.teaselhook.bench.history.Call;
+import org.teaselhook.bench.history.History;
+import org.teaselhook.bench.history.Violation;
+
+/**
+ * The figures of a run.
+ *
+ * @param seed the run's seed
+ * @param history what was seen
+ * @param violations what did not hold
+ * @param downtimes when processes were down
+ * @param processes the number of processes
+ */
+record FailureReport(long seed, History history, List<Violation> violations, Downtimes downtimes, int processes) {
+
+    /** Returns one line with all figures; shares are of the submissions sent while less than a third was down. */
+    String line() {
+        Map<String, List<Call>> byKey = history.callsByKey();
+        List<List<Call>> calm = byKey.values().stream().filter(this::isCalm).toList();
+        return String.format(
+                Locale.ROOT,
+                "seed=%d submissions=%d calls=%d starts=%d complete=%d not_run=%d may_have_run=%d no_answer=%d"
+                        + " unlabelled=%d calm_submissions=%d calm_failed=%.4f calm_first_call_failed=%.4f"
+                        + " violations=%d",
+                seed,
+                byKey.size(),
+                history.calls().size(),
+                history.startCount(),
+                count(AnswerKind.COMPLETE),
+                count(AnswerKind.NOT_RUN),
+                count(AnswerKind.MAY_HAVE_RUN),
+                count(AnswerKind.CLOSED) + count(AnswerKind.TIMED_OUT) + count(AnswerKind.NOT_SENT),
+                count(AnswerKind.UNLABELLED),
+                calm.size(),
+                share(calm, calls -> calls.stream().noneMatch(call -> call.ended(AnswerKind.COMPLETE))),
+                share(calm, calls -> !calls.get(0).ended(AnswerKind.COMPLETE)),
+                violations.size());
+    }
+
+    private long count(AnswerKind kind) {
+        return history.calls().stream().filter(call -> call.ended(kind)).count();
+    }
+
+    /** Tells whether less than a third of the processes was down from the first call to the last answer. */
+    private boolean isCalm(List<Call> calls) {
+        long fromNanos = calls.get(0).sent().atNanos();
+        long toNanos = calls.stream()
+                .mapToLong(call -> call.answer().map(a -> a.atNanos()).orElse(Long.MAX_VALUE))
+                .max()
+                .orElse(Long.MAX_VALUE);
+        return 3 * downtimes.downBetween(fromNanos, toNanos) < processes;
+    }
+
+    private static double share(List<List<Call>> submissions, java.util.function.Predicate<List<Call>> failed) {
+        return submissions.isEmpty()
+                ? 0
+                : (double) submissions.stream().filter(failed).count() / submissions.size();
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/teaselhook/bench/failure/FailureRun.java
@@ -0,0 +1,170 @@
+package org.teaselhook.bench.failure;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import org.teaselhook.bench.history.History;
+import org.teaselhook.bench.history.HistoryChecker;
+import org.teaselhook.bench.history.HistoryLimits;
+import org.teaselhook.bench.history.HistoryRecorder;
+import org.teaselhook.bench.process.EntryNode;
+import org.teaselhook.bench.process.Site;
+import org.teaselhook.bench.process.SitePlan;
+import org.teaselhook.net.log.LogLine;
+
+/** One run: a site, callers, faults and operators, each on threads of their own, then the check of the history. */
+final class FailureRun {
+
+    private static final Duration READY_WAIT = Duration.ofSeconds(60);
+    private static final long MAX_QUIET_MILLIS = 6_000;
+    private static final long MAX_DRAIN_MILLIS = 40_000;
+    private static final long POLL_INTERVAL_MILLIS = 50;
+    private static final long LATE_STARTS_MILLIS = 1_000;
+    private static final int QUIET_SHARE = 5;
+
+    private final long seed;
+    private final long millis;
+    private final double perSecond;
+    private final Path directory;
+    private final HistoryRecorder recorder = HistoryRecorder.of(System::nanoTime);
+    private final Downtimes downtimes = new Downtimes();
+    private final List<Thread> threads = new ArrayList<>();
+
+    FailureRun(long seed, Duration duration, double perSecond, Path directory) {
+        this.seed = seed;
+        this.millis = duration.toMillis();
+        this.perSecond = perSecond;
+        this.directory = directory;
+    }
+
+    /** Runs to the end; the last part of the time, at most some seconds, is without faults. */
+    FailureReport run() throws InterruptedException {
+        try (Site site = Site.start(SitePlan.standard(), new RecordingListener(recorder), directory)) {
+            site.awaitReady(READY_WAIT);
+            site.agents().forEach(agent -> agent.target().behaveAs(FaultActions.SOUND));
+            Callers callers = new Callers(site, recorder);
+            Observer observer = new Observer(site, recorder);
+            List<Thread> observers = watch(site, observer);
+            long startNanos = recorder.nowNanos();
+            startLanes(site, startNanos);
+            submitAll(callers, startNanos);
+            drain(callers);
+            observers.forEach(Thread::interrupt);
+            observer.readChanges();
+            observer.readLogs();
+            return report(site);
+        } finally {
+            threads.forEach(Thread::interrupt);
+        }
+    }
+
+    private FailureReport report(Site site) {
+        History history = recorder.history();
+        return new FailureReport(
+                seed,
+                history,
+                HistoryChecker.of(HistoryLimits.standard()).check(history),
+                downtimes,
+                (int) site.processes().count());
+    }
+
+    // -- callers
+
+    private void submitAll(Callers callers, long startNanos) throws InterruptedException {
+        SubmissionPlan plan = SubmissionPlan.draw(seed, SitePlan.standard().entries(), perSecond);
+        for (PlannedSubmission next = plan.next(); next.atMillis() < millis; next = plan.next()) {
+            sleepUntil(startNanos, next.atMillis());
+            callers.submit(next);
+        }
+    }
+
+    private void drain(Callers callers) throws InterruptedException {
+        long deadlineNanos = recorder.nowNanos() + TimeUnit.MILLISECONDS.toNanos(MAX_DRAIN_MILLIS);
+        for (Thread thread : threads) {
+            thread.join(Math.max(1, TimeUnit.NANOSECONDS.toMillis(deadlineNanos - recorder.nowNanos())));
+        }
+        while (callers.open() > 0 && recorder.nowNanos() < deadlineNanos) {
+            TimeUnit.MILLISECONDS.sleep(POLL_INTERVAL_MILLIS);
+        }
+        TimeUnit.MILLISECONDS.sleep(LATE_STARTS_MILLIS);
+    }
+
+    // -- faults
+
+    private void startLanes(Site site, long startNanos) {
+        long faultyMillis = millis - Math.min(MAX_QUIET_MILLIS, millis / QUIET_SHARE);
+        FailurePlan plan = FailurePlan.draw(seed, SitePlan.standard(), faultyMillis);
+        FaultActions actions = new FaultActions(site, recorder, downtimes);
+        ZoneOperator operator = new ZoneOperator(site, recorder);
+        plan.faults().forEach(lane -> threads.add(start(() -> {
+            for (PlannedFault fault : lane) {
+                strike(actions, fault, startNanos);
+            }
+        })));
+        plan.zoneChanges().forEach(lane -> threads.add(start(() -> {
+            for (PlannedZoneChange change : lane) {
+                sleepUntil(startNanos, change.atMillis());
+                operator.change(change);
+            }
+        })));
+    }
+
+    private static void strike(FaultActions actions, PlannedFault fault, long startNanos) throws InterruptedException {
+        sleepUntil(startNanos, fault.beginMillis());
+        log("fault-begins", fault);
+        fault.kind().begin(actions, fault);
+        try {
+            sleepUntil(startNanos, fault.endMillis());
+        } finally {
+            fault.kind().end(actions, fault);
+            log("fault-ended", fault);
+        }
+    }
+
+    private static void log(String event, PlannedFault fault) {
+        LogLine.of(event)
+                .with("kind", fault.kind())
+                .with("subjects", String.join(",", fault.subjects()))
+                .with("variant", fault.variant())
+                .with("nanos", System.nanoTime())
+                .info();
+    }
+
+    // -- threads
+
+    private List<Thread> watch(Site site, Observer observer) {
+        List<Thread> observers = new ArrayList<>();
+        for (EntryNode entry : site.entries()) {
+            observers.add(start(() -> observer.watch(entry)));
+        }
+        return observers;
+    }
+
+    private static Thread start(Step step) {
+        Thread thread = new Thread(() -> {
+            try {
+                step.run();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+        return thread;
+    }
+
+    private static void sleepUntil(long startNanos, long atMillis) throws InterruptedException {
+        long waitNanos = startNanos + TimeUnit.MILLISECONDS.toNanos(atMillis) - System.nanoTime();
+        if (waitNanos > 0) {
+            TimeUnit.NANOSECONDS.sleep(waitNanos);
+        }
+    }
+
+    /** Something done on a thread of its own until interrupted. */
+    private interface Step {
+        void run() throws InterruptedException;
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/teaselhook/bench/failure/FailureRunCommand.java
@@ -0,0 +1,63 @@
+package org.teaselhook.bench.failure;
+
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.concurrent.Callable;
+
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** The command {@code failure-run}: one randomised run under faults, whose history is checked. */
+@Command(
+        name = "failure-run",
+        mixinStandardHelpOptions = true,
+        description = "Runs a site of separate processes under faults drawn from a seed and checks what was seen.")
+public final class FailureRunCommand implements Callable<Integer> {
+
+    private static final int EXIT_VIOLATIONS = 2;
+
+    @Spec
+    private CommandSpec spec;
+
+    @Option(names = "--seed", defaultValue = "1", description = "Seed of faults and submissions (${DEFAULT-VALUE}).")
+    private long seed;
+
+    @Option(names = "--seconds", defaultValue = "60", description = "Length of the run (${DEFAULT-VALUE}).")
+    private int seconds;
+
+    @Option(names = "--rate", defaultValue = "40", description = "Submissions per second (${DEFAULT-VALUE}).")
+    private double perSecond;
+
+    @Option(names = "--directory", description = "Where settings and logs are kept; a temporary one by default.")
+    private Path directory;
+
+    private FailureRunCommand() {}
+
+    /**
+     * Runs the command.
+     *
+     * @param arguments the command line
+     */
+    public static void main(String[] arguments) {
+        System.exit(new CommandLine(new FailureRunCommand()).execute(arguments));
+    }
+
+    @Override
+    public Integer call() throws Exception {
+        Path logs = directory == null ? Files.createTempDirectory("failure-run") : Files.createDirectories(directory);
+        FailureReport report = new FailureRun(seed, Duration.ofSeconds(seconds), perSecond, logs).run();
+        PrintWriter out = spec.commandLine().getOut();
+        report.violations().forEach(out::println);
+        if (!report.violations().isEmpty()) {
+            out.println("Logs are in " + logs);
+        }
+        out.println(report.line());
+        out.flush();
+        return report.violations().isEmpty() ? 0 : EXIT_VIOLATIONS;
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/teaselhook/bench/failure/Observer.java
@@ -0,0 +1,81 @@
+package org.teaselhook.bench.failure;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+
+import org.teaselhook.bench.history.HistoryEvent;
+import org.teaselhook.bench.history.HistoryRecorder;
+import org.teaselhook.bench.process.EntryNode;
+import org.teaselhook.bench.process.Operators;
+import org.teaselhook.bench.process.ProcessNode;
+import org.teaselhook.bench.process.Site;
+
+/** Watches what processes say about themselves: versions while they run, broken invariants and history at the end. */
+final class Observer {
+
+    private static final long POLL_INTERVAL_MILLIS = 250;
+    private static final int MAX_HISTORY = 1_000;
+    private static final String INVARIANT_VIOLATED = "event=invariant-violated";
+
+    private final Site site;
+    private final HistoryRecorder recorder;
+
+    Observer(Site site, HistoryRecorder recorder) {
+        this.site = site;
+        this.recorder = recorder;
+    }
+
+    /** Polls the version of one entry until interrupted. */
+    void watch(EntryNode entry) {
+        try {
+            while (!Thread.currentThread().isInterrupted()) {
+                poll(entry);
+                TimeUnit.MILLISECONDS.sleep(POLL_INTERVAL_MILLIS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void poll(EntryNode entry) {
+        if (!entry.process().isActive()) {
+            return;
+        }
+        String run = entry.process().name() + "#" + entry.process().pid();
+        Operators.of(site.client(), entry.http())
+                .version()
+                .ifPresent(version -> recorder.record(new HistoryEvent.VersionSeen(run, version, recorder.nowNanos())));
+    }
+
+    /** Reads the configuration's history from the first entry that can tell it. */
+    void readChanges() {
+        for (EntryNode entry : site.entries()) {
+            long nowNanos = recorder.nowNanos();
+            var changes = Operators.of(site.client(), entry.http()).history(MAX_HISTORY);
+            changes.forEach(change ->
+                    recorder.record(new HistoryEvent.ChangeKept(change.version(), change.operation(), nowNanos)));
+            if (!changes.isEmpty()) {
+                return;
+            }
+        }
+    }
+
+    /** Finds broken invariants in every log. */
+    void readLogs() {
+        site.processes().forEach(this::readLog);
+    }
+
+    private void readLog(ProcessNode process) {
+        try (Stream<String> lines = Files.lines(process.log(), StandardCharsets.ISO_8859_1)) {
+            lines.filter(line -> line.contains(INVARIANT_VIOLATED))
+                    .forEach(line -> recorder.record(
+                            new HistoryEvent.InvariantViolated(process.name(), line, recorder.nowNanos())));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/teaselhook/bench/failure/SubmissionPlan.java
@@ -0,0 +1,57 @@
+package org.teaselhook.bench.failure;
+
+import java.util.List;
+import java.util.Random;
+import java.util.stream.Stream;
+
+/** Draws the submissions of a run one after another from its seed alone. */
+final class SubmissionPlan {
+
+    private static final int MAX_CALLS = 3;
+    private static final int MAX_WAIT_MILLIS = 1_500;
+    private static final int MAX_JOB_TASKS = 20;
+    private static final double JOB_SHARE = 0.2;
+    private static final double IDEMPOTENT_SHARE = 0.45;
+    private static final double TICKET_SHARE = 0.5;
+    private static final double AGAIN_SHARE = 0.1;
+    private static final double TWICE_SHARE = 0.1;
+    private static final long SEED_MIX = 0x9E3779B97F4A7C15L;
+
+    private final Random random;
+    private final int entries;
+    private final double meanGapMillis;
+    private long number;
+    private double atMillis;
+
+    private SubmissionPlan(long seed, int entries, double perSecond) {
+        this.random = new Random(seed ^ SEED_MIX);
+        this.entries = entries;
+        this.meanGapMillis = 1_000 / perSecond;
+    }
+
+    // -- factories
+
+    static SubmissionPlan draw(long seed, int entries, double perSecond) {
+        return new SubmissionPlan(seed, entries, perSecond);
+    }
+
+    // -- drawing
+
+    PlannedSubmission next() {
+        atMillis -= Math.log(1 - random.nextDouble()) * meanGapMillis;
+        boolean job = random.nextDouble() < JOB_SHARE;
+        boolean idempotent = random.nextDouble() < IDEMPOTENT_SHARE;
+        int tasks = job ? 2 + random.nextInt(MAX_JOB_TASKS - 1) : 1;
+        boolean ticket = random.nextDouble() < TICKET_SHARE;
+        List<Integer> sentTo = draw(entries);
+        List<Integer> waits = draw(MAX_WAIT_MILLIS);
+        boolean again = random.nextDouble() < AGAIN_SHARE;
+        boolean twice = random.nextDouble() < TWICE_SHARE;
+        return new PlannedSubmission(
+                ++number, job, idempotent, tasks, ticket, sentTo, waits, again, twice, (long) atMillis);
+    }
+
+    private List<Integer> draw(int bound) {
+        return Stream.generate(() -> random.nextInt(bound)).limit(MAX_CALLS).toList();
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/teaselhook/bench/failure/TicketPool.java
@@ -0,0 +1,73 @@
+package org.teaselhook.bench.failure;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.teaselhook.net.http.HttpCall;
+import org.teaselhook.net.http.HttpClient;
+import org.teaselhook.net.http.HttpReply;
+import org.teaselhook.net.http.HttpResult;
+
+/** Tickets fetched ahead from one entry. Thread-safe. */
+final class TicketPool {
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int BATCH = 20;
+    private static final int LOW_WATER = 10;
+    private static final long TIMEOUT_MILLIS = 1_000;
+    private static final long MAX_AGE_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+    private final HttpClient client;
+    private final InetSocketAddress entry;
+    private final Deque<Fetched> tickets = new ArrayDeque<>();
+    private boolean fetching;
+
+    TicketPool(HttpClient client, InetSocketAddress entry) {
+        this.client = client;
+        this.entry = entry;
+    }
+
+    /** Takes a ticket; empty if none is at hand. */
+    synchronized Optional<String> take(long nowNanos) {
+        while (!tickets.isEmpty() && nowNanos - tickets.peek().atNanos > MAX_AGE_NANOS) {
+            tickets.poll();
+        }
+        if (tickets.size() < LOW_WATER && !fetching) {
+            fetching = true;
+            fetch(nowNanos);
+        }
+        return Optional.ofNullable(tickets.poll()).map(Fetched::ticket);
+    }
+
+    private void fetch(long nowNanos) {
+        Map<String, String> query = Map.of("n", Integer.toString(BATCH));
+        HttpCall call =
+                new HttpCall("POST", "/v1/tickets", query, Map.of(), new byte[0], new CompletableFuture<>());
+        client.send(entry, call, TIMEOUT_MILLIS).thenAccept(result -> add(result, nowNanos));
+    }
+
+    private synchronized void add(HttpResult result, long nowNanos) {
+        fetching = false;
+        if (result instanceof HttpResult.Replied replied && replied.reply().status() == 200) {
+            parse(replied.reply()).path("tickets").forEach(node -> tickets.add(new Fetched(node.asText(), nowNanos)));
+        }
+    }
+
+    private static JsonNode parse(HttpReply reply) {
+        try {
+            return JSON.readTree(reply.body());
+        } catch (IOException e) {
+            throw new IllegalStateException("the tickets are not JSON", e);
+        }
+    }
+
+    private record Fetched(String ticket, long atNanos) {}
+}
--- a/bench/src/main/java/org/teaselhook/bench/history/AnswerKind.java
+++ b/bench/src/main/java/org/teaselhook/bench/history/AnswerKind.java
@@ -8,6 +8,8 @@
     NOT_RUN,
     /** Failed; some task may have started. */
     MAY_HAVE_RUN,
+    /** Answered without an outcome. */
+    UNLABELLED,
     /** No connection could be made: nothing was sent. */
     NOT_SENT,
     /** The connection was closed without an answer. */
--- a/bench/src/main/java/org/teaselhook/bench/history/Call.java
+++ b/bench/src/main/java/org/teaselhook/bench/history/Call.java
@@ -27,6 +27,15 @@
         return answer.filter(a -> a.kind() == kind).isPresent();
     }
 
+    /**
+     * Returns when the caller's wait ends.
+     *
+     * @return nanoseconds on the run's clock
+     */
+    public long deadlineNanos() {
+        return sent.atNanos() + sent.timeoutNanos();
+    }
+
     /**
      * Tells whether the call could have caused something at a given time: it was sent and not yet answered not run.
      *
--- a/bench/src/main/java/org/teaselhook/bench/history/ConfigurationChecks.java
+++ b/bench/src/main/java/org/teaselhook/bench/history/ConfigurationChecks.java
@@ -34,7 +34,7 @@
                 .collect(Collectors.toMap(ChangeKept::version, change -> change, (first, second) -> second));
         long oldest = kept.keySet().stream().mapToLong(Long::longValue).min().orElse(Long.MAX_VALUE);
         return history.all(ZoneChanged.class)
-                .filter(change -> change.version().orElse(-1) >= oldest)
+                .filter(change -> change.changed() && change.version().orElse(-1) >= oldest)
                 .filter(change -> !isKept(change, kept.get(change.version().getAsLong())))
                 .map(change -> Violation.of(ViolationKind.CHANGE_LOST, change));
     }
--- a/bench/src/main/java/org/teaselhook/bench/history/HistoryEvent.java
+++ b/bench/src/main/java/org/teaselhook/bench/history/HistoryEvent.java
@@ -25,10 +25,18 @@
      * @param idempotent whether the request's kind is idempotent
      * @param bodies the body of each task, unique in the run for each key and task
      * @param entry the process the call was sent to
+     * @param timeoutNanos how long the caller said to wait
      * @param atNanos when it was sent
      */
     record Submitted(
-            long call, String key, boolean job, boolean idempotent, List<String> bodies, String entry, long atNanos)
+            long call,
+            String key,
+            boolean job,
+            boolean idempotent,
+            List<String> bodies,
+            String entry,
+            long timeoutNanos,
+            long atNanos)
             implements HistoryEvent {
         /** Copies the bodies. */
         public Submitted {
@@ -111,7 +119,8 @@
      * @param zone the zone
      * @param out true for out of service, false for back in
      * @param sentNanos when the operation was sent
-     * @param version the version under which it was accepted; empty if the answer was lost
+     * @param version the version under which it holds; empty if the answer was lost
+     * @param changed whether the operation made that version, rather than finding the zone so
      * @param operation the operation id
      * @param atNanos when the answer came or the wait ended
      */
--- a/bench/src/main/java/org/teaselhook/bench/process/AgentNode.java
+++ b/bench/src/main/java/org/teaselhook/bench/process/AgentNode.java
@@ -3,10 +3,11 @@
 import java.net.InetSocketAddress;
 
 /**
- * An agent as a process.
+ * An agent as a process, with its target in this JVM.
  *
  * @param process the process
  * @param zone the availability zone
- * @param http where its target announces itself and health is served
+ * @param http its HTTP address, where its target announces itself
+ * @param target the target beside it
  */
-public record AgentNode(ProcessNode process, String zone, InetSocketAddress http) {}
+public record AgentNode(ProcessNode process, String zone, InetSocketAddress http, TargetNode target) {}
--- a/bench/src/main/java/org/teaselhook/bench/process/EntryNode.java
+++ b/bench/src/main/java/org/teaselhook/bench/process/EntryNode.java
@@ -7,7 +7,8 @@
  *
  * @param process the process
  * @param zone the availability zone
- * @param http where callers and operators reach it
- * @param grpc where agents and other entries reach it, through a relay if the site has relays
+ * @param http its HTTP address, without a relay
+ * @param callers the way from callers and operators to its HTTP
+ * @param grpc the way from agents and other entries
  */
-public record EntryNode(ProcessNode process, String zone, InetSocketAddress http, InetSocketAddress grpc) {}
+public record EntryNode(ProcessNode process, String zone, InetSocketAddress http, Link callers, Link grpc) {}
--- /dev/null
+++ b/bench/src/main/java/org/teaselhook/bench/process/KeptChange.java
@@ -0,0 +1,17 @@
+package org.teaselhook.bench.process;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * A change of the configuration as kept in the table service.
+ *
+ * @param version the version it made
+ * @param operation the operation id
+ */
+public record KeptChange(long version, String operation) {
+
+    static KeptChange of(JsonNode node) {
+        return new KeptChange(
+                node.path("version").asLong(), node.path("operation").asText());
+    }
+}
--- a/bench/src/main/java/org/teaselhook/bench/process/Site.java
+++ b/bench/src/main/java/org/teaselhook/bench/process/Site.java
@@ -1,53 +1,240 @@
 package org.teaselhook.bench.process;
 
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
+import java.util.stream.Stream;
+
+import org.teaselhook.net.http.EventLoops;
+import org.teaselhook.net.http.HttpClient;
+import org.teaselhook.standin.table.TableFaults;
+import org.teaselhook.standin.table.TableServer;
+import org.teaselhook.standin.target.RunTime;
+import org.teaselhook.standin.target.TargetBehaviour;
+import org.teaselhook.standin.target.TargetSettings;
+import org.teaselhook.standin.target.TaskListener;
 
 /**
  * A whole site: a table service stand-in and targets in this JVM, entries and agents as processes. Closing it ends all
  * processes.
  *
  * <pre>{@code
- * try (Site site = Site.start(SitePlan.standard(), directory)) {
+ * try (Site site = Site.start(SitePlan.standard(), TaskListener.none(), directory)) {
  *     site.awaitReady(Duration.ofSeconds(20));
  *     site.entries().get(0).process().kill();
  * }
  * }</pre>
  */
-public interface Site extends AutoCloseable {
+public final class Site implements AutoCloseable {
+
+    private static final int TRAFFIC_THREADS = 2;
+    private static final int MAX_CONNECTIONS_PER_HOST = 256;
+    private static final long CONNECT_TIMEOUT_MILLIS = 1_000;
+    private static final TargetBehaviour BEHAVIOUR = TargetBehaviour.of(RunTime.uniform(20, 100));
+
+    private final SitePlan plan;
+    private final Path directory;
+    private final EventLoops loops = EventLoops.of(TRAFFIC_THREADS);
+    private final HttpClient client;
+    private final SiteRelays relays;
+    private final TableServer table;
+    private final Link tableLink;
+    private final List<EntryNode> entries;
+    private final List<AgentNode> agents;
+
+    private Site(SitePlan plan, TaskListener listener, Path directory) {
+        this.plan = Objects.requireNonNull(plan, "plan is null");
+        this.directory = Objects.requireNonNull(directory, "directory is null");
+        this.client = HttpClient.create(loops, MAX_CONNECTIONS_PER_HOST, CONNECT_TIMEOUT_MILLIS);
+        this.relays = new SiteRelays(loops.group(), plan.relayed());
+        this.table = TableServer.start(new InetSocketAddress("127.0.0.1", 0), TableFaults.none());
+        this.tableLink = relays.before(new InetSocketAddress("127.0.0.1", table.port()));
+        this.entries = planEntries();
+        this.agents = planAgents(Objects.requireNonNull(listener, "listener is null"));
+    }
+
+    // -- factories
+
+    /**
+     * Starts every process of a site and applies its rules; does not wait until they are ready.
+     *
+     * @param plan what the site consists of
+     * @param listener told of every start of a task at a target
+     * @param directory an existing directory for settings and log files
+     * @return the site
+     */
+    public static Site start(SitePlan plan, TaskListener listener, Path directory) {
+        Site site = new Site(plan, listener, directory);
+        site.processes().forEach(ProcessNode::start);
+        return site;
+    }
+
+    // -- accessors
 
     /**
      * Returns the entries.
      *
      * @return the entries in the order of their index
      */
-    List<EntryNode> entries();
+    public List<EntryNode> entries() {
+        return entries;
+    }
 
     /**
      * Returns the agents.
      *
      * @return the agents in the order of their index
      */
-    List<AgentNode> agents();
+    public List<AgentNode> agents() {
+        return agents;
+    }
+
+    /**
+     * Returns the processes.
+     *
+     * @return entries, then agents
+     */
+    public Stream<ProcessNode> processes() {
+        return Stream.concat(
+                entries.stream().map(EntryNode::process), agents.stream().map(AgentNode::process));
+    }
+
+    /**
+     * Returns the table service stand-in.
+     *
+     * @return the stand-in
+     */
+    public TableServer table() {
+        return table;
+    }
+
+    /**
+     * Returns the way from entries to the table service.
+     *
+     * @return the link
+     */
+    public Link tableLink() {
+        return tableLink;
+    }
+
+    /**
+     * Returns a client for callers and operators.
+     *
+     * @return the client, closed with the site
+     */
+    public HttpClient client() {
+        return client;
+    }
 
     /**
      * Returns the directory of settings and log files.
      *
      * @return the directory
      */
-    Path directory();
+    public Path directory() {
+        return directory;
+    }
 
     /**
-     * Waits until every process is ready.
+     * Returns the plan.
+     *
+     * @return the plan that the site was started with
+     */
+    public SitePlan plan() {
+        return plan;
+    }
+
+    // -- commands
+
+    /**
+     * Waits until every process is ready and the plan's rules are accepted.
      *
      * @param timeout the longest wait in total
-     * @throws IllegalStateException if a process is not ready in time, naming its log file
+     * @throws IllegalStateException if a process is not ready in time or refuses the rules
      * @throws InterruptedException if the thread is interrupted
      */
-    void awaitReady(Duration timeout) throws InterruptedException;
+    public void awaitReady(Duration timeout) throws InterruptedException {
+        long deadlineNanos = System.nanoTime() + timeout.toNanos();
+        for (EntryNode entry : entries) {
+            awaitReady(entry.process(), entry.http(), deadlineNanos);
+        }
+        Operators.of(client, entries.get(0).http()).applyRules(plan.rules());
+        for (AgentNode agent : agents) {
+            awaitReady(agent.process(), agent.http(), deadlineNanos);
+        }
+    }
 
     /** Ends every process, relay and stand-in. */
     @Override
-    void close();
+    public void close() {
+        processes().forEach(ProcessNode::close);
+        agents.forEach(agent -> agent.target().close());
+        relays.close();
+        table.close();
+        client.close();
+        loops.close();
+    }
+
+    private void awaitReady(ProcessNode process, InetSocketAddress http, long deadlineNanos)
+            throws InterruptedException {
+        Duration left = Duration.ofNanos(deadlineNanos - System.nanoTime());
+        if (!Readiness.of(client).await(http, left)) {
+            throw new IllegalStateException(process.name() + " is not ready; see " + process.log());
+        }
+    }
+
+    // -- planning
+
+    private List<EntryNode> planEntries() {
+        List<InetSocketAddress> http = FreePorts.draw(plan.entries());
+        List<InetSocketAddress> grpc = FreePorts.draw(plan.entries());
+        List<Link> links = grpc.stream().map(relays::before).toList();
+        List<EntryNode> nodes = new ArrayList<>();
+        for (int i = 0; i < plan.entries(); i++) {
+            nodes.add(planEntry(i, http.get(i), grpc.get(i), links));
+        }
+        return List.copyOf(nodes);
+    }
+
+    private EntryNode planEntry(int index, InetSocketAddress http, InetSocketAddress grpc, List<Link> links) {
+        String name = "entry-" + (index + 1);
+        Link own = links.get(index);
+        List<InetSocketAddress> peers =
+                links.stream().filter(link -> link != own).map(Link::address).toList();
+        Path settings = new SiteSettings(directory)
+                .entry(name, plan.zone(index), http, grpc, own.address(), tableLink.address(), peers);
+        return new EntryNode(process(name, "entry", settings), plan.zone(index), http, relays.before(http), own);
+    }
+
+    private List<AgentNode> planAgents(TaskListener listener) {
+        List<InetSocketAddress> http = FreePorts.draw(plan.agents());
+        List<InetSocketAddress> targets = FreePorts.draw(plan.agents());
+        List<AgentNode> nodes = new ArrayList<>();
+        for (int i = 0; i < plan.agents(); i++) {
+            nodes.add(planAgent(i, http.get(i), targets.get(i), listener));
+        }
+        return List.copyOf(nodes);
+    }
+
+    private AgentNode planAgent(
+            int index, InetSocketAddress http, InetSocketAddress targetAddress, TaskListener listener) {
+        String name = "agent-" + (index + 1);
+        String zone = plan.zone(index);
+        List<InetSocketAddress> addresses =
+                entries.stream().map(entry -> entry.grpc().address()).toList();
+        Path settings = new SiteSettings(directory).agent(name, zone, plan.slots(), http, addresses);
+        Link link = relays.before(targetAddress);
+        TargetSettings target = TargetSettings.of("target-" + (index + 1), plan.service(), zone, http)
+                .behind(targetAddress, link.address())
+                .namingAttempts();
+        TargetNode node = new TargetNode(loops, target, BEHAVIOUR, listener, link);
+        return new AgentNode(process(name, "agent", settings), zone, http, node);
+    }
+
+    private ProcessNode process(String name, String role, Path settings) {
+        return ProcessNode.of(name, List.of(role, "--settings", settings.toString()), directory);
+    }
 }
--- a/bench/src/main/java/org/teaselhook/bench/process/SitePlan.java
+++ b/bench/src/main/java/org/teaselhook/bench/process/SitePlan.java
@@ -26,7 +26,11 @@
     public static final String ONCE_KIND = "booking";
 
     private static final List<String> ZONES = List.of("ernakulam", "thrissur", "kottayam");
-    private static final String RULES = "";
+    private static final String RULES =
+            """
+            kind patchdesk photo-check idempotent timeout=5s run=100ms  # Meera: callers on the line
+            kind patchdesk booking once timeout=5s run=100ms            # Meera: one crew for each booking
+            """;
 
     /** Copies the zones. */
     public SitePlan {
--- a/bench/src/test/java/org/teaselhook/bench/history/HistoryCheckerTest.java
+++ b/bench/src/test/java/org/teaselhook/bench/history/HistoryCheckerTest.java
@@ -141,6 +141,14 @@
                 "caller gave up waiting during a stop",
                 history().booking("k").stopping("entry-1").answer(1, TIMED_OUT).stopped("entry-1")
             },
+            {
+                "task given up while its agent stopped",
+                history().booking("k").start("k/0").answer(1, MAY_HAVE_RUN).stopping("agent-1").cut("k/0").stopped("agent-1")
+            },
+            {
+                "task cut at its deadline while its agent stopped",
+                history().booking("k").start("k/0").pause(9).stopping("agent-1").cut("k/0").stopped("agent-1")
+            },
             {"task cut by a kill", history().booking("k").start("k/0").cut("k/0")},
         };
     }
