--- a/bench/src/main/java/org/teaselhook/bench/history/HistoryEvent.java
+++ b/bench/src/main/java/org/teaselhook/bench/history/HistoryEvent.java
@@ -124,7 +124,14 @@
      * @param operation the operation id
      * @param atNanos when the answer came or the wait ended
      */
-    record ZoneChanged(String zone, boolean out, long sentNanos, OptionalLong version, String operation, long atNanos)
+    record ZoneChanged(
+            String zone,
+            boolean out,
+            long sentNanos,
+            OptionalLong version,
+            boolean changed,
+            String operation,
+            long atNanos)
             implements HistoryEvent {}
 
     /**
--- a/standin/src/main/java/org/teaselhook/standin/target/Announcer.java
+++ b/standin/src/main/java/org/teaselhook/standin/target/Announcer.java
@@ -1,5 +1,6 @@
 package org.teaselhook.standin.target;
 
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -40,10 +41,16 @@
         ObjectNode json = JsonNodeFactory.instance.objectNode();
         json.put("name", settings.name());
         json.put("service", settings.service());
-        json.put("address", settings.bind().getAddress().getHostAddress() + ":" + port);
+        json.put("address", address(settings, port));
         return json.toString().getBytes(StandardCharsets.UTF_8);
     }
 
+    private static String address(TargetSettings settings, int port) {
+        InetSocketAddress listened = new InetSocketAddress(settings.bind().getAddress(), port);
+        InetSocketAddress address = settings.announced().orElse(listened);
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
     synchronized void start(EventLoops loops) {
         schedule = loops.group().next().scheduleAtFixedRate(this::announce, 0, INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
--- a/standin/src/main/java/org/teaselhook/standin/target/TargetServer.java
+++ b/standin/src/main/java/org/teaselhook/standin/target/TargetServer.java
@@ -1,5 +1,6 @@
 package org.teaselhook.standin.target;
 
+import java.nio.charset.StandardCharsets;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -183,6 +184,7 @@
 
     private CompletionStage<HttpReply> run(HttpCall call, TaskStart start, TargetBehaviour current) {
         CompletableFuture<HttpReply> reply = new CompletableFuture<>();
+        call.closed().thenRun(() -> closed(start, reply));
         ThreadLocalRandom random = ThreadLocalRandom.current();
         if (random.nextDouble() < current.silenceShare()) {
             return reply;
@@ -191,12 +193,18 @@
         boolean fails = current.failsAtOnce() || random.nextDouble() < current.failureShare();
         double millis =
                 current.failsAtOnce() ? 0 : current.runTimeOf(start.kind()).sampleMillis(random);
-        HttpReply result = fails ? failed() : echo(call);
+        HttpReply result = fails ? failed() : answer(call, start);
         long nanos = (long) (millis * NANOS_PER_MILLI);
         loops.group().next().schedule(() -> end(start, reply, result), nanos, TimeUnit.NANOSECONDS);
         return reply;
     }
 
+    private void closed(TaskStart start, CompletableFuture<HttpReply> reply) {
+        if (!reply.isDone()) {
+            listener.cut(start);
+        }
+    }
+
     private void end(TaskStart start, CompletableFuture<HttpReply> reply, HttpReply result) {
         listener.ended(start, result.status(), System.currentTimeMillis());
         reply.complete(result);
@@ -215,7 +223,8 @@
                 Integer.parseInt(call.header("teaselhook-task").orElse("0")),
                 call.header("teaselhook-attempt").orElse(""),
                 nowMillis,
-                System.nanoTime());
+                System.nanoTime(),
+                call.body());
     }
 
     private static long startBy(HttpCall call) {
@@ -230,7 +239,12 @@
         return HttpReply.of(500, "text/plain", "the task failed\n");
     }
 
-    private static HttpReply echo(HttpCall call) {
-        return HttpReply.of(200, call.header("content-type").orElse("application/octet-stream"), call.body());
+    private HttpReply answer(HttpCall call, TaskStart start) {
+        String contentType = call.header("content-type").orElse("application/octet-stream");
+        if (settings.namesAttempt()) {
+            String body = new String(call.body(), StandardCharsets.UTF_8);
+            return HttpReply.of(200, contentType, body + ' ' + start.attempt());
+        }
+        return HttpReply.of(200, contentType, call.body());
     }
 }
--- a/standin/src/main/java/org/teaselhook/standin/target/TaskListener.java
+++ b/standin/src/main/java/org/teaselhook/standin/target/TaskListener.java
@@ -21,6 +21,15 @@
      */
     void ended(TaskStart start, int status, long wallMillis);
 
+    /**
+     * Called when the connection of a task closes before the target has answered.
+     *
+     * @param start the start
+     */
+    default void cut(TaskStart start) {
+        // nothing is recorded
+    }
+
     /**
      * Returns a listener that does nothing.
      *
--- a/standin/src/main/java/org/teaselhook/standin/target/TaskStart.java
+++ b/standin/src/main/java/org/teaselhook/standin/target/TaskStart.java
@@ -13,6 +13,7 @@
  * @param attempt names the dispatch: the entry's run and the dispatch number
  * @param wallMillis the wall-clock time of the start, in milliseconds since the epoch
  * @param monotonicNanos the monotonic time of the start, in nanoseconds of this machine
+ * @param body the task's body, which must not be changed
  */
 public record TaskStart(
         String target,
@@ -24,4 +25,5 @@
         int taskIndex,
         String attempt,
         long wallMillis,
-        long monotonicNanos) {}
+        long monotonicNanos,
+        byte[] body) {}
