--- a/standin/src/main/java/org/teaselhook/standin/target/TargetBehaviour.java
+++ b/standin/src/main/java/org/teaselhook/standin/target/TargetBehaviour.java
@@ -18,7 +18,6 @@
  * @param failsAtOnce whether every task fails without running
  * @param slowFactor multiplies every run time
  * @param honoursStartBy whether a task that arrives past its start-by time is refused
- * @param answersAttempt whether the answer is the body, a line feed and the attempt, in place of the body alone
  */
 public record TargetBehaviour(
         RunTime runTime,
@@ -27,8 +26,7 @@
         double silenceShare,
         boolean failsAtOnce,
         double slowFactor,
-        boolean honoursStartBy,
-        boolean answersAttempt) {
+        boolean honoursStartBy) {
 
     /** Copies the map. */
     public TargetBehaviour {
@@ -45,7 +43,7 @@
      * @return the behaviour
      */
     public static TargetBehaviour of(RunTime runTime) {
-        return new TargetBehaviour(runTime, Map.of(), 0, 0, false, 1, true, false);
+        return new TargetBehaviour(runTime, Map.of(), 0, 0, false, 1, true);
     }
 
     // -- transformations
@@ -60,8 +58,7 @@
     public TargetBehaviour with(String kind, RunTime time) {
         Map<String, RunTime> times = new HashMap<>(runTimeByKind);
         times.put(kind, time);
-        return new TargetBehaviour(
-                runTime, times, failureShare, silenceShare, failsAtOnce, slowFactor, honoursStartBy, answersAttempt);
+        return new TargetBehaviour(runTime, times, failureShare, silenceShare, failsAtOnce, slowFactor, honoursStartBy);
     }
 
     /**
@@ -72,7 +69,7 @@
      */
     public TargetBehaviour failing(double share) {
         return new TargetBehaviour(
-                runTime, runTimeByKind, share, silenceShare, failsAtOnce, slowFactor, honoursStartBy, answersAttempt);
+                runTime, runTimeByKind, share, silenceShare, failsAtOnce, slowFactor, honoursStartBy);
     }
 
     /**
@@ -83,7 +80,7 @@
      */
     public TargetBehaviour silent(double share) {
         return new TargetBehaviour(
-                runTime, runTimeByKind, failureShare, share, failsAtOnce, slowFactor, honoursStartBy, answersAttempt);
+                runTime, runTimeByKind, failureShare, share, failsAtOnce, slowFactor, honoursStartBy);
     }
 
     /**
@@ -94,7 +91,7 @@
      */
     public TargetBehaviour failingAtOnce(boolean fails) {
         return new TargetBehaviour(
-                runTime, runTimeByKind, failureShare, silenceShare, fails, slowFactor, honoursStartBy, answersAttempt);
+                runTime, runTimeByKind, failureShare, silenceShare, fails, slowFactor, honoursStartBy);
     }
 
     /**
@@ -105,14 +102,7 @@
      */
     public TargetBehaviour slowedBy(double factor) {
         return new TargetBehaviour(
-                runTime,
-                runTimeByKind,
-                failureShare,
-                silenceShare,
-                failsAtOnce,
-                factor,
-                honoursStartBy,
-                answersAttempt);
+                runTime, runTimeByKind, failureShare, silenceShare, failsAtOnce, factor, honoursStartBy);
     }
 
     /**
@@ -123,18 +113,7 @@
      */
     public TargetBehaviour honouringStartBy(boolean honours) {
         return new TargetBehaviour(
-                runTime, runTimeByKind, failureShare, silenceShare, failsAtOnce, slowFactor, honours, answersAttempt);
-    }
-
-    /**
-     * Says whether the answer names the attempt.
-     *
-     * @param answers true to answer the body, a line feed and the attempt
-     * @return a new behaviour
-     */
-    public TargetBehaviour answeringAttempt(boolean answers) {
-        return new TargetBehaviour(
-                runTime, runTimeByKind, failureShare, silenceShare, failsAtOnce, slowFactor, honoursStartBy, answers);
+                runTime, runTimeByKind, failureShare, silenceShare, failsAtOnce, slowFactor, honours);
     }
 
     RunTime runTimeOf(String kind) {
