Add ctl: rules check, show, apply and history, zone out and in, status

Each change carries an operation id; ctl tries the next entry under the same id, so a lost answer is settled and not applied again. Exit codes tell refused, conflicting, unreachable, unsettled and not yet in force apart.

--- /dev/null
+++ b/app/src/main/java/org/teaselhook/app/ctl/RulesApplyCommand.java
@@ -0,0 +1,59 @@
+package org.teaselhook.app.ctl;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+
+import org.teaselhook.node.admin.AdminHeaders;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/**
+ * Replaces the rules file.
+ */
+@Command(
+        name = "apply",
+        description = "Replaces the rules file, if the version that it was made from is still the current one.",
+        mixinStandardHelpOptions = true)
+final class RulesApplyCommand implements Callable<Integer> {
+
+    @Mixin
+    private EntryOptions entries;
+
+    @Mixin
+    private ChangeOptions change;
+
+    @Mixin
+    private Output output;
+
+    @Option(
+            names = "--expect",
+            required = true,
+            paramLabel = "VERSION",
+            description = "The version from which the file was made, as printed by `ctl rules show`; 0 for the first.")
+    private long expected;
+
+    @Parameters(paramLabel = "FILE", description = "The new rules file.")
+    private Path path;
+
+    @Override
+    public Integer call() {
+        RulesFile file = new RulesFile(path, output);
+        Optional<String> text = file.read();
+        if (text.isEmpty()) {
+            return ExitCode.FAILED.code();
+        }
+        if (!file.isSound(text.get())) {
+            return ExitCode.BAD_RULES.code();
+        }
+        Map<String, String> headers = Map.of(AdminHeaders.EXPECTED_VERSION, Long.toString(expected));
+        byte[] body = text.get().getBytes(StandardCharsets.UTF_8);
+        return new Changes(entries, change, output)
+                .make("PUT", "/v1/admin/rules", headers, body)
+                .code();
+    }
+}
--- /dev/null
+++ b/app/src/main/java/org/teaselhook/app/ctl/RulesCheckCommand.java
@@ -0,0 +1,43 @@
+package org.teaselhook.app.ctl;
+
+import java.nio.file.Path;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Parameters;
+
+/**
+ * Checks a rules file without asking any entry.
+ */
+@Command(
+        name = "check",
+        description = "Checks a rules file offline and names every bad line.",
+        mixinStandardHelpOptions = true)
+final class RulesCheckCommand implements Callable<Integer> {
+
+    @Mixin
+    private Output output;
+
+    @Parameters(paramLabel = "FILE", description = "The rules file.")
+    private Path path;
+
+    @Override
+    public Integer call() {
+        RulesFile file = new RulesFile(path, output);
+        Optional<String> text = file.read();
+        if (text.isEmpty()) {
+            return ExitCode.FAILED.code();
+        }
+        if (!file.isSound(text.get())) {
+            return ExitCode.BAD_RULES.code();
+        }
+        if (output.isJson()) {
+            output.print(Output.object().put("outcome", ExitCode.DONE.name()));
+        } else {
+            output.out().println(path + ": every line is sound");
+        }
+        return ExitCode.DONE.code();
+    }
+}
--- /dev/null
+++ b/app/src/main/java/org/teaselhook/app/ctl/ZoneCommand.java
@@ -0,0 +1,64 @@
+package org.teaselhook.app.ctl;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+
+import org.teaselhook.core.rules.RuleName;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/**
+ * Takes availability zones out of service and brings them back.
+ */
+@Command(
+        name = "zone",
+        description = "Takes an availability zone out of service or brings it back.",
+        mixinStandardHelpOptions = true)
+final class ZoneCommand implements Runnable {
+
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public void run() {
+        throw new ParameterException(spec.commandLine(), "name a subcommand: out or in");
+    }
+
+    @Command(name = "out", description = "Takes an availability zone out of service.", mixinStandardHelpOptions = true)
+    int out(
+            @Mixin EntryOptions entries,
+            @Mixin ChangeOptions change,
+            @Mixin Output output,
+            @Option(
+                            names = "--why",
+                            paramLabel = "REASON",
+                            defaultValue = "",
+                            description = "The reason, kept as the" + " comment of the line.")
+                    String why,
+            @Parameters(paramLabel = "ZONE", description = "The availability zone's name.") String zone) {
+        return change(new Changes(entries, change, output), zone, "out", why);
+    }
+
+    @Command(name = "in", description = "Brings an availability zone back.", mixinStandardHelpOptions = true)
+    int in(
+            @Mixin EntryOptions entries,
+            @Mixin ChangeOptions change,
+            @Mixin Output output,
+            @Parameters(paramLabel = "ZONE", description = "The availability zone's name.") String zone) {
+        return change(new Changes(entries, change, output), zone, "in", "");
+    }
+
+    private int change(Changes changes, String zone, String direction, String body) {
+        if (!RuleName.isValid(zone)) {
+            throw new ParameterException(spec.commandLine(), "not a zone's name: " + zone + "; " + RuleName.REMEDY);
+        }
+        String path = "/v1/admin/zones/" + zone + "/" + direction;
+        return changes.make("POST", path, Map.of(), body.getBytes(StandardCharsets.UTF_8))
+                .code();
+    }
+}
--- a/node/src/main/java/org/teaselhook/node/admin/AdminHandler.java
+++ b/node/src/main/java/org/teaselhook/node/admin/AdminHandler.java
@@ -121,7 +121,7 @@
     }
 
     private CompletionStage<HttpReply> zoneOut(HttpCall call, String zone) {
-        String why = call.parameter("why").orElse("");
+        String why = new String(call.body(), StandardCharsets.UTF_8);
         return operated(
                 call,
                 operation -> store.edit(
--- a/node/src/test/java/org/teaselhook/node/config/FaultyTable.java
+++ b/node/src/test/java/org/teaselhook/node/config/FaultyTable.java
@@ -3,11 +3,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
-import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Supplier;
 
+import org.teaselhook.core.table.InMemoryTable;
 import org.teaselhook.core.table.Row;
 import org.teaselhook.core.table.TableResult;
 import org.teaselhook.core.table.TableService;
@@ -19,8 +19,9 @@
  */
 final class FaultyTable implements TableService {
 
-    private final TreeMap<String, Row> rows = new TreeMap<>();
-    private final TreeMap<String, Long> versions = new TreeMap<>();
+    private static final int MAX_ROWS = 1_000;
+
+    private final InMemoryTable rows = InMemoryTable.empty();
     private final List<Runnable> pending = new ArrayList<>();
     private final Random random;
     private int faultPercent;
@@ -49,25 +50,21 @@
     }
 
     Row row(String key) {
-        return rows.get(key);
+        return ((TableResult.Found) rows.read(key)).row();
     }
 
     List<Row> range(String from, String to) {
-        return List.copyOf(rows.subMap(from, to).values());
+        return ((TableResult.Rows) rows.scan(from, to, MAX_ROWS)).rows();
     }
 
     @Override
     public CompletionStage<TableResult> read(String key) {
-        return request(() -> {
-            Row row = rows.get(key);
-            return row == null ? new TableResult.NotFound() : new TableResult.Found(row);
-        });
+        return request(() -> rows.read(key));
     }
 
     @Override
     public CompletionStage<TableResult> scan(String fromInclusive, String toExclusive, int limit) {
-        return request(() -> new TableResult.Rows(
-                range(fromInclusive, toExclusive).stream().limit(limit).toList()));
+        return request(() -> rows.scan(fromInclusive, toExclusive, limit));
     }
 
     @Override
@@ -75,22 +72,12 @@
         return request(() -> applyNow(transaction));
     }
 
-    TableResult applyNow(Transaction transaction) {
-        for (Transaction.Condition condition : transaction.conditions()) {
-            Row row = rows.get(condition.key());
-            if ((row == null ? 0 : row.version()) != condition.version()) {
-                return new TableResult.Conflict(condition.key());
-            }
+    private TableResult applyNow(Transaction transaction) {
+        TableResult result = rows.commit(transaction);
+        if (result instanceof TableResult.Committed) {
+            afterCommit.run();
         }
-        transaction.writes().forEach(this::write);
-        afterCommit.run();
-        return new TableResult.Committed();
-    }
-
-    private void write(Transaction.Write write) {
-        long version = versions.merge(write.key(), 1L, Long::sum);
-        rows.remove(write.key());
-        write.value().ifPresent(value -> rows.put(write.key(), new Row(write.key(), version, value)));
+        return result;
     }
 
     private CompletionStage<TableResult> request(Supplier<TableResult> effect) {
