--- a/node/src/main/java/org/teaselhook/node/session/AgentSessions.java
+++ b/node/src/main/java/org/teaselhook/node/session/AgentSessions.java
@@ -274,7 +274,9 @@
     }
 
     private EntryFrame heartbeatFrame(long nowNanos, AgentSession session) {
-        return EntryFrame.newBuilder().setHeartbeat(heartbeat(nowNanos, session)).build();
+        return EntryFrame.newBuilder()
+                .setHeartbeat(heartbeat(nowNanos, session))
+                .build();
     }
 
     private EntryHeartbeat heartbeat(long nowNanos, AgentSession session) {
--- /dev/null
+++ b/node/src/test/java/org/teaselhook/node/agent/AgentFixture.java
@@ -0,0 +1,153 @@
+package org.teaselhook.node.agent;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.teaselhook.core.id.Incarnation;
+import org.teaselhook.net.http.HttpReply;
+import org.teaselhook.net.http.HttpResult;
+import org.teaselhook.wire.Ack;
+import org.teaselhook.wire.ConfigDocument;
+import org.teaselhook.wire.Dispatch;
+import org.teaselhook.wire.EntryFrame;
+import org.teaselhook.wire.EntryHeartbeat;
+import org.teaselhook.wire.EntryHello;
+
+/** An agent's control part with streams and targets that tests drive, and a clock that they set. */
+final class AgentFixture {
+
+    static final Incarnation AGENT = Incarnation.of(1);
+    static final Incarnation ENTRY = Incarnation.of(2);
+    static final InetSocketAddress ADDRESS = new InetSocketAddress("127.0.0.1", 9_090);
+    static final int SLOTS = 4;
+    static final HttpResult DONE = new HttpResult.Replied(HttpReply.of(200, "text/plain", "done"));
+
+    private static final long START_NANOS = TimeUnit.HOURS.toNanos(1);
+    private static final InetSocketAddress TARGET = new InetSocketAddress("127.0.0.1", 7_000);
+
+    final AgentControl control;
+    final EntryLinks links;
+    final List<FakeStream> dialed = new ArrayList<>();
+    final List<Long> startedNumbers = new ArrayList<>();
+    final List<CompletableFuture<HttpResult>> replies = new ArrayList<>();
+    long nowNanos = START_NANOS;
+
+    AgentFixture() {
+        AgentIdentity identity = new AgentIdentity("worker-1", AGENT, "thrissur", "rack-1", SLOTS);
+        control = new AgentControl(
+                identity,
+                (target, entry, task, startBy, timeout) -> {
+                    startedNumbers.add(task.getDispatch());
+                    replies.add(new CompletableFuture<>());
+                    return replies.get(replies.size() - 1);
+                },
+                (task, result) -> finish(task, result),
+                new AgentMetrics(AgentStatus::initial));
+        links = new EntryLinks(this::dial, new NoEvents(), control, List.of(ADDRESS), nowNanos);
+    }
+
+    private FakeStream dial(InetSocketAddress address, StreamEvents events) {
+        FakeStream stream = new FakeStream(address);
+        dialed.add(stream);
+        return stream;
+    }
+
+    private void finish(RunningTask task, HttpResult result) {
+        control.finished(task, result, nowNanos);
+    }
+
+    // -- steps
+
+    /** Connects the entry, with a configuration and a target. */
+    FakeStream ready() {
+        links.tick(nowNanos);
+        FakeStream stream = last();
+        hello(stream, ENTRY);
+        configure(stream, 1, "");
+        announce();
+        return stream;
+    }
+
+    FakeStream last() {
+        return dialed.get(dialed.size() - 1);
+    }
+
+    void announce() {
+        control.announce("lab-1", "patchdesk", TARGET, nowNanos);
+    }
+
+    void advanceMillis(long millis) {
+        nowNanos += TimeUnit.MILLISECONDS.toNanos(millis);
+        control.tick(nowNanos);
+        links.tick(nowNanos);
+    }
+
+    void hello(FakeStream stream, Incarnation entry, long... inProgress) {
+        EntryHello.Builder hello = EntryHello.newBuilder()
+                .setName("entry")
+                .setIncarnation(entry.value())
+                .setState(EntryHeartbeat.newBuilder().setEchoAgentNanos(nowNanos));
+        for (long number : inProgress) {
+            hello.addInProgress(number);
+        }
+        receive(stream, EntryFrame.newBuilder().setHello(hello).build());
+    }
+
+    void configure(FakeStream stream, long version, String text) {
+        ConfigDocument document =
+                ConfigDocument.newBuilder().setVersion(version).setText(text).build();
+        receive(stream, EntryFrame.newBuilder().setConfig(document).build());
+    }
+
+    void heartbeat(FakeStream stream, String... entries) {
+        EntryHeartbeat heartbeat = EntryHeartbeat.newBuilder()
+                .setEchoAgentNanos(nowNanos)
+                .addAllEntries(List.of(entries))
+                .build();
+        receive(stream, EntryFrame.newBuilder().setHeartbeat(heartbeat).build());
+    }
+
+    void dispatch(FakeStream stream, long number) {
+        dispatch(stream, number, nowNanos);
+    }
+
+    void dispatch(FakeStream stream, long number, long echoNanos) {
+        Dispatch task = Dispatch.newBuilder()
+                .setDispatch(number)
+                .setAgentIncarnation(AGENT.value())
+                .setEchoAgentNanos(echoNanos)
+                .setStartByAgentNanos(nowNanos + TimeUnit.SECONDS.toNanos(1))
+                .setFinishByAgentNanos(nowNanos + TimeUnit.SECONDS.toNanos(5))
+                .setConfigVersion(1)
+                .setService("patchdesk")
+                .setKind("quote")
+                .setGranted(true)
+                .build();
+        receive(stream, EntryFrame.newBuilder().setDispatch(task).build());
+    }
+
+    void acknowledge(FakeStream stream, long number) {
+        Ack ack = Ack.newBuilder().addDispatch(number).build();
+        receive(stream, EntryFrame.newBuilder().setAck(ack).build());
+    }
+
+    void receive(FakeStream stream, EntryFrame frame) {
+        links.received(stream, frame, new AgentTime(0, nowNanos));
+    }
+
+    private static final class NoEvents implements StreamEvents {
+
+        @Override
+        public void received(EntryStream stream, EntryFrame frame) {
+            throw new AssertionError("tests call the links themselves");
+        }
+
+        @Override
+        public void ended(EntryStream stream, String reason) {
+            throw new AssertionError("tests call the links themselves");
+        }
+    }
+}
