Give an entry that connects later its part of the idle slots

An entry that connected after the others held no idle slot until one of them ended a task, since free slots are spread only when they become free. The agent now asks for idle slots back on its tick while no entry wants more.

--- a/core/src/main/java/org/teaselhook/core/grant/GrantSharing.java
+++ b/core/src/main/java/org/teaselhook/core/grant/GrantSharing.java
@@ -154,6 +154,24 @@
 
     // -- decisions
 
+    /**
+     * Asks for idle grants back where entries hold unequal numbers of them and none wants more, so that an entry that
+     * connected later gets its part. {@link #share} returns the change. To be called now and then.
+     *
+     * @param nowNanos the present time on the monotonic clock
+     */
+    public void rebalance(long nowNanos) {
+        Optional<EntryShare> poorest = takingIdle().min(LEAST_SPARE);
+        Optional<EntryShare> richest = connected().max(LEAST_SPARE);
+        if (!open || poorest.isEmpty() || wanting().findAny().isPresent() || reclaiming() > 0) {
+            return;
+        }
+        int moved = (richest.get().spare() - poorest.get().spare()) / 2;
+        for (int i = 0; i < moved; i++) {
+            richest.get().reclaim(nowNanos);
+        }
+    }
+
     /**
      * Grants the free slots and asks for idle ones back where another entry wants more.
      *
@@ -266,6 +284,10 @@
         return shares.values().stream().filter(EntryShare::connected);
     }
 
+    private Stream<EntryShare> takingIdle() {
+        return shares.values().stream().filter(EntryShare::takesIdle);
+    }
+
     private Stream<EntryShare> wanting() {
         return shares.values().stream().filter(EntryShare::wantsMore);
     }
--- a/core/src/test/java/org/teaselhook/core/grant/GrantSharingTest.java
+++ b/core/src/test/java/org/teaselhook/core/grant/GrantSharingTest.java
@@ -40,6 +40,21 @@
         assertEquals(sharing.share(NOW), List.of());
     }
 
+    @Test
+    public void shouldGiveALaterEntryItsPart() {
+        GrantSharing sharing = connected(A);
+        sharing.share(NOW);
+        sharing.connect(B);
+
+        sharing.rebalance(NOW);
+        assertEquals(sharing.share(NOW), List.of(new GrantChange(A, 0, 4)));
+        sharing.rebalance(NOW);
+        sharing.giveBack(A, 4);
+        assertEquals(sharing.share(NOW), List.of(new GrantChange(B, 4, 0)));
+        sharing.rebalance(NOW);
+        assertEquals(sharing.share(NOW), List.of());
+    }
+
     @Test
     public void shouldPassIdleGrantsToTheEntryThatWants() {
         GrantSharing sharing = connected(A, B);
@@ -156,6 +171,7 @@
                     }
                 }
             }
+            sharing.rebalance(NOW + step * 1_000_000L);
             sharing.share(NOW + step * 1_000_000L);
             int total = running.values().stream().mapToInt(n -> n).sum();
             assertEquals(sharing.running(), total, "seed " + seed + " step " + step);
--- a/node/src/main/java/org/teaselhook/node/agent/AgentControl.java
+++ b/node/src/main/java/org/teaselhook/node/agent/AgentControl.java
@@ -326,6 +326,7 @@
         }
         entries.forEach((id, entry) -> retireIfAbandoned(id, entry, nowNanos));
         entries.values().removeIf(entry -> entry.isAbandoned(nowNanos, KEEP_NANOS));
+        sharing.rebalance(nowNanos);
         shareSlots(nowNanos);
     }
 
--- a/node/src/test/java/org/teaselhook/node/agent/AgentControlTest.java
+++ b/node/src/test/java/org/teaselhook/node/agent/AgentControlTest.java
@@ -269,12 +269,15 @@
         agent.advanceMillis(1);
         FakeStream second = agent.last();
         agent.hello(second, Incarnation.of(7));
+        agent.advanceMillis(1);
+        agent.giveBack(first, 2);
 
         agent.dispatch(first, 1);
         agent.dispatch(second, 1);
 
         assertEquals(agent.startedNumbers, List.of(1L, 1L));
-        assertTrue(first.granted() + second.granted() <= AgentFixture.SLOTS + 2, "slots granted twice");
+        assertEquals(first.granted(), AgentFixture.SLOTS);
+        assertEquals(second.granted(), 2);
     }
 
     private static void cancel(AgentFixture agent, FakeStream stream, long number) {
--- a/node/src/test/java/org/teaselhook/node/agent/AgentFixture.java
+++ b/node/src/test/java/org/teaselhook/node/agent/AgentFixture.java
@@ -15,6 +15,7 @@
 import org.teaselhook.wire.EntryFrame;
 import org.teaselhook.wire.EntryHeartbeat;
 import org.teaselhook.wire.EntryHello;
+import org.teaselhook.wire.GrantReturn;
 
 /** An agent's control part with streams and targets that tests drive, and a clock that they set. */
 final class AgentFixture {
@@ -134,6 +135,11 @@
         receive(stream, EntryFrame.newBuilder().setAck(ack).build());
     }
 
+    void giveBack(FakeStream stream, int slots) {
+        GrantReturn answer = GrantReturn.newBuilder().setSlots(slots).build();
+        receive(stream, EntryFrame.newBuilder().setGrantReturn(answer).build());
+    }
+
     void receive(FakeStream stream, EntryFrame frame) {
         links.received(stream, frame, new AgentTime(0, nowNanos));
     }
