--- a/bench/src/main/java/org/teaselhook/bench/failure/TicketPool.java
+++ b/bench/src/main/java/org/teaselhook/bench/failure/TicketPool.java
@@ -17,7 +17,7 @@
 import org.teaselhook.net.http.HttpResult;
 
 /** Tickets fetched ahead from one entry. Thread-safe. */
-final class TicketPool {
+public final class TicketPool {
 
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final int BATCH = 20;
@@ -30,13 +30,24 @@
     private final Deque<Fetched> tickets = new ArrayDeque<>();
     private boolean fetching;
 
-    TicketPool(HttpClient client, InetSocketAddress entry) {
+    /**
+     * Creates a pool that fetches its first tickets when one is asked for.
+     *
+     * @param client sends the requests
+     * @param entry the entry's HTTP address
+     */
+    public TicketPool(HttpClient client, InetSocketAddress entry) {
         this.client = client;
         this.entry = entry;
     }
 
-    /** Takes a ticket; empty if none is at hand. */
-    synchronized Optional<String> take(long nowNanos) {
+    /**
+     * Takes a ticket and fetches more when few are left.
+     *
+     * @param nowNanos the present time, on any clock that is always the same
+     * @return a ticket, or empty if none is at hand
+     */
+    public synchronized Optional<String> take(long nowNanos) {
         while (!tickets.isEmpty() && nowNanos - tickets.peek().atNanos > MAX_AGE_NANOS) {
             tickets.poll();
         }
--- /dev/null
+++ b/bench/src/main/java/org/teaselhook/bench/load/FaultAction.java
@@ -0,0 +1,67 @@
+package org.teaselhook.bench.load;
+
+import org.teaselhook.bench.process.Operators;
+import org.teaselhook.bench.process.Site;
+import org.teaselhook.standin.table.TableFaults;
+import org.teaselhook.standin.target.TargetBehaviour;
+
+/** What goes wrong at a site, and how it ends. */
+enum FaultAction {
+    ZONE_OUT {
+        @Override
+        void apply(Site site) {
+            changeZone(site, true);
+        }
+    },
+    ZONE_IN {
+        @Override
+        void apply(Site site) {
+            changeZone(site, false);
+        }
+    },
+    TABLE_OUT {
+        @Override
+        void apply(Site site) {
+            site.table().faults(TableFaults.none().withOutage(TableFaults.Outage.SILENT));
+        }
+    },
+    TABLE_BACK {
+        @Override
+        void apply(Site site) {
+            site.table().faults(LoadRun.TABLE);
+        }
+    },
+    FAIL_EVERYTHING {
+        @Override
+        void apply(Site site) {
+            behave(site, LoadRun.SOUND.failingAtOnce(true));
+        }
+    },
+    SLOW_DOWN {
+        @Override
+        void apply(Site site) {
+            behave(site, LoadRun.SOUND.slowedBy(SLOW_FACTOR));
+        }
+    },
+    RECOVER {
+        @Override
+        void apply(Site site) {
+            behave(site, LoadRun.SOUND);
+        }
+    };
+
+    private static final double SLOW_FACTOR = 8;
+
+    abstract void apply(Site site);
+
+    private static void changeZone(Site site, boolean out) {
+        Operators operators =
+                Operators.of(site.client(), site.entries().get(0).http());
+        String operation = "measurement-" + (out ? "out" : "in");
+        operators.changeZone(site.plan().zone(0), out, operation);
+    }
+
+    private static void behave(Site site, TargetBehaviour behaviour) {
+        site.agents().get(0).target().behaveAs(behaviour);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/teaselhook/bench/load/OrderSink.java
@@ -0,0 +1,58 @@
+package org.teaselhook.bench.load;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+import org.teaselhook.core.dispatch.Decision;
+import org.teaselhook.core.dispatch.DispatchOrder;
+import org.teaselhook.core.dispatch.DispatchOutput;
+import org.teaselhook.core.id.Incarnation;
+import org.teaselhook.core.outcome.Outcome;
+
+/** Keeps the orders in progress, oldest first, and drops all other effects. */
+final class OrderSink implements DispatchOutput {
+
+    /** An order in progress. */
+    record Sent(Incarnation agent, long number) {}
+
+    private final Deque<Sent> sent = new ArrayDeque<>();
+
+    Sent take() {
+        return sent.remove();
+    }
+
+    @Override
+    public void dispatch(DispatchOrder order) {
+        sent.add(new Sent(order.agent(), order.number()));
+    }
+
+    @Override
+    public void cancel(Incarnation agent, long number) {
+        // Nothing runs.
+    }
+
+    @Override
+    public void ack(Incarnation agent, long number) {
+        // Nothing is kept.
+    }
+
+    @Override
+    public void answered(String submissionId, Outcome outcome) {
+        // Nobody waits.
+    }
+
+    @Override
+    public void returnGrants(Incarnation agent, int slots) {
+        // Every slot is granted again by the measurement itself.
+    }
+
+    @Override
+    public void want(Incarnation agent, int slots) {
+        // Every slot is granted again by the measurement itself.
+    }
+
+    @Override
+    public void decided(Decision decision) {
+        // Not logged.
+    }
+}
--- a/bench/src/main/java/org/teaselhook/bench/process/Site.java
+++ b/bench/src/main/java/org/teaselhook/bench/process/Site.java
@@ -205,7 +205,7 @@
         List<InetSocketAddress> peers =
                 links.stream().filter(link -> link != own).map(Link::address).toList();
         Path settings = new SiteSettings(directory)
-                .entry(name, plan.zone(index), http, grpc, own.address(), tableLink.address(), peers);
+                .entry(name, plan.zone(index), http, grpc, own.address(), tableLink.address(), peers, plan.policy());
         return new EntryNode(process(name, "entry", settings), plan.zone(index), http, relays.before(http), own);
     }
 
--- a/bench/src/main/java/org/teaselhook/bench/process/SitePlan.java
+++ b/bench/src/main/java/org/teaselhook/bench/process/SitePlan.java
@@ -14,9 +14,10 @@
  * @param service the service that every target serves
  * @param rules the text of the rules file in force from the start
  * @param relayed whether connections between processes, to the table service and to targets pass relays
+ * @param policy the entries' placement policy, as in their settings
  */
 public record SitePlan(
-        int entries, int agents, int slots, List<String> zones, String service, String rules, boolean relayed) {
+        int entries, int agents, int slots, List<String> zones, String service, String rules, boolean relayed, String policy) {
 
     /** The service of {@link #standard()}. */
     public static final String SERVICE = "patchdesk";
@@ -26,6 +27,7 @@
     public static final String ONCE_KIND = "booking";
 
     private static final List<String> ZONES = List.of("ernakulam", "thrissur", "kottayam");
+    private static final String POLICY = "grants";
     private static final String RULES =
             """
             kind patchdesk photo-check idempotent timeout=5s run=100ms  # Meera: callers on the line
@@ -46,7 +48,7 @@
      * @return the plan
      */
     public static SitePlan standard() {
-        return new SitePlan(3, 6, 8, ZONES, SERVICE, RULES, true);
+        return new SitePlan(3, 6, 8, ZONES, SERVICE, RULES, true, POLICY);
     }
 
     // -- transformations
@@ -59,7 +61,7 @@
      * @return a new plan
      */
     public SitePlan withProcesses(int entryCount, int agentCount) {
-        return new SitePlan(entryCount, agentCount, slots, zones, service, rules, relayed);
+        return new SitePlan(entryCount, agentCount, slots, zones, service, rules, relayed, policy);
     }
 
     /**
@@ -69,7 +71,7 @@
      * @return a new plan
      */
     public SitePlan withSlots(int count) {
-        return new SitePlan(entries, agents, count, zones, service, rules, relayed);
+        return new SitePlan(entries, agents, count, zones, service, rules, relayed, policy);
     }
 
     /**
@@ -79,7 +81,7 @@
      * @return a new plan
      */
     public SitePlan withRules(String text) {
-        return new SitePlan(entries, agents, slots, zones, service, text, relayed);
+        return new SitePlan(entries, agents, slots, zones, service, text, relayed, policy);
     }
 
     /**
@@ -88,7 +90,17 @@
      * @return a new plan
      */
     public SitePlan withoutRelays() {
-        return new SitePlan(entries, agents, slots, zones, service, rules, false);
+        return new SitePlan(entries, agents, slots, zones, service, rules, false, policy);
+    }
+
+    /**
+     * Changes the placement policy.
+     *
+     * @param name the policy's name, as in the entries' settings
+     * @return a new plan
+     */
+    public SitePlan withPolicy(String name) {
+        return new SitePlan(entries, agents, slots, zones, service, rules, relayed, name);
     }
 
     // -- accessors
--- a/bench/src/main/java/org/teaselhook/bench/process/SiteSettings.java
+++ b/bench/src/main/java/org/teaselhook/bench/process/SiteSettings.java
@@ -24,7 +24,8 @@
             InetSocketAddress grpc,
             InetSocketAddress advertisedGrpc,
             InetSocketAddress table,
-            List<InetSocketAddress> peers) {
+            List<InetSocketAddress> peers,
+            String policy) {
         String yaml =
                 """
                 name: %s
@@ -34,8 +35,9 @@
                 advertised-grpc: %s
                 table: [%s]
                 peers: [%s]
+                placement-policy: %s
                 """
-                        .formatted(name, zone, text(http), text(grpc), text(advertisedGrpc), text(table), text(peers));
+                        .formatted(name, zone, text(http), text(grpc), text(advertisedGrpc), text(table), text(peers), policy);
         return write(name, yaml);
     }
 
--- a/standin/src/main/java/org/teaselhook/standin/target/TargetBehaviour.java
+++ b/standin/src/main/java/org/teaselhook/standin/target/TargetBehaviour.java
@@ -1,8 +1,11 @@
 package org.teaselhook.standin.target;
 
+import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
+import java.util.OptionalDouble;
+import java.util.random.RandomGenerator;
 
 /**
  * How a target treats the tasks that it gets.
@@ -18,6 +21,7 @@
  * @param failsAtOnce whether every task fails without running
  * @param slowFactor multiplies every run time
  * @param honoursStartBy whether a task that arrives past its start-by time is refused
+ * @param runTimeInBody whether a body that starts with a number and a space names the run time in milliseconds
  */
 public record TargetBehaviour(
         RunTime runTime,
@@ -26,7 +30,10 @@
         double silenceShare,
         boolean failsAtOnce,
         double slowFactor,
-        boolean honoursStartBy) {
+        boolean honoursStartBy,
+        boolean runTimeInBody) {
+
+    private static final int LONGEST_NUMBER = 20;
 
     /** Copies the map. */
     public TargetBehaviour {
@@ -43,7 +50,7 @@
      * @return the behaviour
      */
     public static TargetBehaviour of(RunTime runTime) {
-        return new TargetBehaviour(runTime, Map.of(), 0, 0, false, 1, true);
+        return new TargetBehaviour(runTime, Map.of(), 0, 0, false, 1, true, false);
     }
 
     // -- transformations
@@ -58,7 +65,7 @@
     public TargetBehaviour with(String kind, RunTime time) {
         Map<String, RunTime> times = new HashMap<>(runTimeByKind);
         times.put(kind, time);
-        return new TargetBehaviour(runTime, times, failureShare, silenceShare, failsAtOnce, slowFactor, honoursStartBy);
+        return new TargetBehaviour(runTime, times, failureShare, silenceShare, failsAtOnce, slowFactor, honoursStartBy, runTimeInBody);
     }
 
     /**
@@ -69,7 +76,7 @@
      */
     public TargetBehaviour failing(double share) {
         return new TargetBehaviour(
-                runTime, runTimeByKind, share, silenceShare, failsAtOnce, slowFactor, honoursStartBy);
+                runTime, runTimeByKind, share, silenceShare, failsAtOnce, slowFactor, honoursStartBy, runTimeInBody);
     }
 
     /**
@@ -80,7 +87,7 @@
      */
     public TargetBehaviour silent(double share) {
         return new TargetBehaviour(
-                runTime, runTimeByKind, failureShare, share, failsAtOnce, slowFactor, honoursStartBy);
+                runTime, runTimeByKind, failureShare, share, failsAtOnce, slowFactor, honoursStartBy, runTimeInBody);
     }
 
     /**
@@ -91,7 +98,7 @@
      */
     public TargetBehaviour failingAtOnce(boolean fails) {
         return new TargetBehaviour(
-                runTime, runTimeByKind, failureShare, silenceShare, fails, slowFactor, honoursStartBy);
+                runTime, runTimeByKind, failureShare, silenceShare, fails, slowFactor, honoursStartBy, runTimeInBody);
     }
 
     /**
@@ -102,7 +109,7 @@
      */
     public TargetBehaviour slowedBy(double factor) {
         return new TargetBehaviour(
-                runTime, runTimeByKind, failureShare, silenceShare, failsAtOnce, factor, honoursStartBy);
+                runTime, runTimeByKind, failureShare, silenceShare, failsAtOnce, factor, honoursStartBy, runTimeInBody);
     }
 
     /**
@@ -113,7 +120,30 @@
      */
     public TargetBehaviour honouringStartBy(boolean honours) {
         return new TargetBehaviour(
-                runTime, runTimeByKind, failureShare, silenceShare, failsAtOnce, slowFactor, honours);
+                runTime, runTimeByKind, failureShare, silenceShare, failsAtOnce, slowFactor, honours, runTimeInBody);
+    }
+
+    /**
+     * Takes the run time of each task from its body, where that starts with a number of milliseconds and a space.
+     *
+     * @return a new behaviour
+     */
+    public TargetBehaviour readingRunTime() {
+        return new TargetBehaviour(
+                runTime, runTimeByKind, failureShare, silenceShare, failsAtOnce, slowFactor, honoursStartBy, true);
+    }
+
+    double millisOf(String kind, byte[] body, RandomGenerator random) {
+        OptionalDouble named = runTimeInBody ? leadingNumber(body) : OptionalDouble.empty();
+        return named.isPresent() ? named.getAsDouble() * slowFactor : runTimeOf(kind).sampleMillis(random);
+    }
+
+    private static OptionalDouble leadingNumber(byte[] body) {
+        String text = new String(body, 0, Math.min(body.length, LONGEST_NUMBER), StandardCharsets.US_ASCII);
+        int end = text.indexOf(' ');
+        return end > 0 && text.substring(0, end).matches("[0-9]+(\\.[0-9]+)?")
+                ? OptionalDouble.of(Double.parseDouble(text.substring(0, end)))
+                : OptionalDouble.empty();
     }
 
     RunTime runTimeOf(String kind) {
--- a/standin/src/main/java/org/teaselhook/standin/target/TargetServer.java
+++ b/standin/src/main/java/org/teaselhook/standin/target/TargetServer.java
@@ -189,8 +189,7 @@
         }
         running.incrementAndGet();
         boolean fails = current.failsAtOnce() || random.nextDouble() < current.failureShare();
-        double millis =
-                current.failsAtOnce() ? 0 : current.runTimeOf(start.kind()).sampleMillis(random);
+        double millis = current.failsAtOnce() ? 0 : current.millisOf(start.kind(), call.body(), random);
         HttpReply result = fails ? failed() : echo(call);
         long nanos = (long) (millis * NANOS_PER_MILLI);
         loops.group().next().schedule(() -> end(start, reply, result), nanos, TimeUnit.NANOSECONDS);
