--- a/bench/src/main/java/org/teaselhook/bench/load/LoadRun.java
+++ b/bench/src/main/java/org/teaselhook/bench/load/LoadRun.java
@@ -17,7 +17,7 @@
 final class LoadRun {
 
     static final TargetBehaviour SOUND =
-            TargetBehaviour.of(RunTime.uniform(50, 1_000)).readingRunTime();
+            TargetBehaviour.of(RunTime.inBody(RunTime.uniform(50, 1_000)));
     static final TableFaults TABLE = TableFaults.none().withLatency(2, 5);
     static final double HOP_MILLIS = 1;
 
--- a/standin/src/main/java/org/teaselhook/standin/target/TargetBehaviour.java
+++ b/standin/src/main/java/org/teaselhook/standin/target/TargetBehaviour.java
@@ -1,11 +1,8 @@
 package org.teaselhook.standin.target;
 
-import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
-import java.util.OptionalDouble;
-import java.util.random.RandomGenerator;
 
 /**
  * How a target treats the tasks that it gets.
@@ -21,7 +18,7 @@
  * @param failsAtOnce whether every task fails without running
  * @param slowFactor multiplies every run time
  * @param honoursStartBy whether a task that arrives past its start-by time is refused
- * @param runTimeInBody whether a body that starts with a number and a space names the run time in milliseconds
+ * @param answersAttempt whether the answer is the body, a line feed and the attempt, in place of the body alone
  */
 public record TargetBehaviour(
         RunTime runTime,
@@ -31,9 +28,7 @@
         boolean failsAtOnce,
         double slowFactor,
         boolean honoursStartBy,
-        boolean runTimeInBody) {
-
-    private static final int LONGEST_NUMBER = 20;
+        boolean answersAttempt) {
 
     /** Copies the map. */
     public TargetBehaviour {
@@ -65,7 +60,8 @@
     public TargetBehaviour with(String kind, RunTime time) {
         Map<String, RunTime> times = new HashMap<>(runTimeByKind);
         times.put(kind, time);
-        return new TargetBehaviour(runTime, times, failureShare, silenceShare, failsAtOnce, slowFactor, honoursStartBy, runTimeInBody);
+        return new TargetBehaviour(
+                runTime, times, failureShare, silenceShare, failsAtOnce, slowFactor, honoursStartBy, answersAttempt);
     }
 
     /**
@@ -76,7 +72,7 @@
      */
     public TargetBehaviour failing(double share) {
         return new TargetBehaviour(
-                runTime, runTimeByKind, share, silenceShare, failsAtOnce, slowFactor, honoursStartBy, runTimeInBody);
+                runTime, runTimeByKind, share, silenceShare, failsAtOnce, slowFactor, honoursStartBy, answersAttempt);
     }
 
     /**
@@ -87,7 +83,7 @@
      */
     public TargetBehaviour silent(double share) {
         return new TargetBehaviour(
-                runTime, runTimeByKind, failureShare, share, failsAtOnce, slowFactor, honoursStartBy, runTimeInBody);
+                runTime, runTimeByKind, failureShare, share, failsAtOnce, slowFactor, honoursStartBy, answersAttempt);
     }
 
     /**
@@ -98,7 +94,7 @@
      */
     public TargetBehaviour failingAtOnce(boolean fails) {
         return new TargetBehaviour(
-                runTime, runTimeByKind, failureShare, silenceShare, fails, slowFactor, honoursStartBy, runTimeInBody);
+                runTime, runTimeByKind, failureShare, silenceShare, fails, slowFactor, honoursStartBy, answersAttempt);
     }
 
     /**
@@ -109,7 +105,14 @@
      */
     public TargetBehaviour slowedBy(double factor) {
         return new TargetBehaviour(
-                runTime, runTimeByKind, failureShare, silenceShare, failsAtOnce, factor, honoursStartBy, runTimeInBody);
+                runTime,
+                runTimeByKind,
+                failureShare,
+                silenceShare,
+                failsAtOnce,
+                factor,
+                honoursStartBy,
+                answersAttempt);
     }
 
     /**
@@ -120,30 +123,18 @@
      */
     public TargetBehaviour honouringStartBy(boolean honours) {
         return new TargetBehaviour(
-                runTime, runTimeByKind, failureShare, silenceShare, failsAtOnce, slowFactor, honours, runTimeInBody);
+                runTime, runTimeByKind, failureShare, silenceShare, failsAtOnce, slowFactor, honours, answersAttempt);
     }
 
     /**
-     * Takes the run time of each task from its body, where that starts with a number of milliseconds and a space.
+     * Says whether the answer names the attempt.
      *
+     * @param answers true to answer the body, a line feed and the attempt
      * @return a new behaviour
      */
-    public TargetBehaviour readingRunTime() {
+    public TargetBehaviour answeringAttempt(boolean answers) {
         return new TargetBehaviour(
-                runTime, runTimeByKind, failureShare, silenceShare, failsAtOnce, slowFactor, honoursStartBy, true);
-    }
-
-    double millisOf(String kind, byte[] body, RandomGenerator random) {
-        OptionalDouble named = runTimeInBody ? leadingNumber(body) : OptionalDouble.empty();
-        return named.isPresent() ? named.getAsDouble() * slowFactor : runTimeOf(kind).sampleMillis(random);
-    }
-
-    private static OptionalDouble leadingNumber(byte[] body) {
-        String text = new String(body, 0, Math.min(body.length, LONGEST_NUMBER), StandardCharsets.US_ASCII);
-        int end = text.indexOf(' ');
-        return end > 0 && text.substring(0, end).matches("[0-9]+(\\.[0-9]+)?")
-                ? OptionalDouble.of(Double.parseDouble(text.substring(0, end)))
-                : OptionalDouble.empty();
+                runTime, runTimeByKind, failureShare, silenceShare, failsAtOnce, slowFactor, honoursStartBy, answers);
     }
 
     RunTime runTimeOf(String kind) {
