--- a/bench/src/main/java/org/teaselhook/bench/failure/CallReader.java
+++ b/bench/src/main/java/org/teaselhook/bench/failure/CallReader.java
@@ -48,7 +48,9 @@
             return List.of(reply.text());
         }
         List<String> bodies = new ArrayList<>();
-        parse(reply).path("answers").forEach(node -> bodies.add(node.path("body").asText()));
+        parse(reply)
+                .path("answers")
+                .forEach(node -> bodies.add(node.path("body").asText()));
         return bodies;
     }
 
--- a/bench/src/main/java/org/teaselhook/bench/failure/Callers.java
+++ b/bench/src/main/java/org/teaselhook/bench/failure/Callers.java
@@ -54,9 +54,8 @@
 
     /** Sends a submission; further calls follow by themselves. */
     void submit(PlannedSubmission plan) {
-        Optional<String> ticket = plan.ticket()
-                ? tickets.get(plan.entries().get(0)).take(recorder.nowNanos())
-                : Optional.empty();
+        Optional<String> ticket =
+                plan.ticket() ? tickets.get(plan.entries().get(0)).take(recorder.nowNanos()) : Optional.empty();
         Named named = new Named(plan, ticket);
         boolean twice = plan.twice() && plan.maxCalls() > 1;
         call(named, 0, !twice);
@@ -80,16 +79,18 @@
                 entry.process().name(),
                 TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS),
                 sentNanos));
-        site.client().send(entry.callers().address(), named.http(), GIVE_UP_MILLIS).thenAccept(result -> {
-            long nowNanos = recorder.nowNanos();
-            boolean timedOut = nowNanos - sentNanos >= TimeUnit.MILLISECONDS.toNanos(GIVE_UP_MILLIS);
-            Answered answer = CallReader.read(number, plan.job(), result, timedOut, nowNanos);
-            recorder.record(answer);
-            if (followed && isCalledAgain(plan, attempt, answer)) {
-                later(plan.waitsMillis().get(attempt), () -> call(named, attempt + 1, true));
-            }
-            open.decrementAndGet();
-        });
+        site.client()
+                .send(entry.callers().address(), named.http(), GIVE_UP_MILLIS)
+                .thenAccept(result -> {
+                    long nowNanos = recorder.nowNanos();
+                    boolean timedOut = nowNanos - sentNanos >= TimeUnit.MILLISECONDS.toNanos(GIVE_UP_MILLIS);
+                    Answered answer = CallReader.read(number, plan.job(), result, timedOut, nowNanos);
+                    recorder.record(answer);
+                    if (followed && isCalledAgain(plan, attempt, answer)) {
+                        later(plan.waitsMillis().get(attempt), () -> call(named, attempt + 1, true));
+                    }
+                    open.decrementAndGet();
+                });
     }
 
     private static boolean isCalledAgain(PlannedSubmission plan, int attempt, Answered answer) {
--- a/bench/src/main/java/org/teaselhook/bench/failure/FailurePlan.java
+++ b/bench/src/main/java/org/teaselhook/bench/failure/FailurePlan.java
@@ -86,8 +86,7 @@
     }
 
     private static PlannedFault drawOne(Random random, SitePlan site, long atMillis) {
-        SiteSize size =
-                new SiteSize(site.entries(), site.agents(), site.zones().size());
+        SiteSize size = new SiteSize(site.entries(), site.agents(), site.zones().size());
         FaultKind kind = drawKind(random);
         int millis = kind.minMillis() + random.nextInt(kind.maxMillis() - kind.minMillis());
         List<String> subjects = kind.subject().draw(size, random);
@@ -96,7 +95,8 @@
 
     private static FaultKind drawKind(Random random) {
         FaultKind[] kinds = FaultKind.values();
-        int draw = random.nextInt(Arrays.stream(kinds).mapToInt(FaultKind::weight).sum());
+        int draw =
+                random.nextInt(Arrays.stream(kinds).mapToInt(FaultKind::weight).sum());
         for (FaultKind kind : kinds) {
             draw -= kind.weight();
             if (draw < 0) {
--- a/bench/src/main/java/org/teaselhook/bench/failure/FailureRun.java
+++ b/bench/src/main/java/org/teaselhook/bench/failure/FailureRun.java
@@ -64,11 +64,8 @@
     private FailureReport report(Site site) {
         History history = recorder.history();
         return new FailureReport(
-                seed,
-                history,
-                HistoryChecker.of(HistoryLimits.standard()).check(history),
-                downtimes,
-                (int) site.processes().count());
+                seed, history, HistoryChecker.of(HistoryLimits.standard()).check(history), downtimes, (int)
+                        site.processes().count());
     }
 
     // -- callers
@@ -99,17 +96,19 @@
         FailurePlan plan = FailurePlan.draw(seed, SitePlan.standard(), faultyMillis);
         FaultActions actions = new FaultActions(site, recorder, downtimes);
         ZoneOperator operator = new ZoneOperator(site, recorder);
-        plan.faults().forEach(lane -> threads.add(start(() -> {
-            for (PlannedFault fault : lane) {
-                strike(actions, fault, startNanos);
-            }
-        })));
-        plan.zoneChanges().forEach(lane -> threads.add(start(() -> {
-            for (PlannedZoneChange change : lane) {
-                sleepUntil(startNanos, change.atMillis());
-                operator.change(change);
-            }
-        })));
+        plan.faults()
+                .forEach(lane -> threads.add(start(() -> {
+                    for (PlannedFault fault : lane) {
+                        strike(actions, fault, startNanos);
+                    }
+                })));
+        plan.zoneChanges()
+                .forEach(lane -> threads.add(start(() -> {
+                    for (PlannedZoneChange change : lane) {
+                        sleepUntil(startNanos, change.atMillis());
+                        operator.change(change);
+                    }
+                })));
     }
 
     private static void strike(FaultActions actions, PlannedFault fault, long startNanos) throws InterruptedException {
--- a/bench/src/main/java/org/teaselhook/bench/failure/FaultActions.java
+++ b/bench/src/main/java/org/teaselhook/bench/failure/FaultActions.java
@@ -26,8 +26,8 @@
 /** Carries out the faults on a site. Each method is called by the lane of its fault. */
 final class FaultActions {
 
-    static final TargetBehaviour SOUND = TargetBehaviour.of(
-            RunTime.logUniform(20, 400).mixed(0.02, RunTime.uniform(1_000, 2_500)));
+    static final TargetBehaviour SOUND =
+            TargetBehaviour.of(RunTime.logUniform(20, 400).mixed(0.02, RunTime.uniform(1_000, 2_500)));
 
     private static final Duration STOP_WAIT = Duration.ofSeconds(20);
     private static final double SLOW_FACTOR = 10;
@@ -146,15 +146,24 @@
     }
 
     void silenceLink(PlannedFault fault) {
-        ends(fault).server().relay().ifPresent(relay -> cuts.silence(relay, ends(fault).client(), directions(fault)));
+        ends(fault)
+                .server()
+                .relay()
+                .ifPresent(relay -> cuts.silence(relay, ends(fault).client(), directions(fault)));
     }
 
     void cutLink(PlannedFault fault) {
-        ends(fault).server().relay().ifPresent(relay -> cuts.cut(relay, ends(fault).client()));
+        ends(fault)
+                .server()
+                .relay()
+                .ifPresent(relay -> cuts.cut(relay, ends(fault).client()));
     }
 
     void healLink(PlannedFault fault) {
-        ends(fault).server().relay().ifPresent(relay -> cuts.heal(relay, ends(fault).client()));
+        ends(fault)
+                .server()
+                .relay()
+                .ifPresent(relay -> cuts.heal(relay, ends(fault).client()));
     }
 
     void cutTable(PlannedFault fault) {
@@ -185,8 +194,8 @@
         EntryNode isolated = entry(fault.subjects().get(0));
         return site.entries().stream()
                 .filter(peer -> peer != isolated)
-                .flatMap(peer -> Stream.of(
-                        new Ends(isolated.process(), peer.grpc()), new Ends(peer.process(), isolated.grpc())))
+                .flatMap(peer ->
+                        Stream.of(new Ends(isolated.process(), peer.grpc()), new Ends(peer.process(), isolated.grpc())))
                 .toList();
     }
 
--- a/bench/src/main/java/org/teaselhook/bench/failure/TicketPool.java
+++ b/bench/src/main/java/org/teaselhook/bench/failure/TicketPool.java
@@ -60,8 +60,7 @@
 
     private void fetch(long nowNanos) {
         Map<String, String> query = Map.of("n", Integer.toString(BATCH));
-        HttpCall call =
-                new HttpCall("POST", "/v1/tickets", query, Map.of(), new byte[0], new CompletableFuture<>());
+        HttpCall call = new HttpCall("POST", "/v1/tickets", query, Map.of(), new byte[0], new CompletableFuture<>());
         client.send(entry, call, TIMEOUT_MILLIS).thenAccept(result -> add(result, nowNanos));
     }
 
--- a/bench/src/main/java/org/teaselhook/bench/history/StopChecks.java
+++ b/bench/src/main/java/org/teaselhook/bench/history/StopChecks.java
@@ -51,7 +51,8 @@
         return history.calls().stream()
                 .filter(call -> call.sent().bodies().contains(cut.body()))
                 .filter(call -> cut.atNanos() < call.deadlineNanos() - CANCEL_MARGIN_NANOS)
-                .anyMatch(call -> call.answer().filter(a -> a.atNanos() < cut.atNanos()).isEmpty());
+                .anyMatch(call ->
+                        call.answer().filter(a -> a.atNanos() < cut.atNanos()).isEmpty());
     }
 
     private static boolean isAfter(StopBegan begin, Answered answer) {
--- a/bench/src/main/java/org/teaselhook/bench/load/EntryCounts.java
+++ b/bench/src/main/java/org/teaselhook/bench/load/EntryCounts.java
@@ -31,7 +31,11 @@
                     .toCompletableFuture()
                     .join();
             if (result instanceof HttpResult.Replied replied) {
-                replied.reply().text().lines().filter(line -> line.startsWith(PREFIX)).forEach(line -> add(sums, line));
+                replied.reply()
+                        .text()
+                        .lines()
+                        .filter(line -> line.startsWith(PREFIX))
+                        .forEach(line -> add(sums, line));
             }
         }
         return new EntryCounts(sums);
--- a/bench/src/main/java/org/teaselhook/bench/load/FaultAction.java
+++ b/bench/src/main/java/org/teaselhook/bench/load/FaultAction.java
@@ -55,8 +55,7 @@
     abstract void apply(Site site);
 
     private static void changeZone(Site site, boolean out) {
-        Operators operators =
-                Operators.of(site.client(), site.entries().get(0).http());
+        Operators operators = Operators.of(site.client(), site.entries().get(0).http());
         String operation = "measurement-" + (out ? "out" : "in");
         operators.changeZone(site.plan().zone(0), out, operation);
     }
--- a/bench/src/main/java/org/teaselhook/bench/load/LoadCallers.java
+++ b/bench/src/main/java/org/teaselhook/bench/load/LoadCallers.java
@@ -86,8 +86,7 @@
 
     private void schedule(PlannedRequest request) {
         long reachesEntry = request.atNanos() + latencyNanos(request);
-        timer.schedule(
-                () -> send(request, 0), startNanos + reachesEntry - System.nanoTime(), TimeUnit.NANOSECONDS);
+        timer.schedule(() -> send(request, 0), startNanos + reachesEntry - System.nanoTime(), TimeUnit.NANOSECONDS);
     }
 
     private void send(PlannedRequest request, int resends) {
@@ -103,7 +102,9 @@
         double cancelMillis = load.allCancelAt() * seconds * 1e3;
         double sinceStart = (System.nanoTime() - startNanos) / 1e6;
         long patience = request.kind().timeoutMillis() + GRACE_MILLIS;
-        return sinceStart < cancelMillis ? Math.max(1, Math.min(patience, (long) (cancelMillis - sinceStart))) : patience;
+        return sinceStart < cancelMillis
+                ? Math.max(1, Math.min(patience, (long) (cancelMillis - sinceStart)))
+                : patience;
     }
 
     private void answered(PlannedRequest request, int resends, HttpResult result) {
@@ -137,7 +138,8 @@
             name(request, resends, entry, headers);
         }
         headers.put("content-type", "text/plain");
-        String path = "/v1/services/" + site.plan().service() + "/" + request.kind().kind();
+        String path =
+                "/v1/services/" + site.plan().service() + "/" + request.kind().kind();
         return HttpCall.of("POST", path, headers, body(request, 0).getBytes(StandardCharsets.UTF_8));
     }
 
@@ -158,7 +160,6 @@
     }
 
     private static String body(PlannedRequest request, int task) {
-        return String.format(
-                Locale.ROOT, "%.2f request %d", request.runMillis().get(task), request.number());
+        return String.format(Locale.ROOT, "%.2f request %d", request.runMillis().get(task), request.number());
     }
 }
--- a/bench/src/main/java/org/teaselhook/bench/load/LoadCommand.java
+++ b/bench/src/main/java/org/teaselhook/bench/load/LoadCommand.java
@@ -61,7 +61,9 @@
         for (LoadCase load : chosen()) {
             for (String policy : policies) {
                 Path directory = Files.createDirectories(logs.resolve(load.label() + "-" + policy));
-                out.println(new LoadRun(load, policy, seed, seconds, directory).run().line());
+                out.println(new LoadRun(load, policy, seed, seconds, directory)
+                        .run()
+                        .line());
                 out.flush();
             }
         }
--- a/bench/src/main/java/org/teaselhook/bench/load/LoadReport.java
+++ b/bench/src/main/java/org/teaselhook/bench/load/LoadReport.java
@@ -82,8 +82,8 @@
         switch (load) {
             case OVERLOAD2X -> overload();
             case ZONE -> zone();
-            case BLACKHOLE, STRAGGLER -> put(
-                    "failed_after_2s", record.failedShare(0.25 * seconds + SETTLE_SECONDS, 0.75 * seconds));
+            case BLACKHOLE, STRAGGLER ->
+                put("failed_after_2s", record.failedShare(0.25 * seconds + SETTLE_SECONDS, 0.75 * seconds));
             case OUTAGE -> put("failed_in_outage", record.failedShare(seconds / 3, seconds * 2 / 3));
             default -> put("failed", record.failedShare(0, seconds));
         }
--- a/bench/src/main/java/org/teaselhook/bench/load/LoadRun.java
+++ b/bench/src/main/java/org/teaselhook/bench/load/LoadRun.java
@@ -16,8 +16,7 @@
 /** One case under one policy on a site of its own. */
 final class LoadRun {
 
-    static final TargetBehaviour SOUND =
-            TargetBehaviour.of(RunTime.inBody(RunTime.uniform(50, 1_000)));
+    static final TargetBehaviour SOUND = TargetBehaviour.of(RunTime.inBody(RunTime.uniform(50, 1_000)));
     static final TableFaults TABLE = TableFaults.none().withLatency(2, 5);
     static final double HOP_MILLIS = 1;
 
--- a/bench/src/main/java/org/teaselhook/bench/process/SitePlan.java
+++ b/bench/src/main/java/org/teaselhook/bench/process/SitePlan.java
@@ -17,7 +17,14 @@
  * @param policy the entries' placement policy, as in their settings
  */
 public record SitePlan(
-        int entries, int agents, int slots, List<String> zones, String service, String rules, boolean relayed, String policy) {
+        int entries,
+        int agents,
+        int slots,
+        List<String> zones,
+        String service,
+        String rules,
+        boolean relayed,
+        String policy) {
 
     /** The service of {@link #standard()}. */
     public static final String SERVICE = "patchdesk";
--- a/bench/src/main/java/org/teaselhook/bench/process/SiteSettings.java
+++ b/bench/src/main/java/org/teaselhook/bench/process/SiteSettings.java
@@ -37,7 +37,15 @@
                 peers: [%s]
                 placement-policy: %s
                 """
-                        .formatted(name, zone, text(http), text(grpc), text(advertisedGrpc), text(table), text(peers), policy);
+                        .formatted(
+                                name,
+                                zone,
+                                text(http),
+                                text(grpc),
+                                text(advertisedGrpc),
+                                text(table),
+                                text(peers),
+                                policy);
         return write(name, yaml);
     }
 
--- a/bench/src/test/java/org/teaselhook/bench/history/HandMade.java
+++ b/bench/src/test/java/org/teaselhook/bench/history/HandMade.java
@@ -40,8 +40,7 @@
 
     private HandMade submit(String key, boolean job, boolean idempotent, int tasks) {
         List<String> bodies = bodies(key, tasks);
-        return add(new HistoryEvent.Submitted(
-                ++calls, key, job, idempotent, bodies, "entry-1", TIMEOUT_NANOS, tick()));
+        return add(new HistoryEvent.Submitted(++calls, key, job, idempotent, bodies, "entry-1", TIMEOUT_NANOS, tick()));
     }
 
     HandMade complete(long call, String... answers) {
--- a/bench/src/test/java/org/teaselhook/bench/history/HistoryCheckerTest.java
+++ b/bench/src/test/java/org/teaselhook/bench/history/HistoryCheckerTest.java
@@ -143,11 +143,23 @@
             },
             {
                 "task given up while its agent stopped",
-                history().booking("k").start("k/0").answer(1, MAY_HAVE_RUN).stopping("agent-1").cut("k/0").stopped("agent-1")
+                history()
+                        .booking("k")
+                        .start("k/0")
+                        .answer(1, MAY_HAVE_RUN)
+                        .stopping("agent-1")
+                        .cut("k/0")
+                        .stopped("agent-1")
             },
             {
                 "task cut at its deadline while its agent stopped",
-                history().booking("k").start("k/0").pause(9).stopping("agent-1").cut("k/0").stopped("agent-1")
+                history()
+                        .booking("k")
+                        .start("k/0")
+                        .pause(9)
+                        .stopping("agent-1")
+                        .cut("k/0")
+                        .stopped("agent-1")
             },
             {"task cut by a kill", history().booking("k").start("k/0").cut("k/0")},
         };
