--- a/bench/src/main/java/org/teaselhook/bench/failure/FailureRunCommand.java
+++ b/bench/src/main/java/org/teaselhook/bench/failure/FailureRunCommand.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.concurrent.Callable;
 
+import org.teaselhook.bench.history.HistoryEvent;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -51,11 +52,12 @@
     public Integer call() throws Exception {
         Path logs = directory == null ? Files.createTempDirectory("failure-run") : Files.createDirectories(directory);
         FailureReport report = new FailureRun(seed, Duration.ofSeconds(seconds), perSecond, logs).run();
+        Files.write(
+                logs.resolve("history.txt"),
+                report.history().events().stream().map(HistoryEvent::toString).toList());
         PrintWriter out = spec.commandLine().getOut();
         report.violations().forEach(out::println);
-        if (!report.violations().isEmpty()) {
-            out.println("Logs are in " + logs);
-        }
+        out.println("Logs and the history are in " + logs);
         out.println(report.line());
         out.flush();
         return report.violations().isEmpty() ? 0 : EXIT_VIOLATIONS;
--- a/bench/src/main/java/org/teaselhook/bench/history/History.java
+++ b/bench/src/main/java/org/teaselhook/bench/history/History.java
@@ -39,6 +39,15 @@
 
     // -- accessors
 
+    /**
+     * Returns every event.
+     *
+     * @return the events in the order of time
+     */
+    public List<HistoryEvent> events() {
+        return events;
+    }
+
     /**
      * Returns the events of one type.
      *
