--- a/bench/src/main/java/org/teaselhook/bench/process/TargetNode.java
+++ b/bench/src/main/java/org/teaselhook/bench/process/TargetNode.java
@@ -27,7 +27,7 @@
         this.behaviour = behaviour;
         this.listener = listener;
         this.link = link;
-        this.server = TargetServer.start(loops, settings, behaviour, listener);
+        this.server = start();
     }
 
     // -- accessors
@@ -87,7 +87,13 @@
                 .completeOnTimeout(null, STOP_WAIT_SECONDS, TimeUnit.SECONDS)
                 .join();
         server.close();
-        server = TargetServer.start(loops, settings, behaviour, listener);
+        server = start();
+    }
+
+    private TargetServer start() {
+        TargetServer started = TargetServer.start(loops, settings, behaviour, listener);
+        started.announceAt(link.address());
+        return started;
     }
 
     /** Closes at once: connections break. */
