--- a/app/src/main/java/org/teaselhook/app/Main.java
+++ b/app/src/main/java/org/teaselhook/app/Main.java
@@ -11,7 +11,13 @@
         description = "A dispatcher for sub-second tasks.",
         mixinStandardHelpOptions = true,
         version = "teaselhook 0.1.0",
-        subcommands = {EntryCommand.class, AgentCommand.class, TableCommand.class, LocalCommand.class})
+        subcommands = {
+            EntryCommand.class,
+            AgentCommand.class,
+            TableCommand.class,
+            LocalCommand.class,
+            org.teaselhook.app.ctl.CtlCommand.class
+        })
 public final class Main {
 
     private Main() {}
