--- a/core/src/main/java/org/teaselhook/core/claim/AdmittedTickets.java
+++ b/core/src/main/java/org/teaselhook/core/claim/AdmittedTickets.java
@@ -5,54 +5,75 @@
 import org.agrona.collections.Long2LongHashMap;
 
 /**
- * The admitted tickets of two generations. Each is remembered for at least the length of one generation. Belongs to one
- * thread at a time.
+ * Remembers which tickets were admitted. Safe for use by many threads.
+ *
+ * <p>The memory has two generations, each as long as a ticket's lifetime and retention time together, so that every
+ * admission is remembered at least that long.
  */
 final class AdmittedTickets {
 
     private static final long MISSING = Long.MIN_VALUE;
 
+    private final TicketLimits limits;
     private final long generationMillis;
     private Long2LongHashMap current = new Long2LongHashMap(MISSING);
     private Long2LongHashMap previous = new Long2LongHashMap(MISSING);
-    private long startMillis;
+    private long generationStartMillis;
+    private long latestMillis;
 
-    AdmittedTickets(long generationMillis) {
-        this.generationMillis = generationMillis;
+    AdmittedTickets(TicketLimits limits) {
+        this.limits = limits;
+        this.generationMillis = limits.lifetimeMillis() + limits.retentionMillis();
     }
 
-    void rotate(long nowMillis) {
-        if (nowMillis - startMillis < generationMillis) {
-            return;
+    synchronized TicketResult admit(Ticket ticket, long bodyDigest, long nowMillis) {
+        latestMillis = Math.max(latestMillis, nowMillis);
+        rotate();
+        OptionalLong before = find(ticket.nonce());
+        if (before.isPresent()) {
+            return before.getAsLong() == storable(bodyDigest)
+                    ? new TicketResult.Joined()
+                    : new TicketResult.OtherBody();
         }
-        boolean skipped = nowMillis - startMillis >= 2 * generationMillis;
-        previous = skipped ? new Long2LongHashMap(MISSING) : current;
-        current = new Long2LongHashMap(MISSING);
-        startMillis = nowMillis;
+        long sinceExpiryMillis = latestMillis - ticket.expiryMillis();
+        if (sinceExpiryMillis >= 0) {
+            return new TicketResult.Expired(sinceExpiryMillis < limits.retentionMillis());
+        }
+        if (size() >= limits.maxRemembered()) {
+            return new TicketResult.Full();
+        }
+        current.put(ticket.nonce(), storable(bodyDigest));
+        return new TicketResult.Admitted();
     }
 
-    OptionalLong digest(long nonce) {
-        if (current.containsKey(nonce)) {
-            return OptionalLong.of(current.get(nonce));
-        }
-        return previous.containsKey(nonce) ? OptionalLong.of(previous.get(nonce)) : OptionalLong.empty();
+    synchronized void forget(Ticket ticket) {
+        current.remove(ticket.nonce());
+        previous.remove(ticket.nonce());
     }
 
-    void add(long nonce, long bodyDigest) {
-        current.put(nonce, storable(bodyDigest));
+    synchronized int size() {
+        return current.size() + previous.size();
     }
 
-    void remove(long nonce) {
-        current.remove(nonce);
-        previous.remove(nonce);
+    private void rotate() {
+        long ageMillis = latestMillis - generationStartMillis;
+        if (ageMillis < generationMillis) {
+            return;
+        }
+        previous = ageMillis < 2 * generationMillis ? current : new Long2LongHashMap(MISSING);
+        current = new Long2LongHashMap(MISSING);
+        generationStartMillis = latestMillis;
     }
 
-    int size() {
-        return current.size() + previous.size();
+    private OptionalLong find(long nonce) {
+        if (current.containsKey(nonce)) {
+            return OptionalLong.of(current.get(nonce));
+        }
+        return previous.containsKey(nonce) ? OptionalLong.of(previous.get(nonce)) : OptionalLong.empty();
     }
 
     /** The map cannot hold the one value that marks absence. */
-    static long storable(long bodyDigest) {
+    private static long storable(long bodyDigest) {
         return bodyDigest == MISSING ? MISSING + 1 : bodyDigest;
     }
 }
--- a/core/src/main/java/org/teaselhook/core/claim/Tickets.java
+++ b/core/src/main/java/org/teaselhook/core/claim/Tickets.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.random.RandomGenerator;
 import java.util.stream.IntStream;
 
@@ -26,14 +25,13 @@
     private final TicketLimits limits;
     private final TicketSigner signer;
     private final AdmittedTickets admitted;
-    private long latestMillis;
 
     private Tickets(Incarnation self, RandomGenerator random, TicketLimits limits) {
         this.self = self;
         this.random = random;
         this.limits = limits;
         this.signer = TicketSigner.withRandomSecret(random);
-        this.admitted = new AdmittedTickets(limits.lifetimeMillis() + limits.retentionMillis());
+        this.admitted = new AdmittedTickets(limits);
     }
 
     // -- factories
@@ -93,25 +91,7 @@
         if (!signer.isOwn(ticket)) {
             return new TicketResult.Malformed("the ticket was altered");
         }
-        return admit(ticket, AdmittedTickets.storable(bodyDigest), nowMillis);
-    }
-
-    private synchronized TicketResult admit(Ticket ticket, long bodyDigest, long nowMillis) {
-        latestMillis = Math.max(latestMillis, nowMillis);
-        admitted.rotate(latestMillis);
-        OptionalLong before = admitted.digest(ticket.nonce());
-        if (before.isPresent()) {
-            return before.getAsLong() == bodyDigest ? new TicketResult.Joined() : new TicketResult.OtherBody();
-        }
-        long sinceExpiryMillis = latestMillis - ticket.expiryMillis();
-        if (sinceExpiryMillis >= 0) {
-            return new TicketResult.Expired(sinceExpiryMillis < limits.retentionMillis());
-        }
-        if (admitted.size() >= limits.maxRemembered()) {
-            return new TicketResult.Full();
-        }
-        admitted.add(ticket.nonce(), bodyDigest);
-        return new TicketResult.Admitted();
+        return admitted.admit(ticket, bodyDigest, nowMillis);
     }
 
     /**
@@ -121,11 +101,7 @@
      * @param text the ticket's text
      */
     public void abandon(String text) {
-        Ticket.parse(text).filter(ticket -> ticket.issuer().equals(self)).ifPresent(this::forget);
-    }
-
-    private synchronized void forget(Ticket ticket) {
-        admitted.remove(ticket.nonce());
+        Ticket.parse(text).filter(ticket -> ticket.issuer().equals(self)).ifPresent(admitted::forget);
     }
 
     // -- accessors
@@ -144,7 +120,7 @@
      *
      * @return the number of tickets
      */
-    public synchronized int remembered() {
+    public int remembered() {
         return admitted.size();
     }
 }
