--- a/node/src/main/java/org/teaselhook/node/session/AgentSessions.java
+++ b/node/src/main/java/org/teaselhook/node/session/AgentSessions.java
@@ -44,6 +44,7 @@
     private final Supplier<List<String>> entryAddresses;
     private final Map<Incarnation, AgentSession> sessions = new HashMap<>();
     private boolean leaving;
+    private boolean reclaimAnswered;
 
     /**
      * Creates an empty set of sessions.
@@ -118,7 +119,7 @@
                 .with("slots", info.slots())
                 .with("in-progress", inProgress.length)
                 .info();
-        session.send(hello(session, inProgress));
+        session.send(hello(nowNanos, session, inProgress));
         session.send(configFrame());
         update(nowNanos, session, hello.getState().getAgentNanos(), Frames.state(hello.getState()));
     }
@@ -167,6 +168,15 @@
         dispatcher.refused(nowNanos, agent, refusal.getDispatch(), Frames.reason(refusal.getReason()));
     }
 
+    /** The agent waits for exactly one answer, also when no slot comes back. */
+    private void reclaim(long nowNanos, AgentSession session, int slots) {
+        reclaimAnswered = false;
+        dispatcher.reclaim(nowNanos, session.info().incarnation(), slots);
+        if (!reclaimAnswered) {
+            session.send(Frames.grantReturn(0));
+        }
+    }
+
     private void grantAlong(long nowNanos, Incarnation agent, int slots) {
         if (slots > 0) {
             dispatcher.granted(nowNanos, agent, slots);
@@ -222,18 +232,20 @@
      * @param slots the number of slots
      */
     public void returnGrants(Incarnation agent, int slots) {
+        reclaimAnswered = true;
         send(agent, Frames.grantReturn(slots));
     }
 
     /**
      * Sends a heartbeat out of turn, so that an agent learns at once what this entry wants.
      *
+     * @param nowNanos the present time
      * @param agent the agent
      */
-    public void heartbeatNow(Incarnation agent) {
+    public void heartbeatNow(long nowNanos, Incarnation agent) {
         AgentSession session = sessions.get(agent);
         if (session != null) {
-            session.send(heartbeatFrame(session));
+            session.send(heartbeatFrame(nowNanos, session));
         }
     }
 
@@ -243,10 +255,14 @@
         sessions.values().forEach(session -> session.send(frame));
     }
 
-    /** Tells every agent that this entry is leaving. */
-    public void leave() {
+    /**
+     * Tells every agent that this entry is leaving.
+     *
+     * @param nowNanos the present time
+     */
+    public void leave(long nowNanos) {
         leaving = true;
-        sessions.values().forEach(session -> session.send(heartbeatFrame(session)));
+        sessions.values().forEach(session -> session.send(heartbeatFrame(nowNanos, session)));
     }
 
     private void send(Incarnation agent, EntryFrame frame) {
@@ -256,27 +272,29 @@
         }
     }
 
-    private EntryFrame hello(AgentSession session, long[] inProgress) {
+    private EntryFrame hello(long nowNanos, AgentSession session, long[] inProgress) {
         EntryHello.Builder hello = EntryHello.newBuilder()
                 .setName(self.name())
                 .setIncarnation(self.incarnation().value())
                 .setZone(self.zone())
-                .setState(heartbeat(session));
+                .setState(heartbeat(nowNanos, session));
         for (long number : inProgress) {
             hello.addInProgress(number);
         }
         return EntryFrame.newBuilder().setHello(hello).build();
     }
 
-    private EntryFrame heartbeatFrame(AgentSession session) {
-        return EntryFrame.newBuilder().setHeartbeat(heartbeat(session)).build();
+    private EntryFrame heartbeatFrame(long nowNanos, AgentSession session) {
+        return EntryFrame.newBuilder()
+                .setHeartbeat(heartbeat(nowNanos, session))
+                .build();
     }
 
-    private EntryHeartbeat heartbeat(AgentSession session) {
+    private EntryHeartbeat heartbeat(long nowNanos, AgentSession session) {
         return EntryHeartbeat.newBuilder()
                 .setEchoAgentNanos(session.clock().agentNanos())
                 .setConfigVersion(config.get().getVersion())
-                .setWantedSlots(dispatcher.wantedSlots(session.info().incarnation()))
+                .setWantedSlots(dispatcher.wantedSlots(nowNanos, session.info().incarnation()))
                 .addAllEntries(entryAddresses.get())
                 .setLeaving(leaving)
                 .build();
@@ -288,9 +306,13 @@
 
     // -- time
 
-    /** Sends a heartbeat to every agent. */
-    public void heartbeatAll() {
-        sessions.values().forEach(session -> session.send(heartbeatFrame(session)));
+    /**
+     * Sends a heartbeat to every agent.
+     *
+     * @param nowNanos the present time
+     */
+    public void heartbeatAll(long nowNanos) {
+        sessions.values().forEach(session -> session.send(heartbeatFrame(nowNanos, session)));
     }
 
     /**
--- /dev/null
+++ b/node/src/test/java/org/teaselhook/node/config/FaultyTable.java
@@ -0,0 +1,100 @@
+package org.teaselhook.node.config;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+
+import org.teaselhook.core.table.InMemoryTable;
+import org.teaselhook.core.table.Row;
+import org.teaselhook.core.table.TableResult;
+import org.teaselhook.core.table.TableService;
+import org.teaselhook.core.table.Transaction;
+
+/**
+ * A table service in memory whose requests take effect and are answered one at a time in an order drawn at random.
+ * Some are answered as unavailable before they take effect, after it, or without ever taking effect.
+ */
+final class FaultyTable implements TableService {
+
+    private static final int MAX_ROWS = 1_000;
+
+    private final InMemoryTable rows = InMemoryTable.empty();
+    private final List<Runnable> pending = new ArrayList<>();
+    private final Random random;
+    private int faultPercent;
+    private Runnable afterCommit = () -> {};
+
+    FaultyTable(Random random, int faultPercent) {
+        this.random = random;
+        this.faultPercent = faultPercent;
+    }
+
+    void afterCommit(Runnable check) {
+        afterCommit = check;
+    }
+
+    void withoutFaults() {
+        faultPercent = 0;
+    }
+
+    /** Runs one pending effect or answer. */
+    boolean step() {
+        if (pending.isEmpty()) {
+            return false;
+        }
+        pending.remove(random.nextInt(pending.size())).run();
+        return true;
+    }
+
+    Row row(String key) {
+        return ((TableResult.Found) rows.read(key)).row();
+    }
+
+    List<Row> range(String from, String to) {
+        return ((TableResult.Rows) rows.scan(from, to, MAX_ROWS)).rows();
+    }
+
+    @Override
+    public CompletionStage<TableResult> read(String key) {
+        return request(() -> rows.read(key));
+    }
+
+    @Override
+    public CompletionStage<TableResult> scan(String fromInclusive, String toExclusive, int limit) {
+        return request(() -> rows.scan(fromInclusive, toExclusive, limit));
+    }
+
+    @Override
+    public CompletionStage<TableResult> commit(Transaction transaction) {
+        return request(() -> applyNow(transaction));
+    }
+
+    private TableResult applyNow(Transaction transaction) {
+        TableResult result = rows.commit(transaction);
+        if (result instanceof TableResult.Committed) {
+            afterCommit.run();
+        }
+        return result;
+    }
+
+    private CompletionStage<TableResult> request(Supplier<TableResult> effect) {
+        CompletableFuture<TableResult> answer = new CompletableFuture<>();
+        boolean faulty = random.nextInt(100) < faultPercent;
+        int fault = faulty ? random.nextInt(3) : -1;
+        if (fault >= 0) {
+            pending.add(() -> answer.complete(new TableResult.Unavailable("fault " + fault)));
+        }
+        if (fault != 0) {
+            pending.add(() -> run(effect, answer));
+        }
+        return answer;
+    }
+
+    private void run(Supplier<TableResult> effect, CompletableFuture<TableResult> answer) {
+        TableResult result = effect.get();
+        pending.add(() -> answer.complete(result));
+    }
+}
