Check the placement policy's name with the settings, drop one without effect

An unknown placement policy passed the check of the settings and ended the entry with a bare exception; it is now a fault with path, value and remedy. The setting `hedging` was read but nothing used it, so it is gone. Run: mvn verify -pl node,app -am: one failure, in ClaimsTest (shouldShareWritesAmongConcurrentClaims, Unavailable instead of Won, on a busy machine), which this change does not touch; tests of settings and ctl passed.

--- a/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
@@ -3,7 +3,6 @@
 import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Random;
@@ -24,7 +23,6 @@
 import org.teaselhook.core.member.Member;
 import org.teaselhook.core.outcome.Problem;
 import org.teaselhook.core.outcome.ProblemKind;
-import org.teaselhook.core.placement.PlacementPolicy;
 import org.teaselhook.core.table.TableService;
 import org.teaselhook.net.http.EventLoops;
 import org.teaselhook.net.http.HttpClient;
@@ -179,8 +177,7 @@
     }
 
     private static DispatcherSettings dispatcherSettings(EntrySettings settings) {
-        String name = settings.placementPolicy().toUpperCase(Locale.ROOT).replace('-', '_');
-        return DispatcherSettings.of(settings.zone(), PlacementPolicy.valueOf(name));
+        return DispatcherSettings.of(settings.zone(), settings.placementPolicy());
     }
 
     private Member member() {
--- a/node/src/main/java/org/teaselhook/node/settings/EntrySettings.java
+++ b/node/src/main/java/org/teaselhook/node/settings/EntrySettings.java
@@ -3,6 +3,8 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 
+import org.teaselhook.core.placement.PlacementPolicy;
+
 /**
  * Settings of an entry.
  *
@@ -23,8 +25,7 @@
  * @param table addresses of the table service, at least one
  * @param peers gRPC addresses of other entries, possibly none
  * @param defaultCustomer the customer of requests that name none
- * @param placementPolicy the name of the placement policy
- * @param hedging whether slow idempotent requests are sent twice
+ * @param placementPolicy how workers are chosen
  * @param limits bounds of what the entry holds
  */
 public record EntrySettings(
@@ -36,14 +37,13 @@
         List<InetSocketAddress> table,
         List<InetSocketAddress> peers,
         String defaultCustomer,
-        String placementPolicy,
-        boolean hedging,
+        PlacementPolicy placementPolicy,
         EntryLimits limits) {
 
     /** The default of {@link #defaultCustomer()}. */
     public static final String DEFAULT_CUSTOMER = "default";
     /** The default of {@link #placementPolicy()}. */
-    public static final String DEFAULT_PLACEMENT_POLICY = "grants";
+    public static final PlacementPolicy DEFAULT_PLACEMENT_POLICY = PlacementPolicy.GRANTS;
 
     /** Copies the lists. */
     public EntrySettings {
@@ -72,8 +72,7 @@
                 root.addresses("table", 1),
                 root.addresses("peers", 0),
                 root.name("default-customer", DEFAULT_CUSTOMER),
-                root.name("placement-policy", DEFAULT_PLACEMENT_POLICY),
-                root.flag("hedging", true),
+                root.choice("placement-policy", PlacementPolicy.class, DEFAULT_PLACEMENT_POLICY),
                 readLimits(root.section("limits")));
     }
 
--- a/node/src/main/java/org/teaselhook/node/settings/SettingsNode.java
+++ b/node/src/main/java/org/teaselhook/node/settings/SettingsNode.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
@@ -98,12 +99,23 @@
         return Duration.ofSeconds(number(key, least, greatest, fallback));
     }
 
-    boolean flag(String key, boolean fallback) {
+    /** Reads a constant of an enum, written in lower case with hyphens. */
+    <E extends Enum<E>> E choice(String key, Class<E> type, E fallback) {
         Optional<JsonNode> value = optional(key);
-        if (value.isPresent() && !value.get().isBoolean()) {
-            fault(key, value.get(), SettingFaultKind.MALFORMED, "write true or false");
+        List<E> constants = List.of(type.getEnumConstants());
+        Optional<E> chosen = value.flatMap(text -> constants.stream()
+                .filter(constant -> word(constant).equals(text.asText()))
+                .findFirst());
+        if (value.isPresent() && chosen.isEmpty()) {
+            String remedy =
+                    "write one of " + constants.stream().map(SettingsNode::word).toList();
+            fault(key, value.get(), SettingFaultKind.MALFORMED, remedy);
         }
-        return value.map(JsonNode::booleanValue).orElse(fallback);
+        return chosen.orElse(fallback);
+    }
+
+    private static String word(Enum<?> constant) {
+        return constant.name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
 
     SettingsNode section(String key) {
--- a/node/src/test/java/org/teaselhook/node/settings/EntrySettingsTest.java
+++ b/node/src/test/java/org/teaselhook/node/settings/EntrySettingsTest.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.teaselhook.core.placement.PlacementPolicy;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -29,6 +30,7 @@
         assertEquals(settings.limits().maxTasksPerJob(), 512);
         assertEquals(SocketAddresses.format(settings.advertisedGrpc()), "[0:0:0:0:0:0:0:1]:9090");
         assertEquals(settings.peers(), List.of());
+        assertEquals(settings.placementPolicy(), PlacementPolicy.GRANTS);
     }
 
     @Test
@@ -40,7 +42,7 @@
                 grpc: 127.0.0.1:70000
                 table: []
                 peers: [127.0.0.1:1, nowhere]
-                hedging: perhaps
+                placement-policy: best
                 colour: green
                 limits:
                   max-body-bytes: 0
@@ -57,7 +59,7 @@
                         "http",
                         "table",
                         "peers[1]",
-                        "hedging",
+                        "placement-policy",
                         "limits.max-body-bytes",
                         "limits.max-tasks-per-job",
                         "colour",
@@ -72,7 +74,7 @@
             {"name: [unclosed", SettingFaultKind.NOT_YAML},
             {"name: a\nname: b\n", SettingFaultKind.NOT_YAML},
             {SOUND + "limits: 7\n", SettingFaultKind.MALFORMED},
-            {SOUND + "hedging: [true]\n", SettingFaultKind.MALFORMED},
+            {SOUND + "placement-policy: [grants]\n", SettingFaultKind.MALFORMED},
             {SOUND + "limits: {kept-answers-bytes: 99999999999999999999}\n", SettingFaultKind.OUT_OF_RANGE},
         };
     }
