--- a/bench/src/main/java/org/teaselhook/bench/history/AnswerChecks.java
+++ b/bench/src/main/java/org/teaselhook/bench/history/AnswerChecks.java
@@ -7,7 +7,7 @@
 
 import org.teaselhook.bench.history.HistoryEvent.Answered;
 
-/** What holds of complete answers. A target's answer to a task starts with the task's body and a space. */
+/** What holds of complete answers. A target's answer to a task is the task's body, a line feed and the attempt. */
 final class AnswerChecks {
 
     private AnswerChecks() {}
@@ -40,7 +40,7 @@
             return Optional.of(violation(ViolationKind.PARTIAL_ANSWER, call));
         }
         boolean own =
-                IntStream.range(0, asked.size()).allMatch(i -> answers.get(i).startsWith(asked.get(i) + ' '));
+                IntStream.range(0, asked.size()).allMatch(i -> answers.get(i).startsWith(asked.get(i) + '\n'));
         return own ? Optional.empty() : Optional.of(violation(ViolationKind.FOREIGN_ANSWER, call));
     }
 
--- a/bench/src/main/java/org/teaselhook/bench/process/JavaCommand.java
+++ b/bench/src/main/java/org/teaselhook/bench/process/JavaCommand.java
@@ -9,7 +9,13 @@
 
     private static final String MAIN_CLASS = "org.teaselhook.app.Main";
     private static final List<String> SMALL_JVM = List.of(
-            "-Xmx96m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xss256k", "-XX:+ExitOnOutOfMemoryError");
+            "-Xmx96m",
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "-Xss256k",
+            "-XX:+ExitOnOutOfMemoryError",
+            "--add-opens",
+            "java.base/jdk.internal.misc=ALL-UNNAMED");
 
     private JavaCommand() {}
 
--- a/bench/src/main/java/org/teaselhook/bench/process/Site.java
+++ b/bench/src/main/java/org/teaselhook/bench/process/Site.java
@@ -33,7 +33,8 @@
     private static final int TRAFFIC_THREADS = 2;
     private static final int MAX_CONNECTIONS_PER_HOST = 256;
     private static final long CONNECT_TIMEOUT_MILLIS = 1_000;
-    private static final TargetBehaviour BEHAVIOUR = TargetBehaviour.of(RunTime.uniform(20, 100));
+    private static final TargetBehaviour BEHAVIOUR =
+            TargetBehaviour.of(RunTime.uniform(20, 100)).answeringAttempt(true);
 
     private final SitePlan plan;
     private final Path directory;
@@ -205,7 +206,7 @@
         List<InetSocketAddress> peers =
                 links.stream().filter(link -> link != own).map(Link::address).toList();
         Path settings = new SiteSettings(directory)
-                .entry(name, plan.zone(index), http, grpc, own.address(), tableLink.address(), peers);
+                .entry(name, plan.zone(index), http, grpc, own.address(), tableLink.address(), peers, plan.policy());
         return new EntryNode(process(name, "entry", settings), plan.zone(index), http, relays.before(http), own);
     }
 
@@ -227,9 +228,7 @@
                 entries.stream().map(entry -> entry.grpc().address()).toList();
         Path settings = new SiteSettings(directory).agent(name, zone, plan.slots(), http, addresses);
         Link link = relays.before(targetAddress);
-        TargetSettings target = TargetSettings.of("target-" + (index + 1), plan.service(), zone, http)
-                .behind(targetAddress, link.address())
-                .namingAttempts();
+        TargetSettings target = new TargetSettings("target-" + (index + 1), plan.service(), zone, targetAddress, http);
         TargetNode node = new TargetNode(loops, target, BEHAVIOUR, listener, link);
         return new AgentNode(process(name, "agent", settings), zone, http, node);
     }
