--- /dev/null
+++ b/bench/src/test/java/org/teaselhook/bench/process/LeavingTest.java
@@ -0,0 +1,167 @@
+package org.teaselhook.bench.process;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.teaselhook.net.http.HttpCall;
+import org.teaselhook.net.http.HttpResult;
+import org.teaselhook.standin.target.TaskListener;
+import org.teaselhook.standin.target.TaskStart;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/** Lets agents and targets leave while callers send more than the rest can hold. */
+public class LeavingTest implements TaskListener {
+
+    private static final int CALLERS = 24;
+    private static final long CALLER_TIMEOUT_MILLIS = 10_000;
+    private static final long LEAVING_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+    private final Queue<TaskStart> starts = new ConcurrentLinkedQueue<>();
+    private final AtomicInteger ends = new AtomicInteger();
+    private final Queue<TaskStart> cut = new ConcurrentLinkedQueue<>();
+    private final Queue<String> failures = new ConcurrentLinkedQueue<>();
+    private final AtomicInteger answers = new AtomicInteger();
+    private final AtomicBoolean sending = new AtomicBoolean();
+    private final AtomicInteger waiting = new AtomicInteger();
+    private Site site;
+
+    @BeforeMethod
+    public void start() throws IOException, InterruptedException {
+        starts.clear();
+        cut.clear();
+        failures.clear();
+        ends.set(0);
+        answers.set(0);
+        Path directory = Files.createTempDirectory("leaving-test");
+        site = Site.start(SitePlan.standard().withProcesses(2, 3).withSlots(4).withoutRelays(), this, directory);
+        site.awaitReady(Duration.ofSeconds(60));
+        sending.set(true);
+        for (int caller = 0; caller < CALLERS; caller++) {
+            send(caller, 0);
+        }
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+        sending.set(false);
+        if (site != null) {
+            site.close();
+        }
+    }
+
+    // -- tests
+
+    @Test
+    public void shouldCutNothingWhenAgentsStopGracefullyUnderLoad() throws InterruptedException {
+        for (int leaver = 0; leaver < 2; leaver++) {
+            awaitAnswers(150);
+            AgentNode agent = site.agents().get(leaver);
+            agent.process().terminate();
+            assertTrue(agent.process().awaitExit(Duration.ofSeconds(20)), "the agent did not exit");
+            long exited = System.nanoTime();
+            awaitAnswers(100);
+            assertEquals(startsAfter(agent.target().name(), exited), 0, "starts after the exit");
+        }
+        finish();
+    }
+
+    @Test
+    public void shouldSendNothingToTargetAfterItLeft() throws InterruptedException {
+        awaitAnswers(150);
+        AgentNode agent = site.agents().get(0);
+        agent.target().leave().toCompletableFuture().join();
+        long left = System.nanoTime();
+        Thread.sleep(TimeUnit.NANOSECONDS.toMillis(LEAVING_NANOS) + 1_000);
+
+        assertEquals(startsAfter(agent.target().name(), left + LEAVING_NANOS), 0, "starts 3 s after leaving");
+        awaitAnswers(100);
+        finish();
+    }
+
+    private void finish() throws InterruptedException {
+        sending.set(false);
+        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(CALLER_TIMEOUT_MILLIS);
+        while (waiting.get() > 0 && System.nanoTime() < deadline) {
+            Thread.sleep(10);
+        }
+        assertEquals(failures.toString(), "[]");
+        assertEquals(cut.size(), 0, "connections closed by the agent while a task ran");
+        assertEquals(waiting.get(), 0, "callers without an answer");
+        assertEquals(ends.get(), starts.size());
+        assertFalse(starts.isEmpty());
+    }
+
+    private void awaitAnswers(int more) throws InterruptedException {
+        int goal = answers.get() + more;
+        long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
+        while (answers.get() < goal) {
+            assertTrue(System.nanoTime() < deadline, "too few answers; failures: " + failures);
+            Thread.sleep(10);
+        }
+    }
+
+    private long startsAfter(String target, long nanos) {
+        return starts.stream()
+                .filter(start -> start.target().equals(target) && start.monotonicNanos() - nanos > 0)
+                .count();
+    }
+
+    // -- callers
+
+    private void send(int caller, int sequence) {
+        if (!sending.get()) {
+            return;
+        }
+        waiting.incrementAndGet();
+        String kind = sequence % 2 == 0 ? SitePlan.IDEMPOTENT_KIND : SitePlan.ONCE_KIND;
+        byte[] body = (caller + "/" + sequence).getBytes(StandardCharsets.UTF_8);
+        HttpCall call = HttpCall.of("POST", "/v1/services/" + SitePlan.SERVICE + "/" + kind, Map.of(), body);
+        site.client()
+                .send(site.entries().get(caller % 2).http(), call, CALLER_TIMEOUT_MILLIS)
+                .thenAccept(result -> answered(caller, sequence, result));
+    }
+
+    private void answered(int caller, int sequence, HttpResult result) {
+        waiting.decrementAndGet();
+        if (result instanceof HttpResult.Replied replied
+                && replied.reply().status() == 200
+                && replied.reply().text().startsWith(caller + "/" + sequence + "\n")) {
+            answers.incrementAndGet();
+        } else {
+            failures.add(caller + "/" + sequence + ": " + result);
+        }
+        send(caller, sequence + 1);
+    }
+
+    // -- targets
+
+    @Override
+    public void started(TaskStart start) {
+        starts.add(start);
+    }
+
+    @Override
+    public void ended(TaskStart start, int status, long wallMillis) {
+        ends.incrementAndGet();
+    }
+
+    @Override
+    public void cut(TaskStart start) {
+        cut.add(start);
+    }
+}
