--- a/bench/src/main/java/org/teaselhook/bench/failure/RecordingListener.java
+++ b/bench/src/main/java/org/teaselhook/bench/failure/RecordingListener.java
@@ -28,7 +28,7 @@
     }
 
     @Override
-    public void cut(TaskStart start) {
+    public void abandoned(TaskStart start, long wallMillis) {
         recorder.record(new HistoryEvent.TaskCut(body(start), agent(start), recorder.nowNanos()));
     }
 
--- a/standin/src/main/java/org/teaselhook/standin/target/Announcer.java
+++ b/standin/src/main/java/org/teaselhook/standin/target/Announcer.java
@@ -26,7 +26,7 @@
 
     private final HttpClient client;
     private final TargetSettings settings;
-    private final byte[] announcement;
+    private byte[] announcement;
     private CompletionStage<HttpResult> last = CompletableFuture.completedFuture(null);
     private ScheduledFuture<?> schedule;
     private boolean withdrawn;
@@ -34,23 +34,23 @@
     Announcer(HttpClient client, TargetSettings settings, int port) {
         this.client = client;
         this.settings = settings;
-        this.announcement = announcement(settings, port);
+        this.announcement = announcement(new InetSocketAddress(settings.bind().getAddress(), port));
     }
 
-    private static byte[] announcement(TargetSettings settings, int port) {
+    /** Announces another address from now on. */
+    synchronized void announceAt(InetSocketAddress address) {
+        announcement = announcement(address);
+        announce();
+    }
+
+    private byte[] announcement(InetSocketAddress address) {
         ObjectNode json = JsonNodeFactory.instance.objectNode();
         json.put("name", settings.name());
         json.put("service", settings.service());
-        json.put("address", address(settings, port));
+        json.put("address", address.getAddress().getHostAddress() + ":" + address.getPort());
         return json.toString().getBytes(StandardCharsets.UTF_8);
     }
 
-    private static String address(TargetSettings settings, int port) {
-        InetSocketAddress listened = new InetSocketAddress(settings.bind().getAddress(), port);
-        InetSocketAddress address = settings.announced().orElse(listened);
-        return address.getAddress().getHostAddress() + ":" + address.getPort();
-    }
-
     synchronized void start(EventLoops loops) {
         schedule = loops.group().next().scheduleAtFixedRate(this::announce, 0, INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
--- a/standin/src/main/java/org/teaselhook/standin/target/RunTime.java
+++ b/standin/src/main/java/org/teaselhook/standin/target/RunTime.java
@@ -17,6 +17,17 @@
      */
     double sampleMillis(RandomGenerator random);
 
+    /**
+     * Draws the run time of a task.
+     *
+     * @param body the task's body, which some distributions look at
+     * @param random the source of randomness
+     * @return the run time in milliseconds, not negative
+     */
+    default double millisOf(byte[] body, RandomGenerator random) {
+        return sampleMillis(random);
+    }
+
     // -- factories
 
     /**
@@ -51,6 +62,16 @@
         return random -> fromMillis * Math.pow(toMillis / fromMillis, random.nextDouble());
     }
 
+    /**
+     * Returns run times that each task names itself: its body starts with a number of milliseconds and a space.
+     *
+     * @param otherwise the distribution for tasks that name none
+     * @return the distribution
+     */
+    static RunTime inBody(RunTime otherwise) {
+        return new BodyRunTime(otherwise, 1);
+    }
+
     // -- transformations
 
     /**
--- a/standin/src/main/java/org/teaselhook/standin/target/TaskListener.java
+++ b/standin/src/main/java/org/teaselhook/standin/target/TaskListener.java
@@ -22,12 +22,13 @@
     void ended(TaskStart start, int status, long wallMillis);
 
     /**
-     * Called when the connection of a task closes before the target has answered.
+     * Called when the agent closes the connection of a task that is not answered. The task itself goes on.
      *
      * @param start the start
+     * @param wallMillis the wall-clock time, in milliseconds since the epoch
      */
-    default void cut(TaskStart start) {
-        // nothing is recorded
+    default void abandoned(TaskStart start, long wallMillis) {
+        // of interest to few listeners
     }
 
     /**
