Announce waiting tasks at intervals, not at each event

Every submission and result looked at up to sixteen workers while tasks waited, which was most of a decision's cost. Now a round follows the first wait and then every 2 ms at most. Hedging follows its setting.

--- a/core/src/main/java/org/teaselhook/core/dispatch/Demand.java
+++ b/core/src/main/java/org/teaselhook/core/dispatch/Demand.java
@@ -1,11 +1,13 @@
 package org.teaselhook.core.dispatch;
 
 /**
- * Tells agents between heartbeats that tasks wait here. Each call looks at a bounded number of workers in turn.
+ * Tells agents between heartbeats that tasks wait here: at once when the first one has to wait, then at intervals. Each
+ * round looks at a bounded number of workers in turn.
  */
 final class Demand {
 
     private static final int FANOUT = 16;
+    private static final long INTERVAL_NANOS = 2_000_000L;
     private static final long REPEAT_NANOS = 100_000_000L;
 
     private final Control control;
@@ -17,7 +19,7 @@
     }
 
     void announce(long nowNanos, ServicePool pool) {
-        if (!pool.usesGrants() || pool.queue().isEmpty()) {
+        if (!pool.usesGrants() || !pool.startAnnouncing(nowNanos, INTERVAL_NANOS)) {
             return;
         }
         int looked = Math.min(FANOUT, pool.members().size());
--- a/core/src/main/java/org/teaselhook/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/teaselhook/core/dispatch/Dispatcher.java
@@ -351,8 +351,11 @@
     }
 
     private void drain(long nowNanos, Attempt ended) {
+        ServicePool pool = ended.task().submission().pool();
         scheduler.drain(nowNanos, ended.member().worker());
-        scheduler.drain(nowNanos, ended.task().submission().pool());
+        if (!ended.member().worker().members().containsValue(ended.member())) {
+            scheduler.drain(nowNanos, pool);
+        }
     }
 
     private void drainAll(long nowNanos) {
--- a/core/src/main/java/org/teaselhook/core/dispatch/ServicePool.java
+++ b/core/src/main/java/org/teaselhook/core/dispatch/ServicePool.java
@@ -34,6 +34,8 @@
     private double capacity;
     private long capacityAt;
     private int nextAnnounced;
+    private boolean announcing;
+    private long announcedAt;
 
     ServicePool(String service, boolean usesGrants) {
         this.service = service;
@@ -149,6 +151,16 @@
         return Optional.of(member);
     }
 
+    /** Tells whether to announce the wait now: when it has just begun, and at intervals after that. */
+    boolean startAnnouncing(long nowNanos, long intervalNanos) {
+        boolean due = !queue.isEmpty() && (!announcing || nowNanos - announcedAt >= intervalNanos);
+        announcing = !queue.isEmpty();
+        if (due) {
+            announcedAt = nowNanos;
+        }
+        return due;
+    }
+
     /** Returns the next member in turn, to hear of the wanted slots. */
     Member nextToAnnounce() {
         nextAnnounced = (nextAnnounced + 1) % members.size();
--- a/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
@@ -180,7 +180,8 @@
 
     private static DispatcherSettings dispatcherSettings(EntrySettings settings) {
         String name = settings.placementPolicy().toUpperCase(Locale.ROOT).replace('-', '_');
-        return DispatcherSettings.of(settings.zone(), PlacementPolicy.valueOf(name));
+        return DispatcherSettings.of(settings.zone(), PlacementPolicy.valueOf(name))
+                .withHedging(settings.hedging());
     }
 
     private Member member() {
