--- a/bench/src/main/java/org/teaselhook/bench/failure/FaultActions.java
+++ b/bench/src/main/java/org/teaselhook/bench/failure/FaultActions.java
@@ -26,8 +26,9 @@
 /** Carries out the faults on a site. Each method is called by the lane of its fault. */
 final class FaultActions {
 
-    static final TargetBehaviour SOUND =
-            TargetBehaviour.of(RunTime.logUniform(20, 400).mixed(0.02, RunTime.uniform(1_000, 2_500)));
+    static final TargetBehaviour SOUND = TargetBehaviour.of(
+                    RunTime.logUniform(20, 400).mixed(0.02, RunTime.uniform(1_000, 2_500)))
+            .answeringAttempt(true);
 
     private static final Duration STOP_WAIT = Duration.ofSeconds(20);
     private static final double SLOW_FACTOR = 10;
--- a/bench/src/test/java/org/teaselhook/bench/history/HistoryCheckerTest.java
+++ b/bench/src/test/java/org/teaselhook/bench/history/HistoryCheckerTest.java
@@ -39,7 +39,7 @@
     public Object[][] soundCalls() {
         return new Object[][] {
             {"empty", history()},
-            {"job complete", history().job("k", 2).start("k/1").start("k/0").complete(1, "k/0 x", "k/1 y")},
+            {"job complete", history().job("k", 2).start("k/1").start("k/0").complete(1, "k/0\nx", "k/1\ny")},
             {"job refused", history().job("k", 2).answer(1, NOT_RUN)},
             {"job failed in part", history().job("k", 2).start("k/0").answer(1, MAY_HAVE_RUN)},
             {
@@ -52,8 +52,8 @@
                         .booking("k")
                         .start("k/0")
                         .booking("k")
-                        .complete(2, "k/0 x")
-                        .complete(1, "k/0 x")
+                        .complete(2, "k/0\nx")
+                        .complete(1, "k/0\nx")
             },
             {
                 "refused, then run",
@@ -62,7 +62,7 @@
                         .answer(1, NOT_RUN)
                         .booking("k")
                         .start("k/0")
-                        .complete(2, "k/0 x")
+                        .complete(2, "k/0\nx")
             },
             {
                 "one refused of two",
@@ -70,17 +70,17 @@
             },
             {
                 "idempotent retried",
-                history().check("k").start("k/0").start("k/0").complete(1, "k/0 x")
+                history().check("k").start("k/0").start("k/0").complete(1, "k/0\nx")
             },
             {
                 "idempotent answered twice",
                 history()
                         .check("k")
                         .start("k/0")
-                        .complete(1, "k/0 x")
+                        .complete(1, "k/0\nx")
                         .check("k")
                         .start("k/0")
-                        .complete(2, "k/0 y")
+                        .complete(2, "k/0\ny")
             },
         };
     }
@@ -128,6 +128,12 @@
             },
             {"change kept", history().kept(1, "op-1").out("thrissur", 2).kept(2, "op-2")},
             {"change older than the history", history().out("thrissur", 2).kept(5, "op-5")},
+        };
+    }
+
+    @DataProvider
+    public Object[][] soundStops() {
+        return new Object[][] {
             {
                 "stop after the answer",
                 history().booking("k").answer(1, NOT_RUN).stopping("entry-1").stopped("entry-1")
@@ -170,6 +176,11 @@
         assertEquals(CHECKER.check(history.done()), List.of(), name);
     }
 
+    @Test(dataProvider = "soundStops")
+    public void shouldAcceptStops(String name, HandMade history) {
+        assertEquals(CHECKER.check(history.done()), List.of(), name);
+    }
+
     @Test(dataProvider = "soundChanges")
     public void shouldAcceptChanges(String name, HandMade history) {
         assertEquals(CHECKER.check(history.done()), List.of(), name);
@@ -219,19 +230,19 @@
     @DataProvider
     public Object[][] brokenAnswers() {
         return new Object[][] {
-            {PARTIAL_ANSWER, history().job("k", 2).start("k/0").start("k/1").complete(1, "k/0 x")},
-            {FOREIGN_ANSWER, history().job("k", 2).start("k/0").start("k/1").complete(1, "k/1 x", "k/0 x")},
-            {FOREIGN_ANSWER, history().check("k").start("k/0").complete(1, "k/01 x")},
+            {PARTIAL_ANSWER, history().job("k", 2).start("k/0").start("k/1").complete(1, "k/0\nx")},
+            {FOREIGN_ANSWER, history().job("k", 2).start("k/0").start("k/1").complete(1, "k/1\nx", "k/0\nx")},
+            {FOREIGN_ANSWER, history().check("k").start("k/0").complete(1, "k/01\nx")},
             {
                 DIFFERENT_ANSWERS,
                 history()
                         .booking("k")
                         .start("k/0")
-                        .complete(1, "k/0 x")
+                        .complete(1, "k/0\nx")
                         .booking("k")
-                        .complete(2, "k/0 y")
+                        .complete(2, "k/0\ny")
             },
-            {COMPLETE_BUT_NOT_STARTED, history().job("k", 2).start("k/0").complete(1, "k/0 x", "k/1 x")},
+            {COMPLETE_BUT_NOT_STARTED, history().job("k", 2).start("k/0").complete(1, "k/0\nx", "k/1\nx")},
         };
     }
 
