--- a/bench/src/main/java/org/teaselhook/bench/process/Readiness.java
+++ b/bench/src/main/java/org/teaselhook/bench/process/Readiness.java
@@ -16,9 +16,11 @@
     private static final int STATUS_OK = 200;
 
     private final HttpClient client;
+    private final long probeTimeoutMillis;
 
-    private Readiness(HttpClient client) {
+    private Readiness(HttpClient client, long probeTimeoutMillis) {
         this.client = client;
+        this.probeTimeoutMillis = probeTimeoutMillis;
     }
 
     // -- factories
@@ -30,7 +32,18 @@
      * @return the prober
      */
     public static Readiness of(HttpClient client) {
-        return new Readiness(client);
+        return of(client, PROBE_TIMEOUT_MILLIS);
+    }
+
+    /**
+     * Returns a prober.
+     *
+     * @param client sends the probes
+     * @param probeTimeoutMillis the longest wait for one answer
+     * @return the prober
+     */
+    public static Readiness of(HttpClient client, long probeTimeoutMillis) {
+        return new Readiness(client, probeTimeoutMillis);
     }
 
     // -- probing
@@ -42,7 +55,7 @@
      * @return true if it answered {@code GET /ready} with status 200
      */
     public boolean isReady(InetSocketAddress address) {
-        HttpResult result = client.send(address, HttpCall.of("GET", "/ready"), PROBE_TIMEOUT_MILLIS)
+        HttpResult result = client.send(address, HttpCall.of("GET", "/ready"), probeTimeoutMillis)
                 .toCompletableFuture()
                 .join();
         return result instanceof HttpResult.Replied replied && replied.reply().status() == STATUS_OK;
--- a/standin/src/main/java/org/teaselhook/standin/target/TargetServer.java
+++ b/standin/src/main/java/org/teaselhook/standin/target/TargetServer.java
@@ -205,7 +205,7 @@
         running.incrementAndGet();
         boolean fails = current.failsAtOnce() || random.nextDouble() < current.failureShare();
         double millis =
-                current.failsAtOnce() ? 0 : current.runTimeOf(start.kind()).sampleMillis(random);
+                current.failsAtOnce() ? 0 : current.runTimeOf(start.kind()).millisOf(call.body(), random);
         HttpReply result = fails ? failed() : answer(call, start, current.answersAttempt());
         long nanos = (long) (millis * NANOS_PER_MILLI);
         loops.group().next().schedule(() -> end(call, start, reply, result), nanos, TimeUnit.NANOSECONDS);
