--- a/bench/src/main/java/org/teaselhook/bench/failure/Callers.java
+++ b/bench/src/main/java/org/teaselhook/bench/failure/Callers.java
@@ -31,13 +31,15 @@
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private final Site site;
+    private final Balancer balancer;
     private final HistoryRecorder recorder;
     private final List<TicketPool> tickets;
     private final AtomicLong calls = new AtomicLong();
     private final AtomicInteger open = new AtomicInteger();
 
-    Callers(Site site, HistoryRecorder recorder) {
+    Callers(Site site, Balancer balancer, HistoryRecorder recorder) {
         this.site = site;
+        this.balancer = balancer;
         this.recorder = recorder;
         this.tickets = site.entries().stream()
                 .map(entry -> new TicketPool(site.client(), entry.callers().address()))
@@ -66,7 +68,7 @@
 
     private void call(Named named, int attempt, boolean followed) {
         PlannedSubmission plan = named.plan;
-        EntryNode entry = site.entries().get(plan.entries().get(attempt));
+        EntryNode entry = balancer.choose(plan.entries().get(attempt));
         long number = calls.incrementAndGet();
         open.incrementAndGet();
         long sentNanos = recorder.nowNanos();
