--- /dev/null
+++ b/bench/src/main/java/org/teaselhook/bench/config/ConfigBench.java
@@ -0,0 +1,105 @@
+package org.teaselhook.bench.config;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.teaselhook.bench.process.ChangeResult;
+import org.teaselhook.bench.process.Operators;
+import org.teaselhook.bench.process.Site;
+import org.teaselhook.bench.process.SitePlan;
+import org.teaselhook.standin.target.TaskListener;
+
+/**
+ * Takes an availability zone out and brings it back again and again, through the entries in turn, on a site of
+ * separate processes without other load.
+ */
+final class ConfigBench {
+
+    private static final Duration READY_WAIT = Duration.ofSeconds(90);
+    private static final long SETTLE_MILLIS = 2_000;
+    private static final long IDLE_MILLIS = 10_000;
+    private static final long CONFIRM_WAIT_MILLIS = 30_000;
+    private static final long POLL_MILLIS = 10;
+    private static final int MAX_PAUSE_MILLIS = 1_000;
+
+    private final SitePlan plan;
+    private final int changes;
+    private final Random random;
+    private final Path directory;
+
+    ConfigBench(SitePlan plan, int changes, long seed, Path directory) {
+        this.plan = plan;
+        this.changes = changes;
+        this.random = new Random(seed);
+        this.directory = directory;
+    }
+
+    ConfigBenchReport run() throws InterruptedException {
+        try (Site site = Site.start(plan, TaskListener.none(), directory)) {
+            site.awaitReady(READY_WAIT);
+            awaitAllConfirmed(operators(site, 0), 1);
+            TimeUnit.MILLISECONDS.sleep(SETTLE_MILLIS);
+            Traffic start = Traffic.read(site);
+            TimeUnit.MILLISECONDS.sleep(IDLE_MILLIS);
+            Traffic middle = Traffic.read(site);
+            List<MeasuredChange> measured = changeAll(site);
+            Traffic end = Traffic.read(site);
+            return ConfigBenchReport.of(site, measured, middle.since(start), end.since(middle));
+        }
+    }
+
+    private List<MeasuredChange> changeAll(Site site) throws InterruptedException {
+        List<MeasuredChange> result = new ArrayList<>();
+        for (int i = 0; i < changes; i++) {
+            TimeUnit.MILLISECONDS.sleep(random.nextInt(MAX_PAUSE_MILLIS));
+            result.add(change(operators(site, i % plan.entries()), i));
+        }
+        return result;
+    }
+
+    private MeasuredChange change(Operators operators, int index) throws InterruptedException {
+        boolean out = index % 2 == 0;
+        long sent = System.currentTimeMillis();
+        ChangeResult result = operators.changeZone(plan.zones().get(0), out, "bench-" + index);
+        long answered = System.currentTimeMillis();
+        long version =
+                result.version().orElseThrow(() -> new IllegalStateException("change refused: " + result.detail()));
+        awaitAllConfirmed(operators, version);
+        return new MeasuredChange(version, sent, answered, System.currentTimeMillis());
+    }
+
+    private void awaitAllConfirmed(Operators operators, long version) throws InterruptedException {
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(CONFIRM_WAIT_MILLIS);
+        while (!isConfirmed(operators, version)) {
+            if (endNanos - System.nanoTime() < 0) {
+                throw new IllegalStateException("version " + version + " is not in force; logs are in " + directory);
+            }
+            TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+        }
+    }
+
+    private boolean isConfirmed(Operators operators, long version) {
+        return operators
+                .read("/v1/admin/status", Map.of())
+                .filter(status -> isConfirmed(status, version))
+                .isPresent();
+    }
+
+    private boolean isConfirmed(JsonNode status, long version) {
+        int confirmed = 0;
+        for (JsonNode process : status.path("processes")) {
+            confirmed += process.path("version").asLong() >= version ? 1 : 0;
+        }
+        return confirmed == plan.entries() + plan.agents();
+    }
+
+    private static Operators operators(Site site, int entry) {
+        return Operators.of(site.client(), site.entries().get(entry).http());
+    }
+}
