--- a/bench/src/main/java/org/teaselhook/bench/failure/FailureRun.java
+++ b/bench/src/main/java/org/teaselhook/bench/failure/FailureRun.java
@@ -10,7 +10,6 @@
 import org.teaselhook.bench.history.HistoryChecker;
 import org.teaselhook.bench.history.HistoryLimits;
 import org.teaselhook.bench.history.HistoryRecorder;
-import org.teaselhook.bench.process.EntryNode;
 import org.teaselhook.bench.process.Site;
 import org.teaselhook.bench.process.SitePlan;
 import org.teaselhook.net.log.LogLine;
@@ -45,9 +44,10 @@
         try (Site site = Site.start(SitePlan.standard(), new RecordingListener(recorder), directory)) {
             site.awaitReady(READY_WAIT);
             site.agents().forEach(agent -> agent.target().behaveAs(FaultActions.SOUND));
-            Callers callers = new Callers(site, recorder);
+            Balancer balancer = new Balancer(site.entries(), site.client());
+            Callers callers = new Callers(site, balancer, recorder);
             Observer observer = new Observer(site, recorder);
-            List<Thread> observers = watch(site, observer);
+            List<Thread> observers = watch(site, observer, balancer);
             long startNanos = recorder.nowNanos();
             startLanes(site, startNanos);
             submitAll(callers, startNanos);
@@ -134,10 +134,12 @@
 
     // -- threads
 
-    private List<Thread> watch(Site site, Observer observer) {
+    private static List<Thread> watch(Site site, Observer observer, Balancer balancer) {
         List<Thread> observers = new ArrayList<>();
-        for (EntryNode entry : site.entries()) {
-            observers.add(start(() -> observer.watch(entry)));
+        for (int i = 0; i < site.entries().size(); i++) {
+            int index = i;
+            observers.add(start(() -> observer.watch(site.entries().get(index))));
+            observers.add(start(() -> balancer.watch(index)));
         }
         return observers;
     }
