--- a/bench/src/test/java/org/teaselhook/bench/process/LeavingTest.java
+++ b/bench/src/test/java/org/teaselhook/bench/process/LeavingTest.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.Queue;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -50,6 +51,7 @@
         Path directory = Files.createTempDirectory("leaving-test");
         site = Site.start(SitePlan.standard().withProcesses(2, 3).withSlots(4).withoutRelays(), this, directory);
         site.awaitReady(Duration.ofSeconds(60));
+        awaitRules();
         sending.set(true);
         for (int caller = 0; caller < CALLERS; caller++) {
             send(caller, 0);
@@ -106,6 +108,26 @@
         assertFalse(starts.isEmpty());
     }
 
+    /** Waits until both entries hold the rules, and forgets the probes. */
+    private void awaitRules() throws InterruptedException {
+        for (int entry = 0; entry < 2; entry++) {
+            long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+            while (!isAnswered(entry)) {
+                assertTrue(System.nanoTime() < deadline, "no rules at entry " + entry);
+                Thread.sleep(50);
+            }
+        }
+        starts.clear();
+        ends.set(0);
+    }
+
+    private boolean isAnswered(int entry) {
+        HttpResult result = request(entry, SitePlan.IDEMPOTENT_KIND, "probe")
+                .toCompletableFuture()
+                .join();
+        return result instanceof HttpResult.Replied replied && replied.reply().status() == 200;
+    }
+
     private void awaitAnswers(int more) throws InterruptedException {
         int goal = answers.get() + more;
         long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
@@ -129,11 +151,13 @@
         }
         waiting.incrementAndGet();
         String kind = sequence % 2 == 0 ? SitePlan.IDEMPOTENT_KIND : SitePlan.ONCE_KIND;
-        byte[] body = (caller + "/" + sequence).getBytes(StandardCharsets.UTF_8);
-        HttpCall call = HttpCall.of("POST", "/v1/services/" + SitePlan.SERVICE + "/" + kind, Map.of(), body);
-        site.client()
-                .send(site.entries().get(caller % 2).http(), call, CALLER_TIMEOUT_MILLIS)
-                .thenAccept(result -> answered(caller, sequence, result));
+        request(caller % 2, kind, caller + "/" + sequence).thenAccept(result -> answered(caller, sequence, result));
+    }
+
+    private CompletionStage<HttpResult> request(int entry, String kind, String body) {
+        String path = "/v1/services/" + SitePlan.SERVICE + "/" + kind;
+        HttpCall call = HttpCall.of("POST", path, Map.of(), body.getBytes(StandardCharsets.UTF_8));
+        return site.client().send(site.entries().get(entry).http(), call, CALLER_TIMEOUT_MILLIS);
     }
 
     private void answered(int caller, int sequence, HttpResult result) {
@@ -143,11 +167,15 @@
                 && replied.reply().text().startsWith(caller + "/" + sequence + "\n")) {
             answers.incrementAndGet();
         } else {
-            failures.add(caller + "/" + sequence + ": " + result);
+            failures.add(caller + "/" + sequence + ": " + describe(result));
         }
         send(caller, sequence + 1);
     }
 
+    private static String describe(HttpResult result) {
+        return result instanceof HttpResult.Replied replied ? replied.reply().text() : result.toString();
+    }
+
     // -- targets
 
     @Override
@@ -161,7 +189,7 @@
     }
 
     @Override
-    public void cut(TaskStart start) {
+    public void abandoned(TaskStart start, long wallMillis) {
         cut.add(start);
     }
 }
