Measure a site under load, policy beside policy

bin/bench starts a site of three entries and eleven workers of eight slots, warms it up under kinds of its own, sends an open-loop mix of both customers' requests and prints a line for each case and policy.

--- a/bench/src/main/java/org/teaselhook/bench/load/EntryCounts.java
+++ b/bench/src/main/java/org/teaselhook/bench/load/EntryCounts.java
@@ -47,6 +47,13 @@
         sums.merge(name, Double.parseDouble(line.substring(space + 1)), Double::sum);
     }
 
+    /** Returns what was counted since an earlier reading. */
+    EntryCounts since(EntryCounts before) {
+        Map<String, Double> differences = new HashMap<>();
+        values.forEach((name, value) -> differences.put(name, value - before.values.getOrDefault(name, 0.0)));
+        return new EntryCounts(differences);
+    }
+
     double of(String counter) {
         return values.getOrDefault(counter + "_total", 0.0);
     }
--- a/bench/src/main/java/org/teaselhook/bench/load/LoadCallers.java
+++ b/bench/src/main/java/org/teaselhook/bench/load/LoadCallers.java
@@ -40,6 +40,7 @@
     private final LoadRecord record;
     private final double seconds;
     private final Random random;
+    private final String suffix;
     private final EventLoops loops = EventLoops.of(THREADS);
     private final HttpClient client = HttpClient.create(loops, CONNECTIONS, CONNECT_TIMEOUT_MILLIS);
     private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
@@ -47,12 +48,13 @@
     private final AtomicInteger open = new AtomicInteger();
     private volatile long startNanos;
 
-    LoadCallers(Site site, LoadCase load, LoadRecord record, double seconds, long seed) {
+    LoadCallers(Site site, LoadCase load, LoadRecord record, double seconds, long seed, String suffix) {
         this.site = site;
         this.load = load;
         this.record = record;
         this.seconds = seconds;
         this.random = new Random(seed);
+        this.suffix = suffix;
         this.tickets = site.entries().stream()
                 .map(entry -> new TicketPool(client, entry.http()))
                 .toList();
@@ -130,7 +132,7 @@
         headers.put("teaselhook-customer", request.kind().customer());
         headers.put("teaselhook-timeout-ms", Integer.toString(request.kind().timeoutMillis()));
         if (request.kind().isJob()) {
-            headers.put("idempotency-key", "load-" + request.number() + "-" + resends);
+            headers.put("idempotency-key", "load" + suffix + "-" + request.number() + "-" + resends);
             headers.put("content-type", "application/json");
             return HttpCall.of("POST", "/v1/jobs", headers, job(request));
         }
@@ -138,8 +140,7 @@
             name(request, resends, entry, headers);
         }
         headers.put("content-type", "text/plain");
-        String path =
-                "/v1/services/" + site.plan().service() + "/" + request.kind().kind();
+        String path = "/v1/services/" + site.plan().service() + "/" + kind(request);
         return HttpCall.of("POST", path, headers, body(request, 0).getBytes(StandardCharsets.UTF_8));
     }
 
@@ -147,18 +148,22 @@
         Optional<String> ticket = tickets.get(entry).take(System.nanoTime());
         headers.put(
                 ticket.isPresent() ? "teaselhook-ticket" : "idempotency-key",
-                ticket.orElse("load-" + request.number() + "-" + resends));
+                ticket.orElse("load" + suffix + "-" + request.number() + "-" + resends));
     }
 
     private byte[] job(PlannedRequest request) {
         ObjectNode root = JSON.createObjectNode().put("service", site.plan().service());
         ArrayNode tasks = root.putArray("tasks");
         for (int i = 0; i < request.tasks(); i++) {
-            tasks.addObject().put("kind", request.kind().kind()).put("body", body(request, i));
+            tasks.addObject().put("kind", kind(request)).put("body", body(request, i));
         }
         return root.toString().getBytes(StandardCharsets.UTF_8);
     }
 
+    private String kind(PlannedRequest request) {
+        return request.kind().kind() + suffix;
+    }
+
     private static String body(PlannedRequest request, int task) {
         return String.format(Locale.ROOT, "%.2f request %d", request.runMillis().get(task), request.number());
     }
--- a/bench/src/main/java/org/teaselhook/bench/load/LoadReport.java
+++ b/bench/src/main/java/org/teaselhook/bench/load/LoadReport.java
@@ -1,5 +1,6 @@
 package org.teaselhook.bench.load;
 
+import java.lang.management.ManagementFactory;
 import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
@@ -38,6 +39,7 @@
         outcomes();
         waste();
         goodput(load);
+        put("machine_load", ManagementFactory.getOperatingSystemMXBean().getSystemLoadAverage());
     }
 
     String line() {
--- a/bench/src/main/java/org/teaselhook/bench/load/LoadRun.java
+++ b/bench/src/main/java/org/teaselhook/bench/load/LoadRun.java
@@ -23,6 +23,8 @@
     private static final int ENTRIES = 3;
     private static final int AGENTS = 11;
     private static final int SLOTS = 8;
+    private static final int WARM_UP_SECONDS = 10;
+    private static final String WARM_UP_SUFFIX = "-warm-up";
     private static final long POLL_MILLIS = 20;
     private static final Duration READY = Duration.ofSeconds(40);
     private static final long DRAIN_MILLIS = 25_000;
@@ -54,9 +56,12 @@
     }
 
     private LoadReport measure(Site site, StartCounter starts) throws InterruptedException {
+        warmUp(site);
+        EntryCounts before = EntryCounts.read(site);
+        starts.reset();
         LoadRecord record = new LoadRecord(seconds);
         List<PlannedRequest> arrivals = Arrivals.draw(seed, load, seconds, AGENTS * SLOTS);
-        try (LoadCallers callers = new LoadCallers(site, load, record, seconds, seed)) {
+        try (LoadCallers callers = new LoadCallers(site, load, record, seconds, seed, "")) {
             callers.start(arrivals);
             for (LoadCase.Fault fault : load.faults()) {
                 sleepUntil(callers.startNanos() + (long) (fault.time() * seconds * 1e9));
@@ -65,7 +70,19 @@
             sleepUntil(callers.startNanos() + TimeUnit.SECONDS.toNanos(seconds));
             awaitAnswers(callers);
         }
-        return new LoadReport(load, policy, seed, seconds, record, EntryCounts.read(site), starts);
+        return new LoadReport(
+                load, policy, seed, seconds, record, EntryCounts.read(site).since(before), starts);
+    }
+
+    /** Lets every process compile its code; under kinds of its own, so that no run time of the case is learned. */
+    private void warmUp(Site site) throws InterruptedException {
+        LoadCase steady = LoadCase.STEADY70;
+        LoadRecord ignored = new LoadRecord(WARM_UP_SECONDS);
+        try (LoadCallers callers = new LoadCallers(site, steady, ignored, WARM_UP_SECONDS, seed, WARM_UP_SUFFIX)) {
+            callers.start(Arrivals.draw(seed + 1, steady, WARM_UP_SECONDS, AGENTS * SLOTS));
+            TimeUnit.SECONDS.sleep(WARM_UP_SECONDS);
+            awaitAnswers(callers);
+        }
     }
 
     private static void awaitAnswers(LoadCallers callers) throws InterruptedException {
@@ -95,7 +112,8 @@
 
     private String rules() {
         String kinds = Arrays.stream(RequestKind.values())
-                .map(kind -> kind.rule(SitePlan.SERVICE, load.declaredFactor()))
+                .map(kind -> kind.rule(SitePlan.SERVICE, "", load.declaredFactor())
+                        + kind.rule(SitePlan.SERVICE, WARM_UP_SUFFIX, 1))
                 .collect(Collectors.joining());
         return kinds
                 + "customer pandal weight=1 max-tasks=100000  # pandal: measurement\n"
--- a/bench/src/main/java/org/teaselhook/bench/load/RequestKind.java
+++ b/bench/src/main/java/org/teaselhook/bench/load/RequestKind.java
@@ -84,11 +84,11 @@
     }
 
     /** The rule's line, with the declared run time off by a factor. */
-    String rule(String service, double declaredFactor) {
+    String rule(String service, String suffix, double declaredFactor) {
         long declared = Math.max(1, Math.round(meanMillis * declaredFactor));
         String mode = idempotent ? "idempotent" : "once";
         return "kind %s %s %s timeout=20s run=%dms  # %s: measurement\n"
-                .formatted(service, kind, mode, declared, customer);
+                .formatted(service, kind + suffix, mode, declared, customer);
     }
 
     // -- drawing
--- a/bench/src/main/java/org/teaselhook/bench/load/StartCounter.java
+++ b/bench/src/main/java/org/teaselhook/bench/load/StartCounter.java
@@ -27,6 +27,12 @@
         // Only starts count.
     }
 
+    /** Forgets the counts, not which tasks have started. */
+    void reset() {
+        starts.set(0);
+        repeated.set(0);
+    }
+
     long starts() {
         return starts.get();
     }
