Look keys up without claiming, and read the ends of all logs each second

Before an entry says that a resubmission did not run it must know whether the key is held. Every append now also writes a tail row; one scan of the floor and tail rows of all shards each second tells which shards to read, so that every ledger is about 1 s behind at most, with one read a second instead of sixteen each five seconds. lookup answers known keys at once, from memory alone while the breaker is open, else after the shard was read. The breaker judged single calls by 250 ms and opened on a busy machine (ClaimsTest failed once there). It now opens when nothing has succeeded for 400 ms while calls wait, or two calls in a row have failed; time in which the process itself stood still does not count, and a call without answer is checked by a scan before.

--- a/core/src/main/java/org/teaselhook/core/claim/Breaker.java
+++ b/core/src/main/java/org/teaselhook/core/claim/Breaker.java
@@ -41,14 +41,17 @@
         return state == State.OPEN && nowNanos - nextProbeNanos >= 0;
     }
 
+    /** Counts a call that ended without result. */
     void failed(long nowNanos) {
-        if (state == State.OPEN && !isProbeDue(nowNanos)) {
-            return;
-        }
         failures++;
-        if (state == State.CLOSED && failures < FAILURES_TO_OPEN) {
+        if (state == State.OPEN && !isProbeDue(nowNanos) || state == State.CLOSED && failures < FAILURES_TO_OPEN) {
             return;
         }
+        open(nowNanos);
+    }
+
+    /** Opens, or puts off the next probe if open already. */
+    void open(long nowNanos) {
         intervalFactor = state == State.CLOSED ? 1 : Math.min(intervalFactor * 2, MAX_INTERVAL_FACTOR);
         state = State.OPEN;
         nextProbeNanos = nowNanos + probeIntervalNanos * intervalFactor;
@@ -66,6 +69,13 @@
         state = State.CLOSED;
     }
 
+    /** Counts a call that took too long; it does not bring an open breaker nearer to closing. */
+    void succeededSlowly(long nowNanos) {
+        if (state != State.CLOSED) {
+            failed(nowNanos);
+        }
+    }
+
     Duration retryAfter(long nowNanos) {
         Duration untilProbe = Duration.ofNanos(Math.max(0, nextProbeNanos - nowNanos));
         return untilProbe.compareTo(MIN_RETRY_AFTER) < 0 ? MIN_RETRY_AFTER : untilProbe;
--- a/core/src/main/java/org/teaselhook/core/claim/LedgerLimits.java
+++ b/core/src/main/java/org/teaselhook/core/claim/LedgerLimits.java
@@ -8,7 +8,7 @@
  * @param maxQueuedClaims the greatest number of claims that wait per shard
  * @param maxRetainedClaims the greatest number of claims within the retention time per shard
  * @param appendIntervalMillis the least time between two appends to one shard
- * @param slowCallMillis a call to the table service that takes longer opens the breaker
+ * @param slowCallMillis the breaker opens when calls wait and none has succeeded for this time
  * @param probeIntervalMillis the time between probes while the breaker is open
  */
 public record LedgerLimits(
@@ -20,7 +20,7 @@
         long slowCallMillis,
         long probeIntervalMillis) {
 
-    private static final LedgerLimits STANDARD = new LedgerLimits(600_000, 256, 2_048, 100_000, 30, 250, 500);
+    private static final LedgerLimits STANDARD = new LedgerLimits(600_000, 256, 2_048, 100_000, 30, 400, 500);
 
     /** Checks the bounds. */
     public LedgerLimits {
--- a/core/src/main/java/org/teaselhook/core/claim/LedgerOutput.java
+++ b/core/src/main/java/org/teaselhook/core/claim/LedgerOutput.java
@@ -6,12 +6,12 @@
 public interface LedgerOutput {
 
     /**
-     * Wants a call made. Its result goes to {@link Ledger#completed}; there is one call per shard at a time.
+     * Wants a call made. Its result goes to {@link Ledger#completed}; there is one call per slot at a time.
      *
-     * @param shard the shard
+     * @param slot a number from 0 to {@link Ledger#SLOTS} - 1
      * @param call the call
      */
-    void call(int shard, TableCall call);
+    void call(int slot, TableCall call);
 
     /**
      * Answers a claim, once.
@@ -21,6 +21,14 @@
      */
     void answer(long claimId, ClaimResult result);
 
+    /**
+     * Answers a lookup, once.
+     *
+     * @param lookupId the number given to {@link Ledger#lookup}
+     * @param result the result
+     */
+    void found(long lookupId, LookupResult result);
+
     /**
      * Tells of an event.
      *
--- a/core/src/main/java/org/teaselhook/core/claim/LogBatch.java
+++ b/core/src/main/java/org/teaselhook/core/claim/LogBatch.java
@@ -27,7 +27,8 @@
         return Transaction.empty()
                 .require(keys.floor(), floorVersion)
                 .requireAbsent(key)
-                .put(key, row.encode());
+                .put(key, row.encode())
+                .put(keys.tail(), LogKeys.encode(sequence + 1));
     }
 
     int size() {
--- a/core/src/main/java/org/teaselhook/core/claim/LogKeys.java
+++ b/core/src/main/java/org/teaselhook/core/claim/LogKeys.java
@@ -5,26 +5,42 @@
 import java.util.OptionalLong;
 
 /**
- * The keys of a shard's rows in the table service, and the form of its floor row.
+ * The keys of a shard's rows in the table service, and the form of its floor and tail rows.
  *
- * <p>The floor row holds the sequence of the first row retained. It exists from the first deletion on.
+ * <p>The floor row holds the sequence of the first row retained and exists from the first deletion on. The tail row
+ * holds the sequence after the last row and is written by every append. The floor and tail rows of all shards lie side
+ * by side, so that one scan reads them.
  */
 final class LogKeys {
 
+    static final String HEADS_FROM = "claims-floor/";
+    static final String HEADS_TO = "claims-tail/:";
+
+    private static final String FLOOR_FORMAT = HEADS_FROM + "%02d";
+    private static final String TAIL_FORMAT = "claims-tail/%02d";
+    private static final String PREFIX_FORMAT = "claims/%02d/";
     private static final String SEQUENCE_FORMAT = "%s%019d";
 
+    private final String floor;
+    private final String tail;
     private final String prefix;
 
-    private LogKeys(String prefix) {
-        this.prefix = prefix;
+    private LogKeys(int shard) {
+        this.floor = String.format(FLOOR_FORMAT, shard);
+        this.tail = String.format(TAIL_FORMAT, shard);
+        this.prefix = String.format(PREFIX_FORMAT, shard);
     }
 
     static LogKeys of(int shard) {
-        return new LogKeys(String.format("claims/%02d/", shard));
+        return new LogKeys(shard);
     }
 
     String floor() {
-        return prefix + "floor";
+        return floor;
+    }
+
+    String tail() {
+        return tail;
     }
 
     String row(long sequence) {
@@ -39,11 +55,11 @@
         return Long.parseLong(rowKey.substring(prefix.length()));
     }
 
-    static byte[] encodeFloor(long sequence) {
+    static byte[] encode(long sequence) {
         return ByteBuffer.allocate(Long.BYTES).putLong(sequence).array();
     }
 
-    static OptionalLong decodeFloor(byte[] value) {
+    static OptionalLong decode(byte[] value) {
         try {
             return OptionalLong.of(ByteBuffer.wrap(value).getLong());
         } catch (BufferUnderflowException e) {
--- a/core/src/main/java/org/teaselhook/core/claim/ShardClaims.java
+++ b/core/src/main/java/org/teaselhook/core/claim/ShardClaims.java
@@ -79,6 +79,29 @@
         return added;
     }
 
+    /** Returns what is certain about a key without a further read, or empty. */
+    Optional<LookupResult> known(String key, long nowNanos) {
+        return held.find(key)
+                .filter(holder ->
+                        !holder.abandoned() || retention.mayStart(holder.row().readNanos(), nowNanos))
+                .map(ShardClaims::found);
+    }
+
+    /** Returns what is certain about a key once the log was read up to its end. */
+    LookupResult read(String key) {
+        return held.find(key).map(ShardClaims::found).orElseGet(() -> new LookupResult.NotHeld(!isAwaited(key)));
+    }
+
+    private static LookupResult found(HeldKeys.Held holder) {
+        return holder.abandoned()
+                ? new LookupResult.NotHeld(true)
+                : new LookupResult.Held(holder.row().writer(), holder.bodyDigest());
+    }
+
+    private boolean isAwaited(String key) {
+        return pending.find(key).filter(PendingClaim::hasWaiters).isPresent();
+    }
+
     void abandon(String key) {
         held.find(key).filter(holder -> holder.row().writer().equals(self)).ifPresent(holder -> held.abandon(key));
     }
--- a/core/src/main/java/org/teaselhook/core/claim/ShardLog.java
+++ b/core/src/main/java/org/teaselhook/core/claim/ShardLog.java
@@ -23,7 +23,7 @@
     private static final int SCAN_ROWS = 100;
     private static final int TRIM_ROWS = 400;
     private static final long NO_GAP = -1;
-    private static final long TAIL_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(5);
+    private static final long UNREADABLE_PAUSE_NANOS = TimeUnit.SECONDS.toNanos(5);
     private static final Duration NOT_READY_RETRY_AFTER = Duration.ofSeconds(1);
 
     private final int shard;
@@ -34,6 +34,7 @@
     private final LogKeys keys;
     private final RetentionPolicy retention;
     private final ShardClaims claims;
+    private final PendingLookups lookups;
 
     private Phase phase = Phase.IDLE;
     private Optional<LogBatch> batch = Optional.empty();
@@ -46,7 +47,7 @@
     private long gapFloorVersion = NO_GAP;
     private long callStartedNanos;
     private long lastAppendNanos;
-    private long lastFreshNanos;
+    private long refreshStartedNanos;
     private long lastTrimNanos;
 
     ShardLog(
@@ -63,9 +64,9 @@
         this.output = output;
         this.keys = LogKeys.of(shard);
         this.lastAppendNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(limits.appendIntervalMillis());
-        this.lastFreshNanos = nowNanos;
         this.lastTrimNanos = nowNanos;
         this.claims = new ShardClaims(self, limits, output);
+        this.lookups = new PendingLookups(output);
         this.retention = RetentionPolicy.of(limits.retentionMillis());
     }
 
@@ -90,10 +91,30 @@
 
     void expire(ClockReading now) {
         claims.expire(now);
+        lookups.expire(now.nanos());
     }
 
     void refuseAll(Duration retryAfter) {
         claims.refuseAll(retryAfter);
+        lookups.giveUp();
+    }
+
+    // -- lookups
+
+    void lookup(long lookupId, String key, boolean fromMemory, long deadlineNanos, long nowNanos) {
+        Optional<LookupResult> known = claims.known(key, nowNanos);
+        if (known.isPresent() || fromMemory || !warm || unreadable) {
+            output.found(lookupId, known.orElse(new LookupResult.NotHeld(false)));
+            return;
+        }
+        lookups.add(lookupId, key, deadlineNanos, nowNanos);
+    }
+
+    /** Compares what was read with the floor and tail rows; a call in progress will find out by itself. */
+    void compare(LogHeads heads) {
+        if (isIdle() && batch.isEmpty() && !heads.matches(keys, floorVersion, next)) {
+            stale = true;
+        }
     }
 
     // -- state
@@ -106,27 +127,18 @@
         return warm;
     }
 
-    boolean isUnsettled() {
-        return batch.isPresent();
-    }
-
     int heldKeys() {
         return claims.heldKeys();
     }
 
-    long callStartedNanos() {
-        return callStartedNanos;
-    }
-
     /** Tells whether a call is to be made now. */
     boolean wantsCall(ClockReading now) {
-        boolean pausing = unreadable && now.nanos() - callStartedNanos < TAIL_INTERVAL_NANOS;
-        return !pausing
-                && (stale
-                        || batch.isPresent()
-                        || wantsAppend(now)
-                        || wantsTrim(now)
-                        || now.nanos() - lastFreshNanos >= TAIL_INTERVAL_NANOS);
+        boolean pausing = unreadable && now.nanos() - callStartedNanos < UNREADABLE_PAUSE_NANOS;
+        return !pausing && (wantsRefresh() || batch.isPresent() || wantsAppend(now) || wantsTrim(now));
+    }
+
+    private boolean wantsRefresh() {
+        return stale || !lookups.isEmpty();
     }
 
     private boolean wantsAppend(ClockReading now) {
@@ -151,13 +163,12 @@
         if (!stale && batch.isEmpty() && wantsAppend(now)) {
             startBatch(now);
         }
-        if (stale) {
-            call(Phase.READING_FLOOR, new TableCall.Read(keys.floor()), now);
-        } else if (batch.isPresent()) {
+        if (!stale && batch.isPresent()) {
             call(Phase.APPENDING, new TableCall.Commit(batch.get().append(keys, floorVersion)), now);
-        } else if (wantsTrim(now)) {
+        } else if (!wantsRefresh() && wantsTrim(now)) {
             trim(now);
         } else {
+            refreshStartedNanos = now.nanos();
             call(Phase.READING_FLOOR, new TableCall.Read(keys.floor()), now);
         }
     }
@@ -177,9 +188,8 @@
     private void trim(ClockReading now) {
         lastTrimNanos = now.nanos();
         long newFloor = floorAfterTrim(now);
-        Transaction transaction = Transaction.empty()
-                .require(keys.floor(), floorVersion)
-                .put(keys.floor(), LogKeys.encodeFloor(newFloor));
+        Transaction transaction =
+                Transaction.empty().require(keys.floor(), floorVersion).put(keys.floor(), LogKeys.encode(newFloor));
         for (long sequence = floor; sequence < newFloor; sequence++) {
             transaction = transaction.delete(keys.row(sequence));
         }
@@ -209,7 +219,7 @@
         if (result instanceof TableResult.NotFound) {
             scan(now);
         } else if (result instanceof TableResult.Found found) {
-            LogKeys.decodeFloor(found.row().value())
+            LogKeys.decode(found.row().value())
                     .ifPresentOrElse(read -> raiseFloor(read, found.row().version(), now), () -> unreadable(next));
         }
     }
@@ -252,7 +262,7 @@
             warm = true;
             unreadable = false;
             gapFloorVersion = NO_GAP;
-            lastFreshNanos = now.nanos();
+            lookups.readSince(refreshStartedNanos, claims::read);
         }
     }
 
@@ -287,7 +297,6 @@
         LogBatch sent = batch.orElseThrow();
         if (result instanceof TableResult.Committed) {
             event(Kind.APPENDED, sent.sequence(), sent.size(), now);
-            lastFreshNanos = now.nanos();
             settle(sent, now);
             return;
         }
--- a/core/src/test/java/org/teaselhook/core/claim/ClaimHistory.java
+++ b/core/src/test/java/org/teaselhook/core/claim/ClaimHistory.java
@@ -47,6 +47,15 @@
         return true;
     }
 
+    /** Returns whether a key was won before a time and is neither abandoned nor past the retention time. */
+    boolean isHeldSince(String key, long sinceNanos, long nowNanos) {
+        Win last = lastWins.get(key);
+        return last != null
+                && !last.abandoned()
+                && last.atNanos() <= sinceNanos
+                && nowNanos - last.atNanos() < retentionNanos;
+    }
+
     int wins() {
         return wins;
     }
--- a/core/src/test/java/org/teaselhook/core/claim/LedgerSimulation.java
+++ b/core/src/test/java/org/teaselhook/core/claim/LedgerSimulation.java
@@ -34,6 +34,7 @@
     private long lastEvent;
     private long outageUntilNanos;
     private boolean faulty = true;
+    private int lookups;
 
     LedgerSimulation(long seed) {
         random = new Random(seed);
@@ -67,6 +68,10 @@
         return events;
     }
 
+    int lookups() {
+        return lookups;
+    }
+
     private void after(long millis, Runnable action) {
         queue.add(new Event(nowNanos + millis * MILLI, lastEvent++, action));
     }
@@ -87,6 +92,9 @@
         Process process = processes.get(random.nextInt(PROCESSES));
         String key = "key-" + random.nextInt(KEYS);
         process.onThread(() -> process.claim(key, 50 + random.nextInt(3_000)));
+        if (random.nextInt(5) == 0) {
+            process.onThread(() -> process.lookup(key));
+        }
         after(random.nextInt(10), this::claimSomething);
     }
 
@@ -135,6 +143,7 @@
         private final Ledger ledger = Ledger.of(self, LIMITS, new Random(random.nextLong()), this, nowNanos);
         private final Map<Long, String> keys = new HashMap<>();
         private final Map<Long, Long> deadlines = new HashMap<>();
+        private final Map<Long, Long> lookupsSince = new HashMap<>();
         private long frozenUntilNanos;
         private boolean hasWonFreshKey;
         private long lastClaimId;
@@ -169,6 +178,13 @@
             ledger.claim(lastClaimId, key, key.hashCode(), nowNanos + timeoutMillis * MILLI, now());
         }
 
+        private void lookup(String key) {
+            lastClaimId++;
+            keys.put(lastClaimId, key);
+            lookupsSince.put(lastClaimId, nowNanos);
+            ledger.lookup(lastClaimId, key, nowNanos + 300 * MILLI, now());
+        }
+
         @Override
         public void answer(long claimId, ClaimResult result) {
             String key = keys.remove(claimId);
@@ -192,6 +208,17 @@
             }
         }
 
+        @Override
+        public void found(long lookupId, LookupResult result) {
+            long sinceNanos = lookupsSince.remove(lookupId);
+            String key = keys.remove(lookupId);
+            boolean certain = result.equals(new LookupResult.NotHeld(true));
+            if (certain && history.isHeldSince(key, sinceNanos, nowNanos)) {
+                throw new AssertionError(key + " was found free although it was held");
+            }
+            lookups += certain ? 1 : 0;
+        }
+
         @Override
         public void event(LedgerEvent event) {
             events.merge(event.kind(), 1, Integer::sum);
--- a/node/src/main/java/org/teaselhook/node/claim/Claims.java
+++ b/node/src/main/java/org/teaselhook/node/claim/Claims.java
@@ -3,11 +3,10 @@
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.Objects;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.Executors;
-import java.util.concurrent.RejectedExecutionException;
-import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
 import org.teaselhook.core.claim.ClaimResult;
@@ -15,6 +14,8 @@
 import org.teaselhook.core.claim.LookupResult;
 import org.teaselhook.core.id.Incarnation;
 import org.teaselhook.core.table.TableService;
+import org.teaselhook.net.log.LogLine;
+import org.teaselhook.node.control.ControlLoop;
 
 /**
  * Claims keys over the table service. All methods may be called by any thread and do not block.
@@ -26,11 +27,14 @@
 public final class Claims implements AutoCloseable {
 
     private static final long TICK_MILLIS = 5;
+    private static final long LOOKUP_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
-    private final ScheduledExecutorService control;
+    private final ControlLoop control;
     private final LedgerLoop loop;
+    private final Set<CompletableFuture<ClaimResult>> open = ConcurrentHashMap.newKeySet();
+    private volatile boolean closed;
 
-    private Claims(ScheduledExecutorService control, LedgerLoop loop) {
+    private Claims(ControlLoop control, LedgerLoop loop) {
         this.control = control;
         this.loop = loop;
     }
@@ -49,16 +53,15 @@
     public static Claims start(Incarnation self, TableService table, LedgerLimits limits, ClaimListener listener) {
         Objects.requireNonNull(table, "table is null");
         Objects.requireNonNull(listener, "listener is null");
-        ScheduledExecutorService control = Executors.newSingleThreadScheduledExecutor(Claims::daemon);
+        ControlLoop control = ControlLoop.start("claims", System::nanoTime, Claims::logFault);
         LedgerLoop loop = new LedgerLoop(self, limits, new SecureRandom(), table, listener, control);
-        control.scheduleAtFixedRate(loop::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        control.every(TICK_MILLIS, nowNanos -> loop.tick());
         return new Claims(control, loop);
     }
 
-    private static Thread daemon(Runnable task) {
-        Thread thread = new Thread(task, "claims");
-        thread.setDaemon(true);
-        return thread;
+    /** The claims concerned end by their deadline. */
+    private static void logFault(Throwable fault) {
+        LogLine.of("claims-fault").with("fault", fault).warn();
     }
 
     // -- operations
@@ -84,21 +87,28 @@
     public CompletionStage<ClaimResult> claim(String key, long bodyDigest, long deadlineNanos, long nowNanos) {
         Objects.requireNonNull(key, "key is null");
         CompletableFuture<ClaimResult> result = new CompletableFuture<>();
-        if (!execute(() -> loop.claim(result, key, bodyDigest, deadlineNanos))) {
-            result.complete(new ClaimResult.Unavailable(Duration.ZERO));
+        open.add(result);
+        result.whenComplete((answer, failure) -> open.remove(result));
+        control.execute(() -> loop.claim(result, key, bodyDigest, deadlineNanos));
+        if (closed) {
+            refuseOpen();
         }
         return result;
     }
 
     /**
-     * Asks who holds a key, without claiming it.
+     * Asks who holds a key, without claiming it. A key that is known, or any key while the table service is down, is
+     * answered at once from memory, which is about 1 s behind the other incarnations at most; else the log is read.
      *
      * @param key the key
-     * @return what is known
+     * @return what is known, within about 300 ms
      */
     public CompletionStage<LookupResult> lookup(String key) {
         Objects.requireNonNull(key, "key is null");
-        return CompletableFuture.completedFuture(new LookupResult.NotHeld(false));
+        CompletableFuture<LookupResult> result = new CompletableFuture<>();
+        control.execute(() -> loop.lookup(result, key, System.nanoTime() + LOOKUP_TIMEOUT_NANOS));
+        return result.completeOnTimeout(
+                new LookupResult.NotHeld(false), 2 * LOOKUP_TIMEOUT_NANOS, TimeUnit.NANOSECONDS);
     }
 
     /**
@@ -109,22 +119,18 @@
      */
     public void abandon(String key) {
         Objects.requireNonNull(key, "key is null");
-        execute(() -> loop.abandon(key));
+        control.execute(() -> loop.abandon(key));
     }
 
     /** Stops the control thread. Claims that are still open complete as unavailable. */
     @Override
     public void close() {
-        execute(loop::stop);
-        control.shutdown();
+        closed = true;
+        control.close();
+        refuseOpen();
     }
 
-    private boolean execute(Runnable task) {
-        try {
-            control.execute(task);
-            return true;
-        } catch (RejectedExecutionException e) {
-            return false;
-        }
+    private void refuseOpen() {
+        open.forEach(result -> result.complete(new ClaimResult.Unavailable(Duration.ZERO)));
     }
 }
--- a/node/src/main/java/org/teaselhook/node/claim/LedgerLoop.java
+++ b/node/src/main/java/org/teaselhook/node/claim/LedgerLoop.java
@@ -4,7 +4,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Executor;
-import java.util.concurrent.RejectedExecutionException;
 import java.util.random.RandomGenerator;
 
 import org.agrona.collections.Long2ObjectHashMap;
@@ -14,6 +13,7 @@
 import org.teaselhook.core.claim.LedgerEvent;
 import org.teaselhook.core.claim.LedgerLimits;
 import org.teaselhook.core.claim.LedgerOutput;
+import org.teaselhook.core.claim.LookupResult;
 import org.teaselhook.core.claim.TableCall;
 import org.teaselhook.core.id.Incarnation;
 import org.teaselhook.core.table.TableResult;
@@ -29,9 +29,10 @@
     private final TableService table;
     private final ClaimListener listener;
     private final Executor control;
-    private final Long2ObjectHashMap<CompletableFuture<ClaimResult>> open = new Long2ObjectHashMap<>();
+    private final Long2ObjectHashMap<CompletableFuture<ClaimResult>> claims = new Long2ObjectHashMap<>();
+    private final Long2ObjectHashMap<CompletableFuture<LookupResult>> lookups = new Long2ObjectHashMap<>();
     private final CompletableFuture<Void> warm = new CompletableFuture<>();
-    private long lastClaimId;
+    private long lastId;
 
     LedgerLoop(
             Incarnation self,
@@ -53,39 +54,28 @@
     }
 
     void claim(CompletableFuture<ClaimResult> result, String key, long bodyDigest, long deadlineNanos) {
-        lastClaimId++;
-        open.put(lastClaimId, result);
-        guarded(() -> ledger.claim(lastClaimId, key, bodyDigest, deadlineNanos, now()));
+        lastId++;
+        claims.put(lastId, result);
+        ledger.claim(lastId, key, bodyDigest, deadlineNanos, now());
+    }
+
+    void lookup(CompletableFuture<LookupResult> result, String key, long deadlineNanos) {
+        lastId++;
+        lookups.put(lastId, result);
+        ledger.lookup(lastId, key, deadlineNanos, now());
     }
 
     void abandon(String key) {
-        guarded(() -> ledger.abandon(key));
+        ledger.abandon(key);
     }
 
     void tick() {
-        guarded(() -> ledger.tick(now()));
+        ledger.tick(now());
         if (ledger.isWarm()) {
             warm.complete(null);
         }
     }
 
-    void stop() {
-        guarded(ledger::stop);
-    }
-
-    private void completed(int shard, TableResult result) {
-        guarded(() -> ledger.completed(shard, result, now()));
-    }
-
-    /** A fault of the ledger is logged; the claims concerned end by their deadline. */
-    private void guarded(Runnable step) {
-        try {
-            step.run();
-        } catch (RuntimeException e) {
-            LogLine.of("claims-fault").with("fault", e).warn();
-        }
-    }
-
     private static ClockReading now() {
         return ClockReading.of(System.nanoTime(), System.currentTimeMillis());
     }
@@ -93,28 +83,22 @@
     // -- output of the ledger
 
     @Override
-    public void call(int shard, TableCall call) {
+    public void call(int slot, TableCall call) {
         call.makeOn(table).whenComplete((result, failure) -> {
             TableResult known =
                     Optional.ofNullable(result).orElseGet(() -> new TableResult.Unavailable(String.valueOf(failure)));
-            onControlThread(() -> completed(shard, known));
+            control.execute(() -> ledger.completed(slot, known, now()));
         });
     }
 
-    private void onControlThread(Runnable task) {
-        try {
-            control.execute(task);
-        } catch (RejectedExecutionException e) {
-            LogLine.of("claims-result-after-stop").debug();
-        }
+    @Override
+    public void answer(long claimId, ClaimResult result) {
+        claims.remove(claimId).complete(result);
     }
 
     @Override
-    public void answer(long claimId, ClaimResult result) {
-        CompletableFuture<ClaimResult> waiting = open.remove(claimId);
-        if (waiting != null) {
-            waiting.complete(result);
-        }
+    public void found(long lookupId, LookupResult result) {
+        lookups.remove(lookupId).complete(result);
     }
 
     @Override
