Let an idle shard append at once, and compare ways of claiming in bin/claims-bench

A shard waited 30 ms between two appends even when the process made few. A token bucket of 80 appends a second over all shards of a process now allows appends before the interval; under load the interval rules as before. bin/claims-bench drives four ways over the table service stand-in: steady load, the kill of one entry, an outage.

--- /dev/null
+++ b/bench/src/main/java/org/teaselhook/bench/claims/ClaimRun.java
@@ -0,0 +1,133 @@
+package org.teaselhook.bench.claims;
+
+import java.net.InetSocketAddress;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.locks.LockSupport;
+
+import org.teaselhook.net.http.HttpClient;
+import org.teaselhook.net.table.HttpTableService;
+import org.teaselhook.standin.table.TableCounters;
+import org.teaselhook.standin.table.TableFaults;
+import org.teaselhook.standin.table.TableServer;
+
+/**
+ * One way under an open load of new keys with exponential gaps, on a table service of its own.
+ */
+final class ClaimRun implements AutoCloseable {
+
+    private static final long READ_MILLIS = 1;
+    private static final long WRITE_MILLIS = 3;
+    private static final long CALL_TIMEOUT_MILLIS = 1_000;
+    private static final long DRAIN_SECONDS = 10;
+    private static final int CONNECTIONS = 64;
+
+    private final ClaimWay way;
+    private final int perSecond;
+    private final Random random;
+    private final TableServer server;
+    private final HttpClient client;
+    private final Claimer claimer;
+    private long lastKey;
+
+    private ClaimRun(ClaimWay way, int perSecond, long seed) {
+        this.way = way;
+        this.perSecond = perSecond;
+        this.random = new Random(seed);
+        this.server = TableServer.start(new InetSocketAddress("127.0.0.1", 0), inOrder(), seed);
+        this.client = HttpClient.create(CONNECTIONS, CALL_TIMEOUT_MILLIS);
+        InetSocketAddress address = new InetSocketAddress("127.0.0.1", server.port());
+        this.claimer = way.start(HttpTableService.of(client, address, CALL_TIMEOUT_MILLIS));
+    }
+
+    static ClaimRun start(ClaimWay way, int perSecond, long seed) {
+        return new ClaimRun(way, perSecond, seed);
+    }
+
+    private static TableFaults inOrder() {
+        return TableFaults.none().withLatency(READ_MILLIS, WRITE_MILLIS);
+    }
+
+    // -- faults
+
+    void beginOutage() {
+        server.faults(inOrder().withOutage(TableFaults.Outage.SILENT));
+    }
+
+    void endOutage() {
+        server.faults(inOrder());
+    }
+
+    void killFirst() {
+        claimer.killFirst();
+    }
+
+    // -- load
+
+    /** Runs one phase and returns its line. */
+    String phase(String name, double seconds) throws InterruptedException {
+        ClaimRecord record = new ClaimRecord();
+        TableCounters before = server.counters();
+        CompletableFuture<Void> all = load(record, seconds);
+        boolean answered = await(all);
+        TableCounters after = server.counters();
+        return String.format(
+                "way=%s load=%d/s phase=%s %s writes=%.1f/s reads=%.1f/s conflicts=%d allAnswered=%s",
+                way.label(),
+                perSecond,
+                name,
+                record.summary(),
+                (after.writes() - before.writes()) / seconds,
+                (after.reads() - before.reads()) / seconds,
+                after.conflicts() - before.conflicts(),
+                answered);
+    }
+
+    private CompletableFuture<Void> load(ClaimRecord record, double seconds) {
+        CompletableFuture<Void> all = CompletableFuture.completedFuture(null);
+        long nextNanos = System.nanoTime();
+        long endNanos = nextNanos + (long) (seconds * TimeUnit.SECONDS.toNanos(1));
+        while (nextNanos < endNanos) {
+            waitUntil(nextNanos);
+            CompletableFuture<Void> one = claim(record, nextNanos);
+            all = one.isDone() ? all : CompletableFuture.allOf(all.isDone() ? one : all, one);
+            double gapSeconds = -Math.log(1 - random.nextDouble()) / perSecond;
+            nextNanos += (long) (gapSeconds * TimeUnit.SECONDS.toNanos(1));
+        }
+        return all;
+    }
+
+    private CompletableFuture<Void> claim(ClaimRecord record, long dueNanos) {
+        lastKey++;
+        return claimer.claim("order-" + lastKey, System.nanoTime())
+                .thenAccept(won -> record.add(won, System.nanoTime() - dueNanos))
+                .toCompletableFuture();
+    }
+
+    private static void waitUntil(long nanos) {
+        long leftNanos = nanos - System.nanoTime();
+        while (leftNanos > 0) {
+            LockSupport.parkNanos(leftNanos);
+            leftNanos = nanos - System.nanoTime();
+        }
+    }
+
+    private static boolean await(CompletableFuture<Void> all) throws InterruptedException {
+        try {
+            all.get(DRAIN_SECONDS, TimeUnit.SECONDS);
+            return true;
+        } catch (TimeoutException | ExecutionException e) {
+            return false;
+        }
+    }
+
+    @Override
+    public void close() {
+        claimer.close();
+        client.close();
+        server.close();
+    }
+}
--- a/core/src/main/java/org/teaselhook/core/claim/Ledger.java
+++ b/core/src/main/java/org/teaselhook/core/claim/Ledger.java
@@ -39,8 +39,9 @@
         this.breaker = new Breaker(limits.probeIntervalMillis());
         this.watch = new SlotWatch(SLOTS, limits.slowCallMillis(), nowNanos);
         this.lastHeadsNanos = nowNanos;
+        AppendBudget budget = new AppendBudget(limits.appendsPerSecond(), nowNanos);
         this.shards = IntStream.range(0, Shards.COUNT)
-                .mapToObj(shard -> new ShardLog(shard, self, limits, random, output, nowNanos))
+                .mapToObj(shard -> new ShardLog(shard, self, limits, random, output, budget, nowNanos))
                 .toArray(ShardLog[]::new);
     }
 
--- a/core/src/main/java/org/teaselhook/core/claim/LedgerLimits.java
+++ b/core/src/main/java/org/teaselhook/core/claim/LedgerLimits.java
@@ -7,7 +7,9 @@
  * @param maxBatchClaims the greatest number of claims in one row
  * @param maxQueuedClaims the greatest number of claims that wait per shard
  * @param maxRetainedClaims the greatest number of claims within the retention time per shard
- * @param appendIntervalMillis the least time between two appends to one shard
+ * @param appendIntervalMillis the least time between two appends to one shard while the process appends more often than
+ *     its rate
+ * @param appendsPerSecond the rate of appends to all shards up to which a shard need not wait for its interval
  * @param slowCallMillis the breaker opens when calls wait and none has succeeded for this time
  * @param probeIntervalMillis the time between probes while the breaker is open
  */
@@ -17,10 +19,11 @@
         int maxQueuedClaims,
         int maxRetainedClaims,
         long appendIntervalMillis,
+        int appendsPerSecond,
         long slowCallMillis,
         long probeIntervalMillis) {
 
-    private static final LedgerLimits STANDARD = new LedgerLimits(600_000, 256, 2_048, 100_000, 30, 400, 500);
+    private static final LedgerLimits STANDARD = new LedgerLimits(600_000, 256, 2_048, 100_000, 30, 80, 400, 500);
 
     /** Checks the bounds. */
     public LedgerLimits {
@@ -51,6 +54,7 @@
                 maxQueuedClaims,
                 maxRetainedClaims,
                 appendIntervalMillis,
+                appendsPerSecond,
                 slowCallMillis,
                 probeIntervalMillis);
     }
--- a/core/src/main/java/org/teaselhook/core/claim/ShardLog.java
+++ b/core/src/main/java/org/teaselhook/core/claim/ShardLog.java
@@ -31,6 +31,7 @@
     private final LedgerLimits limits;
     private final RandomGenerator random;
     private final LedgerOutput output;
+    private final AppendBudget budget;
     private final LogKeys keys;
     private final RetentionPolicy retention;
     private final ShardClaims claims;
@@ -56,12 +57,14 @@
             LedgerLimits limits,
             RandomGenerator random,
             LedgerOutput output,
+            AppendBudget budget,
             long nowNanos) {
         this.shard = shard;
         this.self = self;
         this.limits = limits;
         this.random = random;
         this.output = output;
+        this.budget = budget;
         this.keys = LogKeys.of(shard);
         this.lastAppendNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(limits.appendIntervalMillis());
         this.lastTrimNanos = nowNanos;
@@ -143,9 +146,8 @@
 
     private boolean wantsAppend(ClockReading now) {
         long sinceAppendNanos = now.nanos() - lastAppendNanos;
-        return claims.hasQueued()
-                && !unreadable
-                && sinceAppendNanos >= TimeUnit.MILLISECONDS.toNanos(limits.appendIntervalMillis());
+        boolean paced = sinceAppendNanos >= TimeUnit.MILLISECONDS.toNanos(limits.appendIntervalMillis());
+        return claims.hasQueued() && !unreadable && (paced || budget.hasSpare(now.nanos()));
     }
 
     private boolean wantsTrim(ClockReading now) {
@@ -183,6 +185,7 @@
         ClaimRow row = new ClaimRow(self, random.nextLong(), now.wallMillis(), claims.startBatch());
         batch = Optional.of(new LogBatch(next, row, now, false));
         lastAppendNanos = now.nanos();
+        budget.spend(now.nanos());
     }
 
     private void trim(ClockReading now) {
--- /dev/null
+++ b/core/src/test/java/org/teaselhook/core/claim/AppendBudgetTest.java
@@ -0,0 +1,32 @@
+package org.teaselhook.core.claim;
+
+import java.util.concurrent.TimeUnit;
+
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+
+public class AppendBudgetTest {
+
+    @DataProvider
+    public Object[][] rates() {
+        return new Object[][] {{0}, {20}, {80}};
+    }
+
+    // -- hasSpare
+
+    @Test(dataProvider = "rates")
+    public void shouldNotExceedRate(int appendsPerSecond) {
+        AppendBudget budget = new AppendBudget(appendsPerSecond, 0);
+        int appends = 0;
+        for (long millis = 1; millis <= 10_000; millis++) {
+            long nowNanos = TimeUnit.MILLISECONDS.toNanos(millis);
+            if (budget.hasSpare(nowNanos)) {
+                budget.spend(nowNanos);
+                appends++;
+            }
+        }
+        assertEquals(appends, 10.0 * appendsPerSecond, 1.0);
+    }
+}
--- a/core/src/test/java/org/teaselhook/core/claim/LedgerHarness.java
+++ b/core/src/test/java/org/teaselhook/core/claim/LedgerHarness.java
@@ -17,7 +17,7 @@
 /** One ledger whose calls to the table are made, delayed or lost by the test. */
 final class LedgerHarness implements LedgerOutput {
 
-    static final LedgerLimits LIMITS = new LedgerLimits(100_000, 4, 8, 100, 30, 250, 500);
+    static final LedgerLimits LIMITS = new LedgerLimits(100_000, 4, 8, 100, 30, 0, 250, 500);
     static final long DEADLINE_MILLIS = 2_000;
     static final long LOOKUP_MILLIS = 300;
 
--- a/core/src/test/java/org/teaselhook/core/claim/LedgerSimulation.java
+++ b/core/src/test/java/org/teaselhook/core/claim/LedgerSimulation.java
@@ -22,7 +22,7 @@
     private static final String FRESH_KEY = "fresh-";
     private static final long MILLI = 1_000_000;
     private static final long CALL_TIMEOUT_MILLIS = 500;
-    private static final LedgerLimits LIMITS = new LedgerLimits(20_000, 4, 16, 400, 30, 250, 500);
+    private static final LedgerLimits LIMITS = new LedgerLimits(20_000, 4, 16, 400, 30, 20, 250, 500);
 
     private final Random random;
     private final InMemoryTable table = InMemoryTable.empty();
--- a/node/src/test/java/org/teaselhook/node/claim/ClaimsTest.java
+++ b/node/src/test/java/org/teaselhook/node/claim/ClaimsTest.java
@@ -25,7 +25,7 @@
 public class ClaimsTest {
 
     private static final long CALL_TIMEOUT_MILLIS = 1_000;
-    private static final LedgerLimits PATIENT = new LedgerLimits(600_000, 256, 2_048, 100_000, 30, 20_000, 500);
+    private static final LedgerLimits PATIENT = new LedgerLimits(600_000, 256, 2_048, 100_000, 30, 80, 20_000, 500);
     private static final Incarnation FIRST = Incarnation.of(1);
     private static final Incarnation SECOND = Incarnation.of(2);
 
