Let no order start after the configuration stopped being known as recent

An entry cut off from the table service and its peers noticed on its next tick that its configuration was stale, up to 100 ms after the 3 s, and an order sent just before could start later still. The start-by time of an order is now never later than the instant up to which the configuration counts as recent, so the agent refuses it.

--- a/app/src/main/java/org/teaselhook/app/local/LocalSite.java
+++ b/app/src/main/java/org/teaselhook/app/local/LocalSite.java
@@ -67,6 +67,7 @@
                 List.of(),
                 EntrySettings.DEFAULT_CUSTOMER,
                 EntrySettings.DEFAULT_PLACEMENT_POLICY,
+                true,
                 EntryLimits.standard());
     }
 
--- a/app/src/test/java/org/teaselhook/app/ctl/CtlCommandTest.java
+++ b/app/src/test/java/org/teaselhook/app/ctl/CtlCommandTest.java
@@ -80,6 +80,18 @@
         assertEquals(run("rules", "check", file.toString()), ExitCode.DONE.code());
     }
 
+    @DataProvider
+    public Object[][] examples() {
+        return new Object[][] {{"patchdesk.rules"}, {"storefront.rules"}};
+    }
+
+    @Test(dataProvider = "examples")
+    public void shouldFindExamplesOfDocumentationSound(String name) {
+        Path example = Path.of("..", "docs", "examples", name);
+
+        assertEquals(run("rules", "check", example.toString()), ExitCode.DONE.code(), err.toString());
+    }
+
     // -- rules apply
 
     @Test
--- a/core/src/main/java/org/teaselhook/core/dispatch/DispatchOrder.java
+++ b/core/src/main/java/org/teaselhook/core/dispatch/DispatchOrder.java
@@ -28,4 +28,29 @@
         long startBy,
         long finishBy,
         long configVersion,
-        boolean granted) {}
+        boolean granted) {
+
+    /**
+     * Brings the last instant to start forward.
+     *
+     * @param instant an instant on the same clock
+     * @return the order, to be started by {@code instant} at the latest
+     */
+    public DispatchOrder startingBy(long instant) {
+        if (startBy - instant <= 0) {
+            return this;
+        }
+        return new DispatchOrder(
+                number,
+                agent,
+                submissionId,
+                taskIndex,
+                service,
+                customer,
+                task,
+                instant,
+                finishBy,
+                configVersion,
+                granted);
+    }
+}
--- a/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
@@ -104,7 +104,8 @@
                 settings.limits().keptAnswersBytes(),
                 settings.limits().keptAnswersTime().toNanos());
         EntryOutput output = new EntryOutput(
-                registry, control::nowNanos, (id, outcome) -> admissions().answered(control.nowNanos(), id, outcome));
+                registry, control::nowNanos, configuration.freshness()::freshUntilNanos, (id, outcome) -> admissions()
+                        .answered(control.nowNanos(), id, outcome));
         this.dispatcher = new Dispatcher(dispatcherSettings(settings), output, new Random());
         this.peers = new Peers(
                 self,
@@ -177,7 +178,8 @@
     }
 
     private static DispatcherSettings dispatcherSettings(EntrySettings settings) {
-        return DispatcherSettings.of(settings.zone(), settings.placementPolicy()).withHedging(settings.hedging());
+        return DispatcherSettings.of(settings.zone(), settings.placementPolicy())
+                .withHedging(settings.hedging());
     }
 
     private Member member() {
--- a/node/src/main/java/org/teaselhook/node/entry/EntryOutput.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryOutput.java
@@ -19,12 +19,18 @@
 
     private final SubmissionRegistry registry;
     private final LongSupplier clock;
+    private final LongSupplier freshUntil;
     private final BiConsumer<String, Outcome> answered;
     private AgentSessions sessions;
 
-    EntryOutput(SubmissionRegistry registry, LongSupplier clock, BiConsumer<String, Outcome> answered) {
+    EntryOutput(
+            SubmissionRegistry registry,
+            LongSupplier clock,
+            LongSupplier freshUntil,
+            BiConsumer<String, Outcome> answered) {
         this.registry = registry;
         this.clock = clock;
+        this.freshUntil = freshUntil;
         this.answered = answered;
     }
 
@@ -33,9 +39,10 @@
         sessions = agentSessions;
     }
 
+    /** An order must not start once the configuration that it was made by is no longer known to be recent. */
     @Override
     public void dispatch(DispatchOrder order) {
-        sessions.dispatch(order, registry.nameOf(order.submissionId()));
+        sessions.dispatch(order.startingBy(freshUntil.getAsLong()), registry.nameOf(order.submissionId()));
     }
 
     @Override
--- a/node/src/main/java/org/teaselhook/node/settings/EntrySettings.java
+++ b/node/src/main/java/org/teaselhook/node/settings/EntrySettings.java
@@ -26,6 +26,7 @@
  * @param peers gRPC addresses of other entries, possibly none
  * @param defaultCustomer the customer of requests that name none
  * @param placementPolicy how workers are chosen
+ * @param hedging whether slow idempotent requests are sent to a second worker
  * @param limits bounds of what the entry holds
  */
 public record EntrySettings(
@@ -38,6 +39,7 @@
         List<InetSocketAddress> peers,
         String defaultCustomer,
         PlacementPolicy placementPolicy,
+        boolean hedging,
         EntryLimits limits) {
 
     /** The default of {@link #defaultCustomer()}. */
@@ -73,6 +75,7 @@
                 root.addresses("peers", 0),
                 root.name("default-customer", DEFAULT_CUSTOMER),
                 root.choice("placement-policy", PlacementPolicy.class, DEFAULT_PLACEMENT_POLICY),
+                root.flag("hedging", true),
                 readLimits(root.section("limits")));
     }
 
--- a/node/src/main/java/org/teaselhook/node/settings/SettingsNode.java
+++ b/node/src/main/java/org/teaselhook/node/settings/SettingsNode.java
@@ -99,6 +99,14 @@
         return Duration.ofSeconds(number(key, least, greatest, fallback));
     }
 
+    boolean flag(String key, boolean fallback) {
+        Optional<JsonNode> value = optional(key);
+        if (value.isPresent() && !value.get().isBoolean()) {
+            fault(key, value.get(), SettingFaultKind.MALFORMED, "write true or false");
+        }
+        return value.map(JsonNode::booleanValue).orElse(fallback);
+    }
+
     /** Reads a constant of an enum, written in lower case with hyphens. */
     <E extends Enum<E>> E choice(String key, Class<E> type, E fallback) {
         Optional<JsonNode> value = optional(key);
--- a/node/src/test/java/org/teaselhook/node/settings/EntrySettingsTest.java
+++ b/node/src/test/java/org/teaselhook/node/settings/EntrySettingsTest.java
@@ -43,6 +43,7 @@
                 table: []
                 peers: [127.0.0.1:1, nowhere]
                 placement-policy: best
+                hedging: perhaps
                 colour: green
                 limits:
                   max-body-bytes: 0
@@ -60,6 +61,7 @@
                         "table",
                         "peers[1]",
                         "placement-policy",
+                        "hedging",
                         "limits.max-body-bytes",
                         "limits.max-tasks-per-job",
                         "colour",
@@ -75,6 +77,7 @@
             {"name: a\nname: b\n", SettingFaultKind.NOT_YAML},
             {SOUND + "limits: 7\n", SettingFaultKind.MALFORMED},
             {SOUND + "placement-policy: [grants]\n", SettingFaultKind.MALFORMED},
+            {SOUND + "hedging: [true]\n", SettingFaultKind.MALFORMED},
             {SOUND + "limits: {kept-answers-bytes: 99999999999999999999}\n", SettingFaultKind.OUT_OF_RANGE},
         };
     }
