Keep connections open until the balancer has seen a stopping entry as not ready

Ruled out: requests known to the entry, which were all answered. Now the listening socket and idle connections are closed 2 s after the stop began; until then new requests are refused as not run. The log of a stopping process was lost, since the logging library ended itself at the signal; it is ended last now.

--- a/app/src/main/java/org/teaselhook/app/Daemon.java
+++ b/app/src/main/java/org/teaselhook/app/Daemon.java
@@ -5,6 +5,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
+import org.tinylog.provider.ProviderRegistry;
+
 /**
  * Keeps a daemon running until the process is told to end (SIGTERM or SIGINT), then stops it gracefully.
  */
@@ -28,7 +30,17 @@
         } catch (Exception e) {
             System.err.println("not stopped gracefully: " + e);
         } finally {
+            endLog();
             ended.countDown();
         }
     }
+
+    /** The log is not ended by the logging library itself, which would do so before the process has stopped. */
+    private static void endLog() {
+        try {
+            ProviderRegistry.getLoggingProvider().shutdown();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
 }
--- a/bench/src/main/java/org/teaselhook/bench/failure/Callers.java
+++ b/bench/src/main/java/org/teaselhook/bench/failure/Callers.java
@@ -2,7 +2,6 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -10,6 +9,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -33,7 +34,7 @@
     private final Site site;
     private final Balancer balancer;
     private final HistoryRecorder recorder;
-    private final List<TicketPool> tickets;
+    private final Map<EntryNode, TicketPool> tickets;
     private final AtomicLong calls = new AtomicLong();
     private final AtomicInteger open = new AtomicInteger();
 
@@ -42,8 +43,9 @@
         this.balancer = balancer;
         this.recorder = recorder;
         this.tickets = site.entries().stream()
-                .map(entry -> new TicketPool(site.client(), entry.callers().address()))
-                .toList();
+                .collect(Collectors.toMap(
+                        Function.identity(),
+                        entry -> new TicketPool(site.client(), entry.callers().address())));
     }
 
     // -- accessors
--- a/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
@@ -64,6 +64,7 @@
     private static final long HEARTBEAT_MILLIS = 500;
     private static final long PAUSE_NANOS = TimeUnit.SECONDS.toNanos(1);
     private static final long DRAIN_NANOS = TimeUnit.SECONDS.toNanos(30);
+    private static final long UNREADY_NANOS = TimeUnit.SECONDS.toNanos(2);
     private static final int FRAME_OVERHEAD_BYTES = 1 << 20;
 
     private final EntrySettings settings;
@@ -177,7 +178,8 @@
     }
 
     private static DispatcherSettings dispatcherSettings(EntrySettings settings) {
-        return DispatcherSettings.of(settings.zone(), settings.placementPolicy()).withHedging(settings.hedging());
+        return DispatcherSettings.of(settings.zone(), settings.placementPolicy())
+                .withHedging(settings.hedging());
     }
 
     private Member member() {
@@ -337,10 +339,14 @@
         sessions.leave(stoppingSince);
         peers.leave(stoppingSince);
         members.leave();
-        http.stopAccepting();
     }
 
+    /** Connections stay open until the balancer has seen that this entry is not ready: a request may be on its way. */
     private void closeIfDrained(long nowNanos) {
+        if (nowNanos - stoppingSince < UNREADY_NANOS) {
+            return;
+        }
+        http.stopAccepting();
         boolean idle =
                 registry.size() == 0 && http.drained().toCompletableFuture().isDone();
         if (idle || nowNanos - stoppingSince > DRAIN_NANOS) {
