--- a/bench/src/main/java/org/teaselhook/bench/failure/Callers.java
+++ b/bench/src/main/java/org/teaselhook/bench/failure/Callers.java
@@ -58,8 +58,7 @@
 
     /** Sends a submission; further calls follow by themselves. */
     void submit(PlannedSubmission plan) {
-        Optional<String> ticket =
-                plan.ticket() ? tickets.get(plan.entries().get(0)).take(recorder.nowNanos()) : Optional.empty();
+        Optional<String> ticket = plan.ticket() ? takeTicket(plan) : Optional.empty();
         Named named = new Named(plan, ticket);
         boolean twice = plan.twice() && plan.maxCalls() > 1;
         call(named, 0, !twice);
@@ -68,6 +67,11 @@
         }
     }
 
+    private Optional<String> takeTicket(PlannedSubmission plan) {
+        EntryNode entry = balancer.choose(plan.entries().get(0));
+        return tickets.get(entry).take(recorder.nowNanos());
+    }
+
     private void call(Named named, int attempt, boolean followed) {
         PlannedSubmission plan = named.plan;
         EntryNode entry = balancer.choose(plan.entries().get(attempt));
