--- a/bench/src/main/java/org/teaselhook/bench/failure/Callers.java
+++ b/bench/src/main/java/org/teaselhook/bench/failure/Callers.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -28,7 +27,7 @@
 final class Callers {
 
     static final long TIMEOUT_MILLIS = 4_000;
-    private static final long GIVE_UP_MILLIS = 10_000;
+    static final long GIVE_UP_MILLIS = 10_000;
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private final Site site;
@@ -106,9 +105,12 @@
         return wanted && attempt + 1 < plan.maxCalls();
     }
 
-    private static void later(int millis, Runnable action) {
-        Executor delayed = CompletableFuture.delayedExecutor(millis, TimeUnit.MILLISECONDS);
-        delayed.execute(action);
+    private void later(int millis, Runnable action) {
+        open.incrementAndGet();
+        CompletableFuture.delayedExecutor(millis, TimeUnit.MILLISECONDS).execute(() -> {
+            action.run();
+            open.decrementAndGet();
+        });
     }
 
     /** A submission and the ticket it got, if any. */
--- a/bench/src/main/java/org/teaselhook/bench/failure/Downtimes.java
+++ b/bench/src/main/java/org/teaselhook/bench/failure/Downtimes.java
@@ -4,13 +4,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 
 /** When which processes were down. Thread-safe. */
 final class Downtimes {
 
-    private static final long START_NANOS = TimeUnit.SECONDS.toNanos(2);
-
     private final Map<String, Long> since = new HashMap<>();
     private final List<Interval> intervals = new ArrayList<>();
 
@@ -18,11 +15,6 @@
         since.putIfAbsent(process, nowNanos);
     }
 
-    /** A process that was started counts as down while it starts. */
-    synchronized void started(String process, long nowNanos) {
-        up(process, nowNanos + START_NANOS);
-    }
-
     synchronized void up(String process, long nowNanos) {
         Long from = since.remove(process);
         if (from != null) {
--- a/bench/src/main/java/org/teaselhook/bench/failure/FailureReport.java
+++ b/bench/src/main/java/org/teaselhook/bench/failure/FailureReport.java
@@ -3,10 +3,12 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.function.Predicate;
 
 import org.teaselhook.bench.history.AnswerKind;
 import org.teaselhook.bench.history.Call;
 import org.teaselhook.bench.history.History;
+import org.teaselhook.bench.history.HistoryEvent.Submitted;
 import org.teaselhook.bench.history.Violation;
 
 /**
@@ -20,6 +22,8 @@
  */
 record FailureReport(long seed, History history, List<Violation> violations, Downtimes downtimes, int processes) {
 
+    private static final String TICKET_PREFIX = "t1-";
+
     /** Returns one line with all figures; shares are of the submissions sent while less than a third was down. */
     String line() {
         Map<String, List<Call>> byKey = history.callsByKey();
@@ -27,8 +31,8 @@
         return String.format(
                 Locale.ROOT,
                 "seed=%d submissions=%d calls=%d starts=%d complete=%d not_run=%d may_have_run=%d no_answer=%d"
-                        + " unlabelled=%d calm_submissions=%d calm_failed=%.4f calm_first_call_failed=%.4f"
-                        + " violations=%d",
+                        + " unlabelled=%d calm_submissions=%d calm_failed=%.4f calm_failed_idempotent=%.4f"
+                        + " calm_failed_ticket=%.4f calm_failed_key=%.4f violations=%d",
                 seed,
                 byKey.size(),
                 history.calls().size(),
@@ -39,8 +43,10 @@
                 count(AnswerKind.CLOSED) + count(AnswerKind.TIMED_OUT) + count(AnswerKind.NOT_SENT),
                 count(AnswerKind.UNLABELLED),
                 calm.size(),
-                share(calm, calls -> calls.stream().noneMatch(call -> call.ended(AnswerKind.COMPLETE))),
-                share(calm, calls -> !calls.get(0).ended(AnswerKind.COMPLETE)),
+                failed(calm, sent -> true),
+                failed(calm, sent -> !sent.startsOnce()),
+                failed(calm, sent -> sent.startsOnce() && isTicket(sent)),
+                failed(calm, sent -> sent.startsOnce() && !isTicket(sent)),
                 violations.size());
     }
 
@@ -58,9 +64,18 @@
         return 3 * downtimes.downBetween(fromNanos, toNanos) < processes;
     }
 
-    private static double share(List<List<Call>> submissions, java.util.function.Predicate<List<Call>> failed) {
-        return submissions.isEmpty()
-                ? 0
-                : (double) submissions.stream().filter(failed).count() / submissions.size();
+    /** Returns the share of submissions of which no call was complete. */
+    private static double failed(List<List<Call>> submissions, Predicate<Submitted> selected) {
+        List<List<Call>> chosen = submissions.stream()
+                .filter(calls -> selected.test(calls.get(0).sent()))
+                .toList();
+        long failed = chosen.stream()
+                .filter(calls -> calls.stream().noneMatch(call -> call.ended(AnswerKind.COMPLETE)))
+                .count();
+        return chosen.isEmpty() ? 0 : (double) failed / chosen.size();
+    }
+
+    private static boolean isTicket(Submitted sent) {
+        return sent.key().startsWith(TICKET_PREFIX);
     }
 }
--- a/bench/src/main/java/org/teaselhook/bench/failure/FaultActions.java
+++ b/bench/src/main/java/org/teaselhook/bench/failure/FaultActions.java
@@ -1,10 +1,13 @@
 package org.teaselhook.bench.failure;
 
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.EnumSet;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -15,6 +18,7 @@
 import org.teaselhook.bench.process.EntryNode;
 import org.teaselhook.bench.process.Link;
 import org.teaselhook.bench.process.ProcessNode;
+import org.teaselhook.bench.process.Readiness;
 import org.teaselhook.bench.process.Site;
 import org.teaselhook.bench.process.TargetNode;
 import org.teaselhook.net.log.LogLine;
@@ -30,6 +34,7 @@
                     RunTime.logUniform(20, 400).mixed(0.02, RunTime.uniform(1_000, 2_500)))
             .answeringAttempt(true);
 
+    private static final Duration START_WAIT = Duration.ofSeconds(20);
     private static final Duration STOP_WAIT = Duration.ofSeconds(20);
     private static final double SLOW_FACTOR = 10;
 
@@ -38,6 +43,7 @@
     private final Downtimes downtimes;
     private final LinkCuts cuts = new LinkCuts();
     private final Map<String, ProcessNode> processes;
+    private final Map<String, InetSocketAddress> addresses = new HashMap<>();
     private final Map<String, TargetNode> targets;
 
     FaultActions(Site site, HistoryRecorder recorder, Downtimes downtimes) {
@@ -45,6 +51,8 @@
         this.recorder = recorder;
         this.downtimes = downtimes;
         this.processes = site.processes().collect(Collectors.toMap(ProcessNode::name, Function.identity()));
+        site.entries().forEach(entry -> addresses.put(entry.process().name(), entry.http()));
+        site.agents().forEach(agent -> addresses.put(agent.process().name(), agent.http()));
         this.targets = site.agents().stream()
                 .map(AgentNode::target)
                 .collect(Collectors.toMap(TargetNode::name, Function.identity()));
@@ -99,7 +107,18 @@
 
     private void start(ProcessNode process) {
         process.start();
-        downtimes.started(process.name(), recorder.nowNanos());
+        CompletableFuture.runAsync(() -> awaitLive(process));
+    }
+
+    /** A process that was started counts as down until it answers. */
+    private void awaitLive(ProcessNode process) {
+        try {
+            Readiness.of(site.client()).awaitLive(addresses.get(process.name()), START_WAIT);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            downtimes.up(process.name(), recorder.nowNanos());
+        }
     }
 
     private Stream<ProcessNode> processes(PlannedFault fault) {
--- a/bench/src/main/java/org/teaselhook/bench/failure/FaultKind.java
+++ b/bench/src/main/java/org/teaselhook/bench/failure/FaultKind.java
@@ -115,6 +115,11 @@
         return weight;
     }
 
+    /** Callers' connections that went silent stay in use until their callers give up. */
+    long lingersMillis() {
+        return this == SILENT_CALLERS ? Callers.GIVE_UP_MILLIS : 0;
+    }
+
     int minMillis() {
         return minMillis;
     }
--- a/bench/src/main/java/org/teaselhook/bench/failure/PlannedFault.java
+++ b/bench/src/main/java/org/teaselhook/bench/failure/PlannedFault.java
@@ -18,7 +18,12 @@
     }
 
     boolean overlaps(PlannedFault other) {
-        return beginMillis < other.endMillis && other.beginMillis < endMillis;
+        return beginMillis < other.goneMillis() && other.beginMillis < goneMillis();
+    }
+
+    /** Returns when the last effect of the fault is gone. */
+    private long goneMillis() {
+        return endMillis + kind.lingersMillis();
     }
 
     /** Tells whether both strike the same thing, however named in links. */
--- a/bench/src/main/java/org/teaselhook/bench/process/Readiness.java
+++ b/bench/src/main/java/org/teaselhook/bench/process/Readiness.java
@@ -13,6 +13,8 @@
 
     private static final long POLL_INTERVAL_MILLIS = 50;
     private static final long PROBE_TIMEOUT_MILLIS = 1_000;
+    private static final String READY_PATH = "/ready";
+    private static final String LIVE_PATH = "/live";
     private static final int STATUS_OK = 200;
 
     private final HttpClient client;
@@ -55,10 +57,7 @@
      * @return true if it answered {@code GET /ready} with status 200
      */
     public boolean isReady(InetSocketAddress address) {
-        HttpResult result = client.send(address, HttpCall.of("GET", "/ready"), probeTimeoutMillis)
-                .toCompletableFuture()
-                .join();
-        return result instanceof HttpResult.Replied replied && replied.reply().status() == STATUS_OK;
+        return isGood(address, READY_PATH);
     }
 
     /**
@@ -70,8 +69,24 @@
      * @throws InterruptedException if the thread is interrupted
      */
     public boolean await(InetSocketAddress address, Duration timeout) throws InterruptedException {
+        return await(address, READY_PATH, timeout);
+    }
+
+    /**
+     * Asks a daemon until it answers, ready or not.
+     *
+     * @param address the daemon's HTTP address
+     * @param timeout the longest wait
+     * @return true if it answered in time
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public boolean awaitLive(InetSocketAddress address, Duration timeout) throws InterruptedException {
+        return await(address, LIVE_PATH, timeout);
+    }
+
+    private boolean await(InetSocketAddress address, String path, Duration timeout) throws InterruptedException {
         long deadlineNanos = System.nanoTime() + timeout.toNanos();
-        while (!isReady(address)) {
+        while (!isGood(address, path)) {
             if (System.nanoTime() - deadlineNanos > 0) {
                 return false;
             }
@@ -79,4 +94,11 @@
         }
         return true;
     }
+
+    private boolean isGood(InetSocketAddress address, String path) {
+        HttpResult result = client.send(address, HttpCall.of("GET", path), probeTimeoutMillis)
+                .toCompletableFuture()
+                .join();
+        return result instanceof HttpResult.Replied replied && replied.reply().status() == STATUS_OK;
+    }
 }
