Refuse as not run in an outage only while no entry is lost

Ruled out: trusting any entry that answers, since one that was lost since the log was last read may have held the key. Change: the runs of entries that were live while the table service was reached are remembered; a refusal is certain while all of them answer.

--- a/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
@@ -292,6 +292,9 @@
 
     private void slowTick(long nowNanos) {
         poller.tick(nowNanos);
+        if (poller.isTableReachable()) {
+            peers.remember();
+        }
         members.tick(nowNanos);
         sessions.checkSilence(nowNanos);
         dispatcher.serving(nowNanos, configuration.mayStart(nowNanos));
--- a/node/src/main/java/org/teaselhook/node/entry/OtherEntries.java
+++ b/node/src/main/java/org/teaselhook/node/entry/OtherEntries.java
@@ -116,7 +116,7 @@
     private CompletionStage<Outcome> askAll(SubmissionName name, Arrival arrival, Problem refusal) {
         long timeoutMillis = TimeUnit.NANOSECONDS.toMillis(AdmissionCheck.timeoutNanos(rules.get(), arrival.request()));
         CompletionStage<Outcome> result = CompletableFuture.completedFuture(
-                peers.allLive() ? Outcome.notRun(refusal) : Outcome.mayHaveRun(refusal));
+                peers.noneLost() ? Outcome.notRun(refusal) : Outcome.mayHaveRun(refusal));
         for (PeerInfo peer : peers.live()) {
             CompletionStage<Outcome> asked = join(
                             peer.incarnation(),
--- a/node/src/main/java/org/teaselhook/node/peer/Peers.java
+++ b/node/src/main/java/org/teaselhook/node/peer/Peers.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -33,6 +34,7 @@
     private final PeerEvents events;
     private final Supplier<ConfigDocument> config;
     private final Map<String, PeerLink> links = new HashMap<>();
+    private Set<Incarnation> remembered = Set.of();
     private boolean leaving;
 
     /**
@@ -226,13 +228,22 @@
     }
 
     /**
-     * Tells whether every entry that has ever spoken on a link has spoken again within the last 2 s.
+     * Tells whether every run of an entry that was live when {@link #remember} was last called is live still. Only
+     * those can hold claims that this entry has not read.
      *
      * @return true if none is missing
      */
-    public boolean allLive() {
-        long now = clock.getAsLong();
-        return links.values().stream().allMatch(link -> link.peer().isEmpty() || link.isLive(now));
+    public boolean noneLost() {
+        return liveIncarnations().containsAll(remembered);
+    }
+
+    /** Remembers the runs of entries that are live now; to be called while the table service is reached. */
+    public void remember() {
+        remembered = liveIncarnations();
+    }
+
+    private Set<Incarnation> liveIncarnations() {
+        return live().stream().map(PeerInfo::incarnation).collect(Collectors.toSet());
     }
 
     /**
