--- a/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
@@ -64,6 +64,7 @@
     private static final long HEARTBEAT_MILLIS = 500;
     private static final long PAUSE_NANOS = TimeUnit.SECONDS.toNanos(1);
     private static final long DRAIN_NANOS = TimeUnit.SECONDS.toNanos(30);
+    private static final long UNREADY_NANOS = TimeUnit.SECONDS.toNanos(2);
     private static final int FRAME_OVERHEAD_BYTES = 1 << 20;
 
     private final EntrySettings settings;
@@ -258,8 +259,9 @@
 
     private void membersChanged(List<Member> live) {
         long now = control.nowNanos();
-        List<String> known = live.stream().map(Member::grpcAddress).collect(Collectors.toList());
+        List<String> known = live.stream().map(Member::grpcAddress).collect(Collectors.toCollection(ArrayList::new));
         known.forEach(address -> peers.add(now, address));
+        settings.peers().forEach(peer -> known.add(text(peer)));
         peers.retain(now, known);
     }
 
@@ -339,10 +341,14 @@
         sessions.leave(stoppingSince);
         peers.leave(stoppingSince);
         members.leave();
-        http.stopAccepting();
     }
 
+    /** Connections stay open until the balancer has seen that this entry is not ready: a request may be on its way. */
     private void closeIfDrained(long nowNanos) {
+        if (nowNanos - stoppingSince < UNREADY_NANOS) {
+            return;
+        }
+        http.stopAccepting();
         boolean idle =
                 registry.size() == 0 && http.drained().toCompletableFuture().isDone();
         if (idle || nowNanos - stoppingSince > DRAIN_NANOS) {
