--- a/core/src/main/java/org/teaselhook/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/teaselhook/core/dispatch/Dispatcher.java
@@ -138,13 +138,17 @@
     }
 
     /**
-     * Adds granted slots.
+     * Adds granted slots. They are returned at once where the policy does not use them.
      *
      * @param nowNanos the present time
      * @param agent the agent
      * @param slots the number of slots
      */
     public void granted(long nowNanos, Incarnation agent, int slots) {
+        if (!control.settings().policy().usesGrants()) {
+            control.output().returnGrants(agent, slots);
+            return;
+        }
         fleet.find(agent).ifPresent(worker -> {
             worker.grant(slots);
             fleet.refresh(nowNanos, worker);
--- a/core/src/main/java/org/teaselhook/core/dispatch/DispatcherSettings.java
+++ b/core/src/main/java/org/teaselhook/core/dispatch/DispatcherSettings.java
@@ -11,10 +11,8 @@
  * @param policy how workers are chosen
  * @param firstNumber the first dispatch number, at least 1
  * @param defaultMaxTasks the quota of customers without a rule
- * @param hedging whether slow idempotent requests are sent to a second worker
  */
-public record DispatcherSettings(
-        String zone, PlacementPolicy policy, long firstNumber, int defaultMaxTasks, boolean hedging) {
+public record DispatcherSettings(String zone, PlacementPolicy policy, long firstNumber, int defaultMaxTasks) {
 
     private static final int DEFAULT_MAX_TASKS = 10_000;
 
@@ -42,16 +40,6 @@
      * @return the settings
      */
     public static DispatcherSettings of(String zone, PlacementPolicy policy) {
-        return new DispatcherSettings(zone, policy, 1, DEFAULT_MAX_TASKS, true);
-    }
-
-    /**
-     * Switches hedging on or off.
-     *
-     * @param enabled whether slow idempotent requests are sent to a second worker
-     * @return new settings
-     */
-    public DispatcherSettings withHedging(boolean enabled) {
-        return new DispatcherSettings(zone, policy, firstNumber, defaultMaxTasks, enabled);
+        return new DispatcherSettings(zone, policy, 1, DEFAULT_MAX_TASKS);
     }
 }
--- a/core/src/main/java/org/teaselhook/core/dispatch/Fleet.java
+++ b/core/src/main/java/org/teaselhook/core/dispatch/Fleet.java
@@ -192,7 +192,7 @@
     }
 
     int wantedSlots(long nowNanos, Worker worker) {
-        if (!worker.isUsable(nowNanos)) {
+        if (!control.settings().policy().usesGrants() || !worker.isUsable(nowNanos)) {
             return 0;
         }
         int wanted = worker.members().values().stream()
--- a/core/src/test/java/org/teaselhook/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/teaselhook/core/dispatch/DispatcherTest.java
@@ -212,6 +212,14 @@
         assertEquals(output.wanted.get(agent), Integer.valueOf(1));
     }
 
+    @Test
+    public void shouldReturnEveryGrantUnderAPolicyWithoutGrants() {
+        dispatcher = new Dispatcher(DispatcherSettings.of("thrissur", PlacementPolicy.RANDOM), output, new Random(1));
+        Incarnation agent = join(1, "thrissur", 2);
+        assertEquals(output.returned.get(agent), Integer.valueOf(2));
+        assertEquals(dispatcher.wantedSlots(now, agent), 0);
+    }
+
     // -- rules, serving, stopping
 
     @Test
--- a/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
@@ -177,8 +177,7 @@
     }
 
     private static DispatcherSettings dispatcherSettings(EntrySettings settings) {
-        return DispatcherSettings.of(settings.zone(), settings.placementPolicy())
-                .withHedging(settings.hedging());
+        return DispatcherSettings.of(settings.zone(), settings.placementPolicy());
     }
 
     private Member member() {
