--- /dev/null
+++ b/bench/src/main/java/org/teaselhook/bench/failure/Balancer.java
@@ -0,0 +1,46 @@
+package org.teaselhook.bench.failure;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicIntegerArray;
+import java.util.stream.IntStream;
+
+import org.teaselhook.bench.process.EntryNode;
+import org.teaselhook.bench.process.Readiness;
+import org.teaselhook.net.http.HttpClient;
+
+/** Stands for the platform's balancer: sends callers to entries that report themselves ready. Thread-safe. */
+final class Balancer {
+
+    private static final long POLL_INTERVAL_MILLIS = 200;
+    private static final long PROBE_TIMEOUT_MILLIS = 400;
+
+    private final List<EntryNode> entries;
+    private final Readiness readiness;
+    private final AtomicIntegerArray ready;
+
+    Balancer(List<EntryNode> entries, HttpClient client) {
+        this.entries = entries;
+        this.readiness = Readiness.of(client, PROBE_TIMEOUT_MILLIS);
+        this.ready = new AtomicIntegerArray(entries.size());
+        IntStream.range(0, entries.size()).forEach(i -> ready.set(i, 1));
+    }
+
+    /** Returns the preferred entry, or the next one that was ready when last asked. */
+    EntryNode choose(int preferred) {
+        return IntStream.range(0, entries.size())
+                .map(i -> (preferred + i) % entries.size())
+                .filter(i -> ready.get(i) == 1)
+                .mapToObj(entries::get)
+                .findFirst()
+                .orElseGet(() -> entries.get(preferred));
+    }
+
+    /** Probes one entry until interrupted. */
+    void watch(int index) throws InterruptedException {
+        while (!Thread.currentThread().isInterrupted()) {
+            ready.set(index, readiness.isReady(entries.get(index).http()) ? 1 : 0);
+            TimeUnit.MILLISECONDS.sleep(POLL_INTERVAL_MILLIS);
+        }
+    }
+}
--- a/node/src/main/java/org/teaselhook/node/peer/Peers.java
+++ b/node/src/main/java/org/teaselhook/node/peer/Peers.java
@@ -226,13 +226,13 @@
     }
 
     /**
-     * Tells whether every entry that is known has spoken within the last 2 s.
+     * Tells whether every entry that has ever spoken on a link has spoken again within the last 2 s.
      *
      * @return true if none is missing
      */
     public boolean allLive() {
         long now = clock.getAsLong();
-        return links.values().stream().allMatch(link -> link.isLive(now));
+        return links.values().stream().allMatch(link -> link.peer().isEmpty() || link.isLive(now));
     }
 
     /**
