--- a/bench/src/test/java/org/teaselhook/bench/config/AppliedTimesTest.java
+++ b/bench/src/test/java/org/teaselhook/bench/config/AppliedTimesTest.java
@@ -1,12 +1,12 @@
 package org.teaselhook.bench.config;
 
-import static org.testng.Assert.assertEquals;
-
 import java.util.List;
 import java.util.OptionalLong;
 
 import org.testng.annotations.Test;
 
+import static org.testng.Assert.assertEquals;
+
 public class AppliedTimesTest {
 
     // -- of
--- a/bench/src/test/java/org/teaselhook/bench/config/ConfigOutageTest.java
+++ b/bench/src/test/java/org/teaselhook/bench/config/ConfigOutageTest.java
@@ -1,9 +1,5 @@
 package org.teaselhook.bench.config;
 
-import static org.testng.Assert.assertEquals;
-import static org.testng.Assert.assertFalse;
-import static org.testng.Assert.assertTrue;
-
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -27,6 +23,10 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
 /**
  * Restarts entries while the table service is out of order right after a change was accepted.
  */
