Separate how far a shard's log was read from the calls made on it

LogPosition holds the sequences and the floor's version; ShardLog keeps the calls and their results.

--- a/core/src/main/java/org/teaselhook/core/claim/ShardLog.java
+++ b/core/src/main/java/org/teaselhook/core/claim/ShardLog.java
@@ -9,7 +9,6 @@
 import org.teaselhook.core.id.Incarnation;
 import org.teaselhook.core.table.Row;
 import org.teaselhook.core.table.TableResult;
-import org.teaselhook.core.table.Transaction;
 
 /**
  * One shard's log as one process sees it. There is at most one call to the table service at a time.
@@ -20,9 +19,7 @@
  */
 final class ShardLog {
 
-    private static final int SCAN_ROWS = 100;
     private static final int TRIM_ROWS = 400;
-    private static final long NO_GAP = -1;
     private static final long UNREADABLE_PAUSE_NANOS = TimeUnit.SECONDS.toNanos(5);
     private static final Duration NOT_READY_RETRY_AFTER = Duration.ofSeconds(1);
 
@@ -32,7 +29,7 @@
     private final RandomGenerator random;
     private final LedgerOutput output;
     private final AppendBudget budget;
-    private final LogKeys keys;
+    private final LogPosition position;
     private final RetentionPolicy retention;
     private final ShardClaims claims;
     private final PendingLookups lookups;
@@ -42,10 +39,6 @@
     private boolean stale = true;
     private boolean warm;
     private boolean unreadable;
-    private long next;
-    private long floor;
-    private long floorVersion = Transaction.ABSENT_VERSION;
-    private long gapFloorVersion = NO_GAP;
     private long callStartedNanos;
     private long lastAppendNanos;
     private long refreshStartedNanos;
@@ -65,7 +58,7 @@
         this.random = random;
         this.output = output;
         this.budget = budget;
-        this.keys = LogKeys.of(shard);
+        this.position = new LogPosition(LogKeys.of(shard));
         this.lastAppendNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(limits.appendIntervalMillis());
         this.lastTrimNanos = nowNanos;
         this.claims = new ShardClaims(self, limits, output);
@@ -115,7 +108,7 @@
 
     /** Compares what was read with the floor and tail rows; a call in progress will find out by itself. */
     void compare(LogHeads heads) {
-        if (isIdle() && batch.isEmpty() && !heads.matches(keys, floorVersion, next)) {
+        if (isIdle() && batch.isEmpty() && !position.matches(heads)) {
             stale = true;
         }
     }
@@ -151,11 +144,11 @@
     }
 
     private boolean wantsTrim(ClockReading now) {
-        return now.nanos() - lastTrimNanos >= retention.trimIntervalNanos() && floorAfterTrim(now) > floor;
+        return now.nanos() - lastTrimNanos >= retention.trimIntervalNanos() && floorAfterTrim(now) > position.floor();
     }
 
     private long floorAfterTrim(ClockReading now) {
-        return claims.floorAfterTrim(TRIM_ROWS, floor, now);
+        return claims.floorAfterTrim(TRIM_ROWS, position.floor(), now);
     }
 
     // -- calls
@@ -166,12 +159,13 @@
             startBatch(now);
         }
         if (!stale && batch.isPresent()) {
-            call(Phase.APPENDING, new TableCall.Commit(batch.get().append(keys, floorVersion)), now);
+            call(Phase.APPENDING, position.append(batch.get()), now);
         } else if (!wantsRefresh() && wantsTrim(now)) {
-            trim(now);
+            lastTrimNanos = now.nanos();
+            call(Phase.TRIMMING, position.trim(floorAfterTrim(now)), now);
         } else {
             refreshStartedNanos = now.nanos();
-            call(Phase.READING_FLOOR, new TableCall.Read(keys.floor()), now);
+            call(Phase.READING_FLOOR, position.readFloor(), now);
         }
     }
 
@@ -183,24 +177,13 @@
 
     private void startBatch(ClockReading now) {
         ClaimRow row = new ClaimRow(self, random.nextLong(), now.wallMillis(), claims.startBatch());
-        batch = Optional.of(new LogBatch(next, row, now, false));
+        batch = Optional.of(new LogBatch(position.next(), row, now, false));
         lastAppendNanos = now.nanos();
         budget.spend(now.nanos());
     }
 
-    private void trim(ClockReading now) {
-        lastTrimNanos = now.nanos();
-        long newFloor = floorAfterTrim(now);
-        Transaction transaction =
-                Transaction.empty().require(keys.floor(), floorVersion).put(keys.floor(), LogKeys.encode(newFloor));
-        for (long sequence = floor; sequence < newFloor; sequence++) {
-            transaction = transaction.delete(keys.row(sequence));
-        }
-        call(Phase.TRIMMING, new TableCall.Commit(transaction), now);
-    }
-
     private void scan(ClockReading now) {
-        call(Phase.SCANNING, new TableCall.Scan(keys.row(next), keys.afterRows(), SCAN_ROWS), now);
+        call(Phase.SCANNING, position.scan(), now);
     }
 
     // -- results
@@ -223,17 +206,14 @@
             scan(now);
         } else if (result instanceof TableResult.Found found) {
             LogKeys.decode(found.row().value())
-                    .ifPresentOrElse(read -> raiseFloor(read, found.row().version(), now), () -> unreadable(next));
+                    .ifPresentOrElse(read -> raiseFloor(read, found.row().version(), now), this::unreadable);
         }
     }
 
     private void raiseFloor(long read, long version, ClockReading now) {
-        floorVersion = version;
-        floor = read;
         claims.forgetBelow(read);
-        if (read > next) {
+        if (position.raiseFloor(read, version)) {
             dropBatch();
-            next = read;
         }
         scan(now);
     }
@@ -251,12 +231,13 @@
             stale = true;
             return;
         }
-        long before = next;
+        long before = position.next();
         boolean contiguous = rows.rows().stream().allMatch(row -> integrate(row, now));
-        if (next > before) {
-            event(Kind.CAUGHT_UP, next, (int) (next - before), now);
+        int newRows = (int) (position.next() - before);
+        if (newRows > 0) {
+            event(Kind.CAUGHT_UP, position.next(), newRows, now);
         }
-        if (contiguous && rows.rows().size() == SCAN_ROWS) {
+        if (contiguous && position.isFullScan(rows.rows().size())) {
             scan(now);
             return;
         }
@@ -264,19 +245,21 @@
         if (contiguous) {
             warm = true;
             unreadable = false;
-            gapFloorVersion = NO_GAP;
+            position.noGap();
             lookups.readSince(refreshStartedNanos, claims::read);
         }
     }
 
     private boolean integrate(Row row, ClockReading now) {
-        if (keys.sequence(row.key()) != next) {
-            gapFound();
+        if (!position.isNext(row.key())) {
+            if (position.gapLasts()) {
+                unreadable();
+            }
             return false;
         }
         Optional<ClaimRow> decoded = ClaimRow.decode(row.value());
         if (decoded.isEmpty()) {
-            unreadable(next);
+            unreadable();
             return false;
         }
         integrate(decoded.get(), now);
@@ -285,15 +268,15 @@
 
     private void integrate(ClaimRow row, ClockReading now) {
         if (batch.isPresent() && batch.get().isSameAs(row)) {
-            event(Kind.SETTLED, next, batch.get().size(), now);
+            event(Kind.SETTLED, position.next(), batch.get().size(), now);
             settle(batch.get(), now);
             return;
         }
         if (batch.isPresent()) {
             requeueBatch();
         }
-        claims.addRead(next, row, now);
-        next++;
+        claims.addRead(position.next(), row, now);
+        position.advance();
     }
 
     private void appended(TableResult result, ClockReading now) {
@@ -326,30 +309,23 @@
 
     private void settle(LogBatch settled, ClockReading now) {
         batch = Optional.empty();
-        next = settled.sequence() + 1;
+        position.advance();
         claims.addOwn(settled.sequence(), settled.row(), settled.firstSent(), now);
     }
 
     private void trimmed(TableResult result, ClockReading now) {
         stale = true;
         if (result instanceof TableResult.Committed) {
-            event(Kind.TRIMMED, floor, 0, now);
+            event(Kind.TRIMMED, position.floor(), 0, now);
         }
     }
 
-    /** A gap closes with a newer floor; one that stays means that the table service lost rows. */
-    private void gapFound() {
-        if (gapFloorVersion == floorVersion) {
-            unreadable(next);
-        }
-        gapFloorVersion = floorVersion;
-    }
-
-    private void unreadable(long sequence) {
+    private void unreadable() {
         if (!unreadable) {
-            output.event(new LedgerEvent(Kind.UNREADABLE, shard, sequence, 0, 0));
+            output.event(new LedgerEvent(Kind.UNREADABLE, shard, position.next(), 0, 0));
         }
         unreadable = true;
+        stale = true;
     }
 
     private void event(Kind kind, long sequence, int count, ClockReading now) {
