--- a/bench/src/main/java/org/teaselhook/bench/process/Operators.java
+++ b/bench/src/main/java/org/teaselhook/bench/process/Operators.java
@@ -86,6 +86,22 @@
         return change(HttpCall.of("POST", path, headers, NO_BODY));
     }
 
+    /**
+     * Replaces the rules file if a version is still the current one.
+     *
+     * @param expected the version that the text was made from
+     * @param text the whole text
+     * @param operation the operation id, the same for each try of the same change
+     * @return what was told
+     */
+    public ChangeResult replaceRules(String expected, String text, String operation) {
+        Map<String, String> headers = Map.of(
+                "teaselhook-operation", operation,
+                "teaselhook-author", "harness",
+                "teaselhook-expected-version", expected);
+        return change(HttpCall.of("PUT", "/v1/admin/rules", headers, text.getBytes(StandardCharsets.UTF_8)));
+    }
+
     private ChangeResult change(HttpCall call) {
         Optional<HttpReply> reply = send(call);
         if (reply.filter(r -> r.status() == STATUS_OK).isEmpty()) {
@@ -99,6 +115,15 @@
 
     // -- reads
 
+    /**
+     * Reads the current rules file.
+     *
+     * @return the response with the text and its version's header, or empty if it was not answered with status 200
+     */
+    public Optional<HttpReply> rules() {
+        return send(HttpCall.of("GET", "/v1/admin/rules")).filter(reply -> reply.status() == STATUS_OK);
+    }
+
     /**
      * Returns the version that the entry holds.
      *
--- a/bench/src/test/java/org/teaselhook/bench/config/AppliedTimesTest.java
+++ b/bench/src/test/java/org/teaselhook/bench/config/AppliedTimesTest.java
@@ -1,12 +1,12 @@
 package org.teaselhook.bench.config;
 
-import static org.testng.Assert.assertEquals;
-
 import java.util.List;
 import java.util.OptionalLong;
 
 import org.testng.annotations.Test;
 
+import static org.testng.Assert.assertEquals;
+
 public class AppliedTimesTest {
 
     // -- of
@@ -24,4 +24,17 @@
         assertEquals(entry.atLeast(4), OptionalLong.empty());
         assertEquals(agent.atLeast(1).orElse(0) - entry.atLeast(1).orElse(0), 264);
     }
+
+    // -- falls
+
+    @Test
+    public void shouldNameFallsWithinOneRunOnly() {
+        List<String> lines = List.of(
+                "2026-12-04T04:05:21.293 level=INFO thread=c event=config-applied version=2 operation=a zones-out=[]",
+                "2026-12-04T04:05:22.293 level=INFO thread=main event=entry-started name=entry-1 zone=cesis",
+                "2026-12-04T04:05:23.293 level=INFO thread=c event=config-applied version=1 operation=a zones-out=[]",
+                "2026-12-04T04:05:24.293 level=INFO thread=c event=config-applied version=1 operation=a zones-out=[]");
+
+        assertEquals(AppliedTimes.falls("entry-1", lines).size(), 1);
+    }
 }
