--- a/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
@@ -179,8 +179,7 @@
     }
 
     private static DispatcherSettings dispatcherSettings(EntrySettings settings) {
-        return DispatcherSettings.of(settings.zone(), settings.placementPolicy())
-                .withHedging(settings.hedging());
+        return DispatcherSettings.of(settings.zone(), settings.placementPolicy());
     }
 
     private Member member() {
@@ -292,6 +291,9 @@
 
     private void slowTick(long nowNanos) {
         poller.tick(nowNanos);
+        if (poller.isTableReachable()) {
+            peers.remember();
+        }
         members.tick(nowNanos);
         sessions.checkSilence(nowNanos);
         dispatcher.serving(nowNanos, configuration.mayStart(nowNanos));
