--- a/bench/src/main/java/org/teaselhook/bench/failure/Callers.java
+++ b/bench/src/main/java/org/teaselhook/bench/failure/Callers.java
@@ -26,10 +26,11 @@
 /** Sends submissions as their plans say, sends them again after failures, and records every call. */
 final class Callers {
 
-    static final long TIMEOUT_MILLIS = 4_000;
-    static final long GIVE_UP_MILLIS = 10_000;
+    private static final long GIVE_UP_MILLIS = 6_000;
+
     private static final ObjectMapper JSON = new ObjectMapper();
 
+    private final long timeoutMillis;
     private final Site site;
     private final Balancer balancer;
     private final HistoryRecorder recorder;
@@ -37,7 +38,8 @@
     private final AtomicLong calls = new AtomicLong();
     private final AtomicInteger open = new AtomicInteger();
 
-    Callers(Site site, Balancer balancer, HistoryRecorder recorder) {
+    Callers(Site site, Balancer balancer, HistoryRecorder recorder, long timeoutMillis) {
+        this.timeoutMillis = timeoutMillis;
         this.site = site;
         this.balancer = balancer;
         this.recorder = recorder;
@@ -84,13 +86,14 @@
                 plan.idempotent(),
                 plan.bodies(),
                 entry.process().name(),
-                TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS),
+                TimeUnit.MILLISECONDS.toNanos(timeoutMillis),
                 sentNanos));
         site.client()
-                .send(entry.callers().address(), named.http(), GIVE_UP_MILLIS)
+                .send(entry.callers().address(), named.http(timeoutMillis), timeoutMillis + GIVE_UP_MILLIS)
                 .thenAccept(result -> {
                     long nowNanos = recorder.nowNanos();
-                    boolean timedOut = nowNanos - sentNanos >= TimeUnit.MILLISECONDS.toNanos(GIVE_UP_MILLIS);
+                    boolean timedOut =
+                            nowNanos - sentNanos >= TimeUnit.MILLISECONDS.toNanos(timeoutMillis + GIVE_UP_MILLIS);
                     Answered answer = CallReader.read(number, plan.job(), result, timedOut, nowNanos);
                     recorder.record(answer);
                     if (followed && isCalledAgain(plan, attempt, answer)) {
@@ -120,10 +123,10 @@
             return ticket.orElse(plan.key());
         }
 
-        HttpCall http() {
+        HttpCall http(long timeoutMillis) {
             Map<String, String> headers = new HashMap<>();
             headers.put(ticket.isPresent() ? "teaselhook-ticket" : "idempotency-key", name());
-            headers.put("teaselhook-timeout-ms", Long.toString(TIMEOUT_MILLIS));
+            headers.put("teaselhook-timeout-ms", Long.toString(timeoutMillis));
             if (!plan.job()) {
                 byte[] body = plan.bodies().get(0).getBytes(StandardCharsets.UTF_8);
                 headers.put("content-type", "text/plain");
--- a/bench/src/main/java/org/teaselhook/bench/failure/FailureRun.java
+++ b/bench/src/main/java/org/teaselhook/bench/failure/FailureRun.java
@@ -20,6 +20,7 @@
     private static final Duration READY_WAIT = Duration.ofSeconds(60);
     private static final long MAX_QUIET_MILLIS = 6_000;
     private static final long MAX_DRAIN_MILLIS = 40_000;
+    private static final long CALL_TIMEOUT_MILLIS = 4_000;
     private static final long POLL_INTERVAL_MILLIS = 50;
     private static final long LATE_STARTS_MILLIS = 1_000;
     private static final int QUIET_SHARE = 5;
@@ -45,7 +46,7 @@
             site.awaitReady(READY_WAIT);
             site.agents().forEach(agent -> agent.target().behaveAs(FaultActions.SOUND));
             Balancer balancer = new Balancer(site.entries(), site.client());
-            Callers callers = new Callers(site, balancer, recorder);
+            Callers callers = new Callers(site, balancer, recorder, CALL_TIMEOUT_MILLIS);
             Observer observer = new Observer(site, recorder);
             List<Thread> observers = watch(site, observer, balancer);
             long startNanos = recorder.nowNanos();
--- a/bench/src/main/java/org/teaselhook/bench/failure/FaultKind.java
+++ b/bench/src/main/java/org/teaselhook/bench/failure/FaultKind.java
@@ -85,6 +85,8 @@
             table(TableFaults.none().withLateWrites(0.3, 3_000)),
             table(TableFaults.none()));
 
+    private static final long SILENT_CALLERS_MILLIS = 12_000;
+
     private final FaultSubject subject;
     private final int weight;
     private final int minMillis;
@@ -117,7 +119,7 @@
 
     /** Callers' connections that went silent stay in use until their callers give up. */
     long lingersMillis() {
-        return this == SILENT_CALLERS ? Callers.GIVE_UP_MILLIS : 0;
+        return this == SILENT_CALLERS ? SILENT_CALLERS_MILLIS : 0;
     }
 
     int minMillis() {
--- /dev/null
+++ b/bench/src/test/java/org/teaselhook/bench/failure/SiteFaultTest.java
@@ -0,0 +1,252 @@
+package org.teaselhook.bench.failure;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.teaselhook.bench.history.AnswerKind;
+import org.teaselhook.bench.history.HistoryChecker;
+import org.teaselhook.bench.history.HistoryEvent.Answered;
+import org.teaselhook.bench.history.HistoryLimits;
+import org.teaselhook.bench.history.HistoryRecorder;
+import org.teaselhook.bench.process.Site;
+import org.teaselhook.bench.process.SitePlan;
+import org.teaselhook.standin.target.RunTime;
+import org.teaselhook.standin.target.TargetBehaviour;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+/** Strikes a site of processes with one fault at a time; the whole history is checked after each. */
+public class SiteFaultTest {
+
+    private static final long TIMEOUT_MILLIS = 12_000;
+    private static final long MAX_CALL_MILLIS = 40_000;
+    private static final int JOB_TASKS = 30;
+    private static final int MAX_WARM_UPS = 50;
+    private static final TargetBehaviour BEHAVIOUR =
+            TargetBehaviour.of(RunTime.uniform(200, 400)).answeringAttempt(true);
+
+    private final HistoryRecorder recorder = HistoryRecorder.of(System::nanoTime);
+    private final AtomicLong numbers = new AtomicLong();
+    private Site site;
+    private FaultActions actions;
+    private Callers callers;
+
+    @BeforeClass
+    public void start() throws IOException, InterruptedException {
+        SitePlan plan = SitePlan.standard().withProcesses(3, 3);
+        site = Site.start(plan, new RecordingListener(recorder), Files.createTempDirectory("site-fault-test"));
+        site.awaitReady(Duration.ofSeconds(60));
+        site.agents().forEach(agent -> agent.target().behaveAs(BEHAVIOUR));
+        actions = new FaultActions(site, recorder, new Downtimes());
+        callers = new Callers(site, new Balancer(site.entries(), site.client()), recorder, TIMEOUT_MILLIS);
+        warmUp();
+    }
+
+    /** Processes that have just started run slowly at first, and may take the table service for slow. */
+    private void warmUp() throws InterruptedException {
+        for (int entry = 0; entry < 3; entry++) {
+            boolean served = false;
+            for (int i = 0; i < MAX_WARM_UPS && !served; i++) {
+                PlannedSubmission booking = booking(entry);
+                callers.submit(booking);
+                awaitAnswers();
+                served = kinds(booking).contains(AnswerKind.COMPLETE);
+            }
+            assertTrue(served, "entry " + entry + " does not serve keys");
+        }
+    }
+
+    @AfterClass(alwaysRun = true)
+    public void stop() {
+        if (site != null) {
+            site.close();
+        }
+    }
+
+    @AfterMethod
+    public void shouldHoldThroughout() {
+        assertEquals(HistoryChecker.of(HistoryLimits.standard()).check(recorder.history()), List.of());
+    }
+
+    // -- connections
+
+    @DataProvider
+    public Object[][] directions() {
+        return new Object[][] {{0}, {1}, {2}};
+    }
+
+    @Test(dataProvider = "directions")
+    public void shouldAnswerWholeJobWhenConnectionsOfAgentsGoSilent(int variant) throws InterruptedException {
+        PlannedSubmission job = job(0);
+        callers.submit(job);
+        TimeUnit.MILLISECONDS.sleep(300);
+        for (int agent = 1; agent <= 3; agent++) {
+            actions.silenceLink(fault(FaultKind.SILENT_AGENT_LINK, "agent-" + agent + ">entry-1", variant));
+        }
+        awaitAnswers();
+
+        assertEnded(job, AnswerKind.COMPLETE);
+    }
+
+    // -- processes
+
+    @Test
+    public void shouldNotStartOverdueTasksWhenFrozenAgentResumes() throws InterruptedException {
+        PlannedSubmission job = job(0);
+        callers.submit(job);
+        TimeUnit.MILLISECONDS.sleep(300);
+        PlannedFault fault = fault(FaultKind.FREEZE_AGENT, "agent-1", 0);
+        actions.freeze(fault);
+        TimeUnit.SECONDS.sleep(4);
+        actions.resume(fault);
+        awaitAnswers();
+
+        assertNotEquals(kinds(job), List.of(AnswerKind.NOT_RUN));
+    }
+
+    @Test
+    public void shouldNotRunTwiceWhenEntryDiesAndRequestIsSentToAnother() throws InterruptedException {
+        callers.submit(ticket(1));
+        awaitAnswers();
+        PlannedSubmission booking = new PlannedSubmission(
+                numbers.incrementAndGet(), false, false, 1, true, List.of(1, 0), List.of(0, 0), false, false, 0);
+        callers.submit(booking);
+        TimeUnit.MILLISECONDS.sleep(200);
+        PlannedFault fault = fault(FaultKind.KILL_ENTRY, "entry-2", 0);
+        actions.kill(fault);
+        awaitAnswers();
+        restart(fault);
+
+        assertEnded(booking, AnswerKind.CLOSED, AnswerKind.MAY_HAVE_RUN);
+        assertEquals(starts(booking), 1);
+    }
+
+    @Test
+    public void shouldAnswerWhatIsInProgressWhenEntryStops() throws InterruptedException {
+        PlannedSubmission job = job(2);
+        assertCompleteThroughStop(job, fault(FaultKind.STOP_ENTRY, "entry-3", 0));
+    }
+
+    @Test
+    public void shouldAnswerWhatIsInProgressWhenAgentStops() throws InterruptedException {
+        PlannedSubmission job = job(0);
+        assertCompleteThroughStop(job, fault(FaultKind.STOP_AGENT, "agent-2", 0));
+    }
+
+    private void assertCompleteThroughStop(PlannedSubmission job, PlannedFault fault) throws InterruptedException {
+        callers.submit(job);
+        TimeUnit.MILLISECONDS.sleep(300);
+        actions.stop(fault);
+        awaitAnswers();
+        actions.restartAfterExit(fault);
+        site.awaitReady(Duration.ofSeconds(30));
+
+        assertEnded(job, AnswerKind.COMPLETE);
+    }
+
+    // -- table service
+
+    @Test
+    public void shouldRefuseKeysAndServeTheRestInAnOutage() throws InterruptedException {
+        PlannedSubmission warm = ticket(0);
+        callers.submit(warm);
+        awaitAnswers();
+        FaultKind.TABLE_OUTAGE.begin(actions, fault(FaultKind.TABLE_OUTAGE, "table", 0));
+        PlannedSubmission key = booking(0);
+        PlannedSubmission ticket = ticket(0);
+        PlannedSubmission idempotent = new PlannedSubmission(
+                numbers.incrementAndGet(), false, true, 1, false, List.of(0), List.of(0), false, false, 0);
+        List.of(key, ticket, idempotent).forEach(callers::submit);
+        awaitAnswers();
+        FaultKind.TABLE_OUTAGE.end(actions, fault(FaultKind.TABLE_OUTAGE, "table", 0));
+        TimeUnit.SECONDS.sleep(2);
+
+        assertEnded(key, AnswerKind.NOT_RUN);
+        assertEnded(ticket, AnswerKind.COMPLETE);
+        assertEnded(idempotent, AnswerKind.COMPLETE);
+    }
+
+    // -- zones
+
+    @Test
+    public void shouldStartNothingInZoneOutThroughAnIsolatedEntry() throws InterruptedException {
+        PlannedFault isolation = fault(FaultKind.ISOLATE_ENTRY, "entry-3", 0);
+        actions.isolate(isolation);
+        ZoneOperator operator = new ZoneOperator(site, recorder);
+        operator.change(new PlannedZoneChange("kottayam", true, 0, 0));
+        for (int i = 0; i < 60; i++) {
+            callers.submit(new PlannedSubmission(
+                    numbers.incrementAndGet(), false, true, 1, false, List.of(2), List.of(0), false, false, 0));
+            TimeUnit.MILLISECONDS.sleep(100);
+        }
+        awaitAnswers();
+        operator.change(new PlannedZoneChange("kottayam", false, 0, 0));
+        actions.rejoin(isolation);
+    }
+
+    // -- submissions
+
+    private PlannedSubmission job(int entry) {
+        return new PlannedSubmission(
+                numbers.incrementAndGet(), true, false, JOB_TASKS, false, List.of(entry), List.of(0), false, false, 0);
+    }
+
+    private PlannedSubmission booking(int entry) {
+        return new PlannedSubmission(
+                numbers.incrementAndGet(), false, false, 1, false, List.of(entry), List.of(0), false, false, 0);
+    }
+
+    private PlannedSubmission ticket(int entry) {
+        return new PlannedSubmission(
+                numbers.incrementAndGet(), false, false, 1, true, List.of(entry), List.of(0), false, false, 0);
+    }
+
+    private void awaitAnswers() throws InterruptedException {
+        long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MAX_CALL_MILLIS);
+        while (callers.open() > 0) {
+            assertTrue(System.nanoTime() < deadlineNanos, "calls are still open");
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+    }
+
+    private void restart(PlannedFault fault) throws InterruptedException {
+        actions.restart(fault);
+        site.awaitReady(Duration.ofSeconds(30));
+    }
+
+    private void assertEnded(PlannedSubmission plan, AnswerKind... expected) {
+        assertEquals(kinds(plan), List.of(expected), answers(plan).toString());
+    }
+
+    private List<AnswerKind> kinds(PlannedSubmission plan) {
+        return answers(plan).stream().map(Answered::kind).toList();
+    }
+
+    private List<Answered> answers(PlannedSubmission plan) {
+        return recorder.history().calls().stream()
+                .filter(call -> call.sent().bodies().equals(plan.bodies()))
+                .flatMap(call -> call.answer().stream())
+                .toList();
+    }
+
+    private int starts(PlannedSubmission plan) {
+        return plan.bodies().stream()
+                .mapToInt(body -> recorder.history().starts(body).size())
+                .sum();
+    }
+
+    private static PlannedFault fault(FaultKind kind, String subject, int variant) {
+        return new PlannedFault(kind, List.of(subject), variant, 0, 0);
+    }
+}
