--- a/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
@@ -105,7 +105,8 @@
                 settings.limits().keptAnswersBytes(),
                 settings.limits().keptAnswersTime().toNanos());
         EntryOutput output = new EntryOutput(
-                registry, control::nowNanos, (id, outcome) -> admissions().answered(control.nowNanos(), id, outcome));
+                registry, control::nowNanos, configuration.freshness()::freshUntilNanos, (id, outcome) -> admissions()
+                        .answered(control.nowNanos(), id, outcome));
         this.dispatcher = new Dispatcher(dispatcherSettings(settings), output, new Random());
         this.peers = new Peers(
                 self,
@@ -257,8 +258,9 @@
 
     private void membersChanged(List<Member> live) {
         long now = control.nowNanos();
-        List<String> known = live.stream().map(Member::grpcAddress).collect(Collectors.toList());
+        List<String> known = live.stream().map(Member::grpcAddress).collect(Collectors.toCollection(ArrayList::new));
         known.forEach(address -> peers.add(now, address));
+        settings.peers().forEach(peer -> known.add(text(peer)));
         peers.retain(now, known);
     }
 
@@ -289,6 +291,9 @@
 
     private void slowTick(long nowNanos) {
         poller.tick(nowNanos);
+        if (poller.isTableReachable()) {
+            peers.remember();
+        }
         members.tick(nowNanos);
         sessions.checkSilence(nowNanos);
         dispatcher.serving(nowNanos, configuration.mayStart(nowNanos));
