--- a/app/src/main/java/org/teaselhook/app/local/LocalClient.java
+++ b/app/src/main/java/org/teaselhook/app/local/LocalClient.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 
 import org.teaselhook.net.http.HttpCall;
 import org.teaselhook.net.http.HttpClient;
@@ -25,7 +26,13 @@
 
     /** Sends a request; status 599 stands for no answer. */
     HttpReply send(String method, String path, Map<String, String> headers, String body) {
-        HttpCall call = HttpCall.of(method, path, headers, body.getBytes(StandardCharsets.UTF_8));
+        return send(method, path, Map.of(), headers, body);
+    }
+
+    /** Sends a request with query parameters; status 599 stands for no answer. */
+    HttpReply send(String method, String path, Map<String, String> query, Map<String, String> headers, String body) {
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        HttpCall call = new HttpCall(method, path, query, headers, bytes, new CompletableFuture<>());
         HttpResult result =
                 client.send(to, call, TIMEOUT_MILLIS).toCompletableFuture().join();
         if (result instanceof HttpResult.Replied replied) {
--- a/app/src/main/java/org/teaselhook/app/local/LocalSite.java
+++ b/app/src/main/java/org/teaselhook/app/local/LocalSite.java
@@ -33,9 +33,11 @@
     private static final List<String> ZONES = List.of("cesis", "valmiera");
 
     private final Deque<AutoCloseable> parts = new ArrayDeque<>();
+    private final TaskListener listener;
     private final EntryNode entry;
 
-    private LocalSite(int httpPort) {
+    private LocalSite(int httpPort, TaskListener listener) {
+        this.listener = listener;
         TableServer table = TableServer.start(loopback(0), TableFaults.none());
         parts.push(table);
         entry = EntryNode.start(entrySettings(httpPort, table.port()));
@@ -52,7 +54,18 @@
      * @return the running site, not yet ready
      */
     public static LocalSite start(int httpPort) {
-        return new LocalSite(httpPort);
+        return start(httpPort, TaskListener.none());
+    }
+
+    /**
+     * Starts a site whose targets tell of every start.
+     *
+     * @param httpPort the port for callers on 127.0.0.1; 0 picks a free one
+     * @param listener told of every start and end at a target
+     * @return the running site, not yet ready
+     */
+    public static LocalSite start(int httpPort, TaskListener listener) {
+        return new LocalSite(httpPort, listener);
     }
 
     private static EntrySettings entrySettings(int httpPort, int tablePort) {
@@ -82,7 +95,7 @@
                 List.of(loopback(entry.grpcPort()))));
         parts.push(agent);
         TargetSettings target = TargetSettings.of("target-" + zone, SERVICE, zone, loopback(agent.httpPort()));
-        parts.push(TargetServer.start(target, TargetBehaviour.of(RunTime.fixed(RUN_MILLIS)), TaskListener.none()));
+        parts.push(TargetServer.start(target, TargetBehaviour.of(RunTime.fixed(RUN_MILLIS)), listener));
     }
 
     private static InetSocketAddress loopback(int port) {
