--- a/bench/src/main/java/org/teaselhook/bench/claims/ClaimsCommand.java
+++ b/bench/src/main/java/org/teaselhook/bench/claims/ClaimsCommand.java
@@ -1,6 +1,11 @@
 package org.teaselhook.bench.claims;
 
+import java.util.Arrays;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
 
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -27,8 +32,17 @@
     @Option(names = "--seed", description = "seed of the arrivals (default: ${DEFAULT-VALUE})")
     private long seed = 1;
 
+    @Option(names = "--case", split = ",", description = "${COMPLETION-CANDIDATES} (default: all)")
+    private Set<Case> cases = EnumSet.allOf(Case.class);
+
     private ClaimsCommand() {}
 
+    private enum Case {
+        LOAD,
+        KILL,
+        OUTAGE
+    }
+
     /**
      * Runs the comparison.
      *
@@ -40,18 +54,38 @@
 
     @Override
     public Integer call() throws InterruptedException {
+        if (cases.contains(Case.LOAD)) {
+            underLoad();
+        }
+        if (cases.contains(Case.KILL)) {
+            afterKill();
+        }
+        if (cases.contains(Case.OUTAGE)) {
+            inOutage();
+        }
+        return 0;
+    }
+
+    private void underLoad() throws InterruptedException {
         for (int factor : LOAD_FACTORS) {
             for (ClaimWay way : ClaimWay.values()) {
                 underLoad(way, factor);
             }
         }
+    }
+
+    private void afterKill() throws InterruptedException {
         for (ClaimWay way : ClaimWay.values()) {
             afterKill(way);
         }
-        for (ClaimWay way : ClaimWay.values()) {
-            inOutage(way);
-        }
-        return 0;
+    }
+
+    /** Runs the ways at the same time, each on a table service of its own. */
+    private void inOutage() {
+        List<CompletableFuture<Void>> runs = Arrays.stream(ClaimWay.values())
+                .map(way -> CompletableFuture.runAsync(() -> inOutage(way), task -> new Thread(task).start()))
+                .toList();
+        runs.forEach(CompletableFuture::join);
     }
 
     private void underLoad(ClaimWay way, int factor) throws InterruptedException {
@@ -69,13 +103,15 @@
         }
     }
 
-    private void inOutage(ClaimWay way) throws InterruptedException {
+    private void inOutage(ClaimWay way) {
         try (ClaimRun run = ClaimRun.start(way, rate, seed)) {
             run.phase("warm-up", 2);
             run.beginOutage();
             print(run.phase("outage", outageSeconds));
             run.endOutage();
             print(run.phase("after-outage", AFTER_SECONDS));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
 
