Hold nothing of answered requests, and use every table address

All requests of a kept-alive connection shared one future that told of its closing, so each answered submission stayed reachable until its caller's connection closed. And of several addresses of the table service only the first was ever used. Ruled out: repeating a transaction at the next address, which may take effect twice. Change: each request has its own future; calls move to the next address after one without an answer. Conclusion: the test of answered requests failed before (one future for three requests) and passes.

--- a/net/src/main/java/org/teaselhook/net/http/HttpCall.java
+++ b/net/src/main/java/org/teaselhook/net/http/HttpCall.java
@@ -16,7 +16,7 @@
  * @param query the decoded query parameters; of repeated ones the last
  * @param headers the headers, names in lower case; of repeated ones the last
  * @param body the body's bytes
- * @param closed completes when the caller's connection closes; never completes for a request to be sent
+ * @param closed completes when the caller's connection closes before the answer; never for a request to be sent
  */
 public record HttpCall(
         String method,
--- a/net/src/main/java/org/teaselhook/net/http/ServerConnection.java
+++ b/net/src/main/java/org/teaselhook/net/http/ServerConnection.java
@@ -1,6 +1,7 @@
 package org.teaselhook.net.http;
 
 import java.util.ArrayDeque;
+import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -25,10 +26,9 @@
     private final HttpHandler handler;
     private final OpenConnections connections;
     private final long idleTimeoutMillis;
-    private final Queue<HttpCall> waiting = new ArrayDeque<>();
-    private final CompletableFuture<Void> closed = new CompletableFuture<>();
+    private final Queue<OpenCall> waiting = new ArrayDeque<>();
+    private Optional<OpenCall> current = Optional.empty();
     private volatile ChannelHandlerContext context;
-    private boolean busy;
     private boolean closeAfterReply;
     private long lastActiveNanos;
 
@@ -56,9 +56,10 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext inactive) {
-        waiting.clear();
         connections.remove(this);
-        closed.complete(null);
+        current.ifPresent(OpenCall::callerLeft);
+        waiting.forEach(OpenCall::callerLeft);
+        waiting.clear();
     }
 
     @Override
@@ -82,7 +83,7 @@
 
     private void closeIfIdle() {
         closeAfterReply = true;
-        if (!busy) {
+        if (current.isEmpty()) {
             context.close();
         }
     }
@@ -96,7 +97,7 @@
             return;
         }
         long idleMillis = (System.nanoTime() - lastActiveNanos) / 1_000_000;
-        if (!busy && idleMillis >= idleTimeoutMillis) {
+        if (current.isEmpty() && idleMillis >= idleTimeoutMillis) {
             context.close();
         } else {
             scheduleIdleCheck();
@@ -118,7 +119,7 @@
 
     private void enqueue(FullHttpRequest request) {
         try {
-            waiting.add(NettyMessages.call(request, closed));
+            waiting.add(OpenCall.of(request));
         } catch (IllegalArgumentException e) {
             refuseMalformed(e.getMessage());
             return;
@@ -135,12 +136,13 @@
     }
 
     private void handleNext() {
-        if (busy || waiting.isEmpty()) {
+        if (current.isPresent() || waiting.isEmpty()) {
             return;
         }
-        busy = true;
+        OpenCall next = waiting.poll();
+        current = Optional.of(next);
         context.channel().config().setAutoRead(true);
-        invoke(waiting.poll()).whenComplete((reply, failure) -> onEventLoop(() -> finish(reply, failure)));
+        invoke(next.call()).whenComplete((reply, failure) -> onEventLoop(() -> finish(reply, failure)));
     }
 
     private CompletionStage<HttpReply> invoke(HttpCall call) {
@@ -152,7 +154,7 @@
     }
 
     private void finish(HttpReply reply, Throwable failure) {
-        busy = false;
+        current = Optional.empty();
         lastActiveNanos = System.nanoTime();
         boolean last = (closeAfterReply || connections.isStopping()) && waiting.isEmpty();
         write(failure == null ? reply : failed(failure), last);
--- /dev/null
+++ b/net/src/main/java/org/teaselhook/net/table/AlternatingTable.java
@@ -0,0 +1,65 @@
+package org.teaselhook.net.table;
+
+import java.util.List;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
+
+import org.teaselhook.core.table.TableResult;
+import org.teaselhook.core.table.TableService;
+import org.teaselhook.core.table.Transaction;
+
+/**
+ * One table service behind several addresses: calls go to one address until it does not answer, then to the next. No
+ * call is repeated here, since a transaction without an answer may have taken effect. Thread-safe.
+ */
+public final class AlternatingTable implements TableService {
+
+    private final List<TableService> addresses;
+    private final AtomicInteger current = new AtomicInteger();
+
+    private AlternatingTable(List<TableService> addresses) {
+        this.addresses = addresses;
+    }
+
+    /**
+     * Returns a client of all addresses.
+     *
+     * @param addresses clients of the same table service, at least one
+     * @return the client
+     * @throws IllegalArgumentException if there is none
+     */
+    public static AlternatingTable of(List<? extends TableService> addresses) {
+        if (addresses.isEmpty()) {
+            throw new IllegalArgumentException("addresses is empty");
+        }
+        return new AlternatingTable(List.copyOf(addresses));
+    }
+
+    // -- calls
+
+    @Override
+    public CompletionStage<TableResult> read(String key) {
+        return call(table -> table.read(key));
+    }
+
+    @Override
+    public CompletionStage<TableResult> scan(String fromInclusive, String toExclusive, int limit) {
+        return call(table -> table.scan(fromInclusive, toExclusive, limit));
+    }
+
+    @Override
+    public CompletionStage<TableResult> commit(Transaction transaction) {
+        return call(table -> table.commit(transaction));
+    }
+
+    private CompletionStage<TableResult> call(Function<TableService, CompletionStage<TableResult>> operation) {
+        int used = current.get();
+        return operation.apply(addresses.get(used)).thenApply(result -> {
+            if (result instanceof TableResult.Unavailable) {
+                current.compareAndSet(used, (used + 1) % addresses.size());
+            }
+            return result;
+        });
+    }
+}
--- a/net/src/test/java/org/teaselhook/net/http/HttpRoundTripTest.java
+++ b/net/src/test/java/org/teaselhook/net/http/HttpRoundTripTest.java
@@ -92,6 +92,22 @@
         closed.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    @Test
+    public void shouldHoldNothingOfAnsweredRequestsOnOpenConnection() throws Exception {
+        List<CompletableFuture<Void>> closed = new ArrayList<>();
+        HttpServer server = serve(call -> {
+            closed.add(call.closed().toCompletableFuture());
+            return CompletableFuture.completedFuture(HttpReply.of(200, "text/plain", ""));
+        });
+        HttpClient client = HttpClient.create(1, 1_000);
+        open.add(client);
+        for (int i = 0; i < 3; i++) {
+            post(client, server.port(), "x").get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        }
+        assertEquals(closed.stream().distinct().count(), 3, "requests of one connection share a future");
+        assertTrue(closed.stream().noneMatch(CompletableFuture::isDone));
+    }
+
     // -- stopAccepting
 
     @Test
--- /dev/null
+++ b/net/src/test/java/org/teaselhook/net/table/AlternatingTableTest.java
@@ -0,0 +1,60 @@
+package org.teaselhook.net.table;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import org.teaselhook.core.table.TableResult;
+import org.teaselhook.core.table.TableService;
+import org.teaselhook.core.table.Transaction;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+
+public class AlternatingTableTest {
+
+    // -- commit
+
+    @Test
+    public void shouldNeitherRepeatUnknownTransactionNorStayWithSilentAddress() {
+        Address silent = new Address(new TableResult.Unavailable("silent"));
+        Address answering = new Address(new TableResult.Committed());
+        AlternatingTable table = AlternatingTable.of(List.of(silent, answering));
+
+        table.commit(Transaction.empty());
+        assertEquals(List.of(silent.calls, answering.calls), List.of(1, 0));
+        table.commit(Transaction.empty());
+        table.read("row");
+        assertEquals(List.of(silent.calls, answering.calls), List.of(1, 2));
+    }
+
+    private static final class Address implements TableService {
+
+        private final TableResult result;
+        private int calls;
+
+        Address(TableResult result) {
+            this.result = result;
+        }
+
+        @Override
+        public CompletionStage<TableResult> read(String key) {
+            return answer();
+        }
+
+        @Override
+        public CompletionStage<TableResult> scan(String fromInclusive, String toExclusive, int limit) {
+            return answer();
+        }
+
+        @Override
+        public CompletionStage<TableResult> commit(Transaction transaction) {
+            return answer();
+        }
+
+        private CompletionStage<TableResult> answer() {
+            calls++;
+            return CompletableFuture.completedFuture(result);
+        }
+    }
+}
