--- a/app/src/main/java/org/teaselhook/app/ctl/ZoneCommand.java
+++ b/app/src/main/java/org/teaselhook/app/ctl/ZoneCommand.java
@@ -41,7 +41,11 @@
                             description = "The reason, kept as the" + " comment of the line.")
                     String why,
             @Parameters(paramLabel = "ZONE", description = "The availability zone's name.") String zone) {
-        return change(new Changes(entries, change, output), zone, "out", why);
+        int code = change(new Changes(entries, change, output), zone, "out", why);
+        if (code == ExitCode.DONE.code() || code == ExitCode.NOT_IN_FORCE.code()) {
+            new ZoneNameCheck(entries, output).warn(zone);
+        }
+        return code;
     }
 
     @Command(name = "in", description = "Brings an availability zone back.", mixinStandardHelpOptions = true)
--- a/app/src/test/java/org/teaselhook/app/ctl/CtlCommandTest.java
+++ b/app/src/test/java/org/teaselhook/app/ctl/CtlCommandTest.java
@@ -136,6 +136,17 @@
         assertTrue(out.toString().contains("\"inForce\":true"), out.toString());
     }
 
+    @Test
+    public void shouldWarnWhenNoLiveProcessIsInZone() {
+        cluster.processes = List.of(process("agent-1", 1));
+
+        assertEquals(ask("zone", "out", "trissur"), ExitCode.DONE.code());
+        assertTrue(err.toString().contains("no live process is in zone trissur; zones in use: [thrissur]"));
+        err.getBuffer().setLength(0);
+        ask("zone", "out", "thrissur");
+        assertEquals(err.toString(), "");
+    }
+
     // -- status
 
     @Test
