--- /dev/null
+++ b/bench/src/main/java/org/teaselhook/bench/agentcost/AgentCost.java
@@ -0,0 +1,33 @@
+package org.teaselhook.bench.agentcost;
+
+import java.util.Locale;
+
+/**
+ * What an idle agent used over a while.
+ *
+ * @param entries the number of connected entries
+ * @param first the usage at the begin
+ * @param last the usage at the end
+ * @param heapBytes the live heap at the end, after a garbage collection
+ */
+record AgentCost(int entries, AgentUsage first, AgentUsage last, long heapBytes) {
+
+    private static final double MEBIBYTE = 1 << 20;
+    private static final double SECOND_NANOS = 1e9;
+
+    /** Returns the figures as one line of key=value pairs. */
+    String line() {
+        double nanos = last.atNanos() - first.atNanos();
+        return String.format(
+                Locale.ROOT,
+                "case=idle-agent entries=%d seconds=%.0f resident_mib=%.1f private_mib=%.1f heap_live_mib=%.1f"
+                        + " cpu_percent_of_core=%.2f bytes_per_s=%.0f",
+                entries,
+                nanos / SECOND_NANOS,
+                last.residentBytes() / MEBIBYTE,
+                last.privateBytes() / MEBIBYTE,
+                heapBytes / MEBIBYTE,
+                100.0 * (last.cpuNanos() - first.cpuNanos()) / nanos,
+                SECOND_NANOS * (last.transferredBytes() - first.transferredBytes()) / nanos);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/teaselhook/bench/agentcost/AgentUsage.java
@@ -0,0 +1,45 @@
+package org.teaselhook.bench.agentcost;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+import org.teaselhook.bench.process.ProcessUsage;
+
+/**
+ * What a process uses at one moment, read from {@code /proc}.
+ *
+ * @param atNanos when it was read, on this machine's monotonic clock
+ * @param cpuNanos processor time of all threads since the process started
+ * @param residentBytes memory in use, mapped files included
+ * @param privateBytes the part of it that is no mapped file
+ * @param transferredBytes bytes read and written by system calls since the process started: sockets and the log
+ */
+record AgentUsage(long atNanos, long cpuNanos, long residentBytes, long privateBytes, long transferredBytes) {
+
+    private static final long KIBIBYTE = 1_024;
+
+    static AgentUsage of(long pid) {
+        ProcessUsage usage = ProcessUsage.of(pid);
+        return new AgentUsage(
+                System.nanoTime(),
+                usage.cpuNanos(),
+                usage.residentBytes(),
+                KIBIBYTE * number(pid, "status", "RssAnon:"),
+                number(pid, "io", "rchar:") + number(pid, "io", "wchar:"));
+    }
+
+    private static long number(long pid, String file, String name) {
+        try {
+            List<String> lines = Files.readAllLines(Path.of("/proc", Long.toString(pid), file));
+            return lines.stream()
+                    .filter(line -> line.startsWith(name))
+                    .mapToLong(line -> Long.parseLong(line.replaceAll("[^0-9]", "")))
+                    .sum();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/teaselhook/bench/agentcost/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Measures what an idle agent uses.
+ */
+package org.teaselhook.bench.agentcost;
