--- a/bench/src/main/java/org/teaselhook/bench/failure/Callers.java
+++ b/bench/src/main/java/org/teaselhook/bench/failure/Callers.java
@@ -2,14 +2,14 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -26,24 +26,27 @@
 /** Sends submissions as their plans say, sends them again after failures, and records every call. */
 final class Callers {
 
-    static final long TIMEOUT_MILLIS = 4_000;
-    private static final long GIVE_UP_MILLIS = 10_000;
+    private static final long GIVE_UP_MILLIS = 6_000;
+
     private static final ObjectMapper JSON = new ObjectMapper();
 
+    private final long timeoutMillis;
     private final Site site;
     private final Balancer balancer;
     private final HistoryRecorder recorder;
-    private final List<TicketPool> tickets;
+    private final Map<EntryNode, TicketPool> tickets;
     private final AtomicLong calls = new AtomicLong();
     private final AtomicInteger open = new AtomicInteger();
 
-    Callers(Site site, Balancer balancer, HistoryRecorder recorder) {
+    Callers(Site site, Balancer balancer, HistoryRecorder recorder, long timeoutMillis) {
+        this.timeoutMillis = timeoutMillis;
         this.site = site;
         this.balancer = balancer;
         this.recorder = recorder;
         this.tickets = site.entries().stream()
-                .map(entry -> new TicketPool(site.client(), entry.callers().address()))
-                .toList();
+                .collect(Collectors.toMap(
+                        Function.identity(),
+                        entry -> new TicketPool(site.client(), entry.callers().address())));
     }
 
     // -- accessors
@@ -56,8 +59,7 @@
 
     /** Sends a submission; further calls follow by themselves. */
     void submit(PlannedSubmission plan) {
-        Optional<String> ticket =
-                plan.ticket() ? tickets.get(plan.entries().get(0)).take(recorder.nowNanos()) : Optional.empty();
+        Optional<String> ticket = plan.ticket() ? takeTicket(plan) : Optional.empty();
         Named named = new Named(plan, ticket);
         boolean twice = plan.twice() && plan.maxCalls() > 1;
         call(named, 0, !twice);
@@ -66,6 +68,11 @@
         }
     }
 
+    private Optional<String> takeTicket(PlannedSubmission plan) {
+        EntryNode entry = balancer.choose(plan.entries().get(0));
+        return tickets.get(entry).take(recorder.nowNanos());
+    }
+
     private void call(Named named, int attempt, boolean followed) {
         PlannedSubmission plan = named.plan;
         EntryNode entry = balancer.choose(plan.entries().get(attempt));
@@ -79,13 +86,14 @@
                 plan.idempotent(),
                 plan.bodies(),
                 entry.process().name(),
-                TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS),
+                TimeUnit.MILLISECONDS.toNanos(timeoutMillis),
                 sentNanos));
         site.client()
-                .send(entry.callers().address(), named.http(), GIVE_UP_MILLIS)
+                .send(entry.callers().address(), named.http(timeoutMillis), timeoutMillis + GIVE_UP_MILLIS)
                 .thenAccept(result -> {
                     long nowNanos = recorder.nowNanos();
-                    boolean timedOut = nowNanos - sentNanos >= TimeUnit.MILLISECONDS.toNanos(GIVE_UP_MILLIS);
+                    boolean timedOut =
+                            nowNanos - sentNanos >= TimeUnit.MILLISECONDS.toNanos(timeoutMillis + GIVE_UP_MILLIS);
                     Answered answer = CallReader.read(number, plan.job(), result, timedOut, nowNanos);
                     recorder.record(answer);
                     if (followed && isCalledAgain(plan, attempt, answer)) {
@@ -100,9 +108,12 @@
         return wanted && attempt + 1 < plan.maxCalls();
     }
 
-    private static void later(int millis, Runnable action) {
-        Executor delayed = CompletableFuture.delayedExecutor(millis, TimeUnit.MILLISECONDS);
-        delayed.execute(action);
+    private void later(int millis, Runnable action) {
+        open.incrementAndGet();
+        CompletableFuture.delayedExecutor(millis, TimeUnit.MILLISECONDS).execute(() -> {
+            action.run();
+            open.decrementAndGet();
+        });
     }
 
     /** A submission and the ticket it got, if any. */
@@ -112,10 +123,10 @@
             return ticket.orElse(plan.key());
         }
 
-        HttpCall http() {
+        HttpCall http(long timeoutMillis) {
             Map<String, String> headers = new HashMap<>();
             headers.put(ticket.isPresent() ? "teaselhook-ticket" : "idempotency-key", name());
-            headers.put("teaselhook-timeout-ms", Long.toString(TIMEOUT_MILLIS));
+            headers.put("teaselhook-timeout-ms", Long.toString(timeoutMillis));
             if (!plan.job()) {
                 byte[] body = plan.bodies().get(0).getBytes(StandardCharsets.UTF_8);
                 headers.put("content-type", "text/plain");
