Prove over processes that nothing starts in a zone that is out

Four cases: an entry isolated from the table service and its peers, an agent of the zone frozen before the removal and resumed after it, an outage of the table service right after the accept, and every entry killed and started again in turn.

--- a/bench/src/main/java/org/teaselhook/bench/failure/ZoneOperator.java
+++ b/bench/src/main/java/org/teaselhook/bench/failure/ZoneOperator.java
@@ -24,8 +24,8 @@
         this.recorder = recorder;
     }
 
-    /** Sends a change to one entry after another until its fate is known or tries run out. */
-    void change(PlannedZoneChange plan) {
+    /** Sends a change to one entry after another until its fate is known or tries run out; returns the last answer. */
+    ChangeResult change(PlannedZoneChange plan) {
         String operation = "op-" + UUID.randomUUID();
         long sentNanos = recorder.nowNanos();
         ChangeResult result = new ChangeResult(OptionalLong.empty(), false, "not tried");
@@ -43,5 +43,6 @@
                 result.changed(),
                 operation,
                 recorder.nowNanos()));
+        return result;
     }
 }
--- a/bench/src/test/java/org/teaselhook/bench/failure/SiteFaultTest.java
+++ b/bench/src/test/java/org/teaselhook/bench/failure/SiteFaultTest.java
@@ -12,6 +12,7 @@
 import org.teaselhook.bench.history.HistoryEvent.Answered;
 import org.teaselhook.bench.history.HistoryLimits;
 import org.teaselhook.bench.history.HistoryRecorder;
+import org.teaselhook.bench.process.ChangeResult;
 import org.teaselhook.bench.process.Site;
 import org.teaselhook.bench.process.SitePlan;
 import org.teaselhook.standin.target.RunTime;
@@ -31,6 +32,7 @@
 
     private static final long TIMEOUT_MILLIS = 12_000;
     private static final long MAX_CALL_MILLIS = 40_000;
+    private static final String ZONE = "kottayam";
     private static final int JOB_TASKS = 30;
     private static final int MAX_WARM_UPS = 50;
     private static final TargetBehaviour BEHAVIOUR =
@@ -179,20 +181,51 @@
 
     // -- zones
 
-    @Test
-    public void shouldStartNothingInZoneOutThroughAnIsolatedEntry() throws InterruptedException {
-        PlannedFault isolation = fault(FaultKind.ISOLATE_ENTRY, "entry-3", 0);
-        actions.isolate(isolation);
-        ZoneOperator operator = new ZoneOperator(site, recorder);
-        operator.change(new PlannedZoneChange("kottayam", true, 0, 0));
-        for (int i = 0; i < 60; i++) {
+    @DataProvider
+    public Object[][] zoneFaults() {
+        return new Object[][] {
+            {FaultKind.ISOLATE_ENTRY, List.of("entry-3")},
+            {FaultKind.FREEZE_AGENT, List.of("agent-3")},
+            {FaultKind.TABLE_OUTAGE, List.of("table")},
+            {FaultKind.KILL_ENTRY, List.of("entry-1", "entry-2", "entry-3")},
+        };
+    }
+
+    @Test(dataProvider = "zoneFaults")
+    public void shouldStartNothingInZoneThatIsOut(FaultKind kind, List<String> subjects) throws InterruptedException {
+        List<PlannedFault> faults =
+                subjects.stream().map(subject -> fault(kind, subject, 0)).toList();
+        boolean beforeRemoval = kind == FaultKind.ISOLATE_ENTRY || kind == FaultKind.FREEZE_AGENT;
+        if (beforeRemoval) {
+            kind.begin(actions, faults.get(0));
+        }
+        assertAccepted(true);
+        for (PlannedFault fault : faults) {
+            if (!beforeRemoval) {
+                kind.begin(actions, fault);
+            }
+            submit(40 / faults.size());
+            kind.end(actions, fault);
+            submit(10);
+        }
+        submit(10);
+        awaitAnswers();
+        site.awaitReady(Duration.ofSeconds(30));
+        assertAccepted(false);
+    }
+
+    private void assertAccepted(boolean out) {
+        ChangeResult result = new ZoneOperator(site, recorder).change(new PlannedZoneChange(ZONE, out, 0, 0));
+        assertTrue(result.version().isPresent(), result.detail());
+    }
+
+    /** Sends idempotent requests to all entries in turn, one each tenth of a second. */
+    private void submit(int requests) throws InterruptedException {
+        for (int i = 0; i < requests; i++) {
             callers.submit(new PlannedSubmission(
-                    numbers.incrementAndGet(), false, true, 1, false, List.of(2), List.of(0), false, false, 0));
+                    numbers.incrementAndGet(), false, true, 1, false, List.of(i % 3), List.of(0), false, false, 0));
             TimeUnit.MILLISECONDS.sleep(100);
         }
-        awaitAnswers();
-        operator.change(new PlannedZoneChange("kottayam", false, 0, 0));
-        actions.rejoin(isolation);
     }
 
     // -- submissions
