Measure what each role costs against its sizes

Adds bin/capacity: one real process for each role against light sessions of the wire protocol in the bench's own JVM, at three sizes or more, with a least-squares line and its standard error for each measure, and JMH for the deciding functions. Not yet measured on a quiet machine.

--- /dev/null
+++ b/bench/src/main/java/org/teaselhook/bench/capacity/DispatcherBenchmark.java
@@ -0,0 +1,103 @@
+package org.teaselhook.bench.capacity;
+
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.teaselhook.core.dispatch.AgentInfo;
+import org.teaselhook.core.dispatch.AgentState;
+import org.teaselhook.core.dispatch.Dispatcher;
+import org.teaselhook.core.dispatch.DispatcherSettings;
+import org.teaselhook.core.dispatch.Submission;
+import org.teaselhook.core.dispatch.TaskRequest;
+import org.teaselhook.core.dispatch.TaskStatus;
+import org.teaselhook.core.id.Incarnation;
+import org.teaselhook.core.outcome.Answer;
+import org.teaselhook.core.rules.Rules;
+
+/** The dispatcher's decisions against the numbers of workers and of waiting tasks. */
+@State(Scope.Thread)
+public class DispatcherBenchmark {
+
+    private static final int SLOTS = 8;
+    private static final int ZONES = 24;
+    private static final int CUSTOMERS = 250;
+    private static final long TIMEOUT_NANOS = 3_600_000_000_000L;
+    private static final long RUN_NANOS = 100_000_000L;
+    private static final long STEP_NANOS = 1_000;
+    private static final TaskRequest TASK = TaskRequest.of("photo-check", "text/plain", new byte[64], true, RUN_NANOS);
+    private static final Answer ANSWER = Answer.of(200, "text/plain", new byte[64]);
+    private static final AgentState STATE = new AgentState(Set.of("s"), false, 1, 0);
+
+    /** The number of workers. */
+    @Param({"100", "900", "3600"})
+    public int workers;
+
+    /** The number of tasks that wait while every slot is in use. */
+    @Param({"0", "1000", "20000"})
+    public int queued;
+
+    private final PendingOrders orders = new PendingOrders();
+    private Dispatcher dispatcher;
+    private long now = 1;
+    private long nextId;
+    private long nextAgent;
+
+    /** Creates the benchmark, which its harness does. */
+    public DispatcherBenchmark() {
+        // Set up by the harness.
+    }
+
+    /** Fills every slot and the queue. */
+    @Setup
+    public void fill() {
+        dispatcher = new Dispatcher(DispatcherSettings.of("zone-0"), orders, new Random(1));
+        dispatcher.rules(now, Rules.empty(), 1);
+        dispatcher.serving(now, true);
+        for (int i = 1; i <= workers; i++) {
+            AgentInfo info = new AgentInfo(Incarnation.of(i), "w" + i, "zone-" + i % ZONES, "rack", SLOTS);
+            dispatcher.connected(now, info);
+            dispatcher.updated(now, info.incarnation(), STATE);
+            dispatcher.granted(now, info.incarnation(), SLOTS);
+        }
+        for (int i = 0; i < workers * SLOTS + queued; i++) {
+            submit();
+        }
+    }
+
+    /** One task's whole way: submission, order, result and the grant that comes along. */
+    @Benchmark
+    public void task() {
+        now += STEP_NANOS;
+        PendingOrders.Order order = orders.take();
+        dispatcher.result(now, order.agent(), order.number(), TaskStatus.COMPLETE, ANSWER, RUN_NANOS);
+        dispatcher.granted(now, order.agent(), 1);
+        submit();
+        dispatcher.tick(now);
+    }
+
+    /**
+     * One agent's heartbeat and the number of slots told to it in return.
+     *
+     * @return the wanted slots
+     */
+    @Benchmark
+    public int heartbeat() {
+        now += STEP_NANOS;
+        nextAgent++;
+        Incarnation agent = Incarnation.of(nextAgent % workers + 1);
+        dispatcher.updated(now, agent, STATE);
+        return dispatcher.wantedSlots(now, agent);
+    }
+
+    private void submit() {
+        String id = Long.toString(++nextId);
+        String customer = "team-" + nextId % CUSTOMERS;
+        dispatcher.submit(now, new Submission(id, "s", customer, List.of(TASK), now, now + TIMEOUT_NANOS, true));
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/teaselhook/bench/capacity/HeapReading.java
@@ -0,0 +1,39 @@
+package org.teaselhook.bench.capacity;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+
+/** Reads how much of a JVM's heap is live, which makes that JVM collect garbage. */
+final class HeapReading {
+
+    private static final String TOTAL = "Total";
+    private static final int BYTES_FIELD = 2;
+
+    private HeapReading() {}
+
+    /** Returns the live bytes on the heap of a JVM. */
+    static double liveBytes(long pid) {
+        String tool = Path.of(System.getProperty("java.home"), "bin", "jcmd").toString();
+        try {
+            Process process = new ProcessBuilder(List.of(tool, Long.toString(pid), "GC.class_histogram"))
+                    .redirectErrorStream(true)
+                    .start();
+            return parse(new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Finds the bytes in the last line of a class histogram: {@code Total <instances> <bytes>}. */
+    static double parse(String histogram) {
+        return histogram
+                .lines()
+                .filter(line -> line.startsWith(TOTAL))
+                .mapToDouble(line -> Double.parseDouble(line.trim().split("\\s+")[BYTES_FIELD]))
+                .findFirst()
+                .orElseThrow(() -> new IllegalStateException("no total in the histogram: " + histogram));
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/teaselhook/bench/capacity/IdleEntries.java
@@ -0,0 +1,75 @@
+package org.teaselhook.bench.capacity;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+import org.teaselhook.bench.process.EntryNode;
+import org.teaselhook.bench.process.Link;
+import org.teaselhook.bench.process.ProcessNode;
+import org.teaselhook.bench.process.Site;
+import org.teaselhook.bench.process.SitePlan;
+import org.teaselhook.standin.relay.Relay;
+import org.teaselhook.standin.relay.RelayDirection;
+import org.teaselhook.standin.target.TaskListener;
+
+/** Entries as processes, without agents or callers: what they cost each other and the table service. */
+final class IdleEntries {
+
+    private static final Duration START_WAIT = Duration.ofSeconds(60);
+    private static final long SETTLE_MILLIS = 4_000;
+
+    private final CapacityRun run;
+    private final String part;
+    private final int[] sizes;
+
+    IdleEntries(CapacityRun run, String part, int... sizes) {
+        this.run = run;
+        this.part = part;
+        this.sizes = sizes;
+    }
+
+    void run() throws Exception {
+        Series series = run.series(part, "entries");
+        for (int size : sizes) {
+            series.add(size, measure(size));
+        }
+        series.printFits();
+    }
+
+    private Map<String, Double> measure(int size) throws Exception {
+        SitePlan plan = SitePlan.standard().withProcesses(size, 0);
+        try (Site site = Site.start(plan, TaskListener.none(), run.directory(part + "-" + size))) {
+            site.awaitReady(START_WAIT);
+            Thread.sleep(SETTLE_MILLIS);
+            return window(site).measure(run.seconds());
+        }
+    }
+
+    private static ProcessWindow window(Site site) {
+        List<ProcessNode> processes = site.processes().toList();
+        return new ProcessWindow(processes)
+                .counting("table_reads_per_s", () -> site.table().counters().reads())
+                .counting("table_writes_per_s", () -> site.table().counters().writes())
+                .counting("table_bytes_per_s", () -> bytes(Stream.of(site.tableLink())))
+                .counting("peer_bytes_per_s_and_entry", () -> peerBytes(site) / processes.size());
+    }
+
+    /** Every byte among entries leaves one and reaches another; both count. */
+    private static double peerBytes(Site site) {
+        return 2 * bytes(site.entries().stream().map(EntryNode::grpc));
+    }
+
+    static double bytes(Stream<Link> links) {
+        return links.map(Link::relay)
+                .flatMap(Optional::stream)
+                .mapToDouble(IdleEntries::bytes)
+                .sum();
+    }
+
+    private static double bytes(Relay relay) {
+        return relay.bytes(RelayDirection.TO_SERVER) + relay.bytes(RelayDirection.TO_CLIENT);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/teaselhook/bench/capacity/LightEntry.java
@@ -0,0 +1,216 @@
+package org.teaselhook.bench.capacity;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import com.google.protobuf.ByteString;
+import io.grpc.Server;
+import io.grpc.netty.NettyServerBuilder;
+import io.grpc.stub.StreamObserver;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import org.teaselhook.bench.process.SitePlan;
+import org.teaselhook.wire.Ack;
+import org.teaselhook.wire.AgentFrame;
+import org.teaselhook.wire.AgentHello;
+import org.teaselhook.wire.ConfigDocument;
+import org.teaselhook.wire.Dispatch;
+import org.teaselhook.wire.EntryFrame;
+import org.teaselhook.wire.EntryHeartbeat;
+import org.teaselhook.wire.EntryHello;
+import org.teaselhook.wire.EntryServiceGrpc;
+import org.teaselhook.wire.GrantReturn;
+
+/** An entry that serves one agent: sends heartbeats, and orders while it holds granted slots. */
+final class LightEntry extends EntryServiceGrpc.EntryServiceImplBase implements AutoCloseable {
+
+    private static final long HEARTBEAT_MILLIS = 500;
+    private static final long TASK_NANOS = TimeUnit.SECONDS.toNanos(2);
+    private static final ConfigDocument CONFIG = ConfigDocument.newBuilder()
+            .setVersion(1)
+            .setText(SitePlan.standard().rules())
+            .setOperation("light")
+            .build();
+
+    private final int index;
+    private final List<String> entries;
+    private final Server server;
+    private StreamObserver<EntryFrame> stream;
+    private long agent;
+    private long agentNanos;
+    private long nextDispatch = 1;
+    private int grants;
+    private long complete;
+    private long refused;
+
+    private LightEntry(int index, InetSocketAddress bind, List<String> entries, EventLoopGroup group) {
+        this.index = index;
+        this.entries = List.copyOf(entries);
+        try {
+            this.server = NettyServerBuilder.forAddress(bind)
+                    .channelType(NioServerSocketChannel.class)
+                    .bossEventLoopGroup(group)
+                    .workerEventLoopGroup(group)
+                    .directExecutor()
+                    .addService(this)
+                    .build()
+                    .start();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Starts an entry that names the given addresses in its heartbeats. */
+    static LightEntry start(
+            int index,
+            InetSocketAddress bind,
+            List<String> entries,
+            EventLoopGroup group,
+            ScheduledExecutorService timer) {
+        LightEntry entry = new LightEntry(index, bind, entries, group);
+        timer.scheduleAtFixedRate(entry::heartbeat, HEARTBEAT_MILLIS, HEARTBEAT_MILLIS, TimeUnit.MILLISECONDS);
+        return entry;
+    }
+
+    // -- accessors
+
+    synchronized long complete() {
+        return complete;
+    }
+
+    synchronized long refused() {
+        return refused;
+    }
+
+    // -- frames from the agent
+
+    @Override
+    public synchronized StreamObserver<AgentFrame> session(StreamObserver<EntryFrame> responses) {
+        stream = responses;
+        return new StreamObserver<>() {
+            @Override
+            public void onNext(AgentFrame frame) {
+                received(frame);
+            }
+
+            @Override
+            public void onError(Throwable failure) {
+                ended(responses);
+            }
+
+            @Override
+            public void onCompleted() {
+                ended(responses);
+            }
+        };
+    }
+
+    private synchronized void received(AgentFrame frame) {
+        switch (frame.getFrameCase()) {
+            case HELLO -> welcome(frame.getHello());
+            case HEARTBEAT -> agentNanos = frame.getHeartbeat().getAgentNanos();
+            case GRANT -> grants += frame.getGrant().getSlots();
+            case RECLAIM -> giveBack(frame.getReclaim().getSlots());
+            case RESULT -> {
+                complete++;
+                grants += frame.getResult().getGrantedSlots();
+                ack(frame.getResult().getDispatch());
+            }
+            case REFUSAL -> {
+                refused++;
+                grants += frame.getRefusal().getGrantedSlots();
+                ack(frame.getRefusal().getDispatch());
+            }
+            default -> throw new IllegalStateException("unexpected frame " + frame.getFrameCase());
+        }
+    }
+
+    private synchronized void ended(StreamObserver<EntryFrame> responses) {
+        if (stream == responses) {
+            stream = null;
+        }
+    }
+
+    // -- frames to the agent
+
+    private void welcome(AgentHello hello) {
+        agent = hello.getIncarnation();
+        agentNanos = hello.getState().getAgentNanos();
+        grants = 0;
+        EntryHello own = EntryHello.newBuilder()
+                .setName("light-entry-" + index)
+                .setIncarnation(1_000L + index)
+                .setZone(SitePlan.standard().zone(index))
+                .setState(state())
+                .build();
+        send(EntryFrame.newBuilder().setHello(own).build());
+        send(EntryFrame.newBuilder().setConfig(CONFIG).build());
+    }
+
+    private EntryHeartbeat state() {
+        return EntryHeartbeat.newBuilder()
+                .setEchoAgentNanos(agentNanos)
+                .setConfigVersion(CONFIG.getVersion())
+                .addAllEntries(entries)
+                .build();
+    }
+
+    private synchronized void heartbeat() {
+        send(EntryFrame.newBuilder().setHeartbeat(state()).build());
+    }
+
+    private void giveBack(int slots) {
+        int returned = Math.min(slots, grants);
+        grants -= returned;
+        send(EntryFrame.newBuilder()
+                .setGrantReturn(GrantReturn.newBuilder().setSlots(returned))
+                .build());
+    }
+
+    private void ack(long dispatch) {
+        send(EntryFrame.newBuilder()
+                .setAck(Ack.newBuilder().addDispatch(dispatch))
+                .build());
+    }
+
+    /** Sends an order if a granted slot is left; returns whether it did. */
+    synchronized boolean order(ByteString body) {
+        if (grants == 0 || stream == null) {
+            return false;
+        }
+        grants--;
+        Dispatch order = Dispatch.newBuilder()
+                .setDispatch(nextDispatch)
+                .setAgentIncarnation(agent)
+                .setEchoAgentNanos(agentNanos)
+                .setStartByAgentNanos(agentNanos + TASK_NANOS)
+                .setFinishByAgentNanos(agentNanos + 2 * TASK_NANOS)
+                .setConfigVersion(CONFIG.getVersion())
+                .setService(SitePlan.SERVICE)
+                .setKind(SitePlan.ONCE_KIND)
+                .setCustomer("pandal")
+                .setSubmission("light-" + index + "-" + nextDispatch)
+                .setContentType("text/plain")
+                .setBody(body)
+                .setGranted(true)
+                .build();
+        nextDispatch++;
+        send(EntryFrame.newBuilder().setDispatch(order).build());
+        return true;
+    }
+
+    private void send(EntryFrame frame) {
+        if (stream != null) {
+            stream.onNext(frame);
+        }
+    }
+
+    @Override
+    public void close() {
+        server.shutdownNow();
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/teaselhook/bench/capacity/LightSite.java
@@ -0,0 +1,112 @@
+package org.teaselhook.bench.capacity;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.stream.Collectors;
+
+import org.teaselhook.bench.process.FreePorts;
+import org.teaselhook.bench.process.ProcessNode;
+import org.teaselhook.bench.process.Readiness;
+import org.teaselhook.bench.process.SitePlan;
+import org.teaselhook.net.http.EventLoops;
+import org.teaselhook.net.http.HttpClient;
+import org.teaselhook.standin.relay.Relay;
+import org.teaselhook.standin.relay.RelayDirection;
+import org.teaselhook.standin.target.RunTime;
+import org.teaselhook.standin.target.TargetBehaviour;
+import org.teaselhook.standin.target.TargetServer;
+import org.teaselhook.standin.target.TargetSettings;
+import org.teaselhook.standin.target.TaskListener;
+
+/** One agent as a process, with a target and light entries in this JVM; a relay stands before each entry. */
+final class LightSite implements AutoCloseable {
+
+    private static final int TRAFFIC_THREADS = 2;
+    private static final int SLOTS = 8;
+    private static final long CONNECT_TIMEOUT_MILLIS = 1_000;
+    private static final Duration START_WAIT = Duration.ofSeconds(40);
+    private static final TargetBehaviour BEHAVIOUR = TargetBehaviour.of(RunTime.fixed(1));
+
+    private final EventLoops loops = EventLoops.of(TRAFFIC_THREADS);
+    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+    private final HttpClient client = HttpClient.create(loops, 1, CONNECT_TIMEOUT_MILLIS);
+    private final List<Relay> relays = new ArrayList<>();
+    private final List<LightEntry> entries = new ArrayList<>();
+    private final InetSocketAddress http;
+    private final ProcessNode agent;
+    private final TargetServer target;
+
+    LightSite(int entryCount, Path directory) throws IOException {
+        List<InetSocketAddress> bound = FreePorts.draw(entryCount);
+        bound.forEach(address -> relays.add(Relay.start(loops.group(), address)));
+        List<String> names = relays.stream().map(relay -> text(relay.address())).toList();
+        for (int i = 0; i < entryCount; i++) {
+            entries.add(LightEntry.start(i, bound.get(i), names, loops.group(), timer));
+        }
+        List<InetSocketAddress> own = FreePorts.draw(2);
+        http = own.get(0);
+        agent = ProcessNode.of("agent", List.of("agent", "--settings", settings(directory, names)), directory);
+        TargetSettings offer = new TargetSettings(
+                "target", SitePlan.SERVICE, SitePlan.standard().zone(0), own.get(1), http);
+        target = TargetServer.start(loops, offer, BEHAVIOUR, TaskListener.none());
+        agent.start();
+    }
+
+    private String settings(Path directory, List<String> names) throws IOException {
+        String yaml =
+                """
+                name: agent
+                zone: %s
+                rack: rack-1
+                slots: %d
+                http: %s
+                entries: [%s]
+                """
+                        .formatted(
+                                SitePlan.standard().zone(0),
+                                SLOTS,
+                                text(http),
+                                names.stream().collect(Collectors.joining(", ")));
+        return Files.writeString(directory.resolve("agent.yaml"), yaml).toString();
+    }
+
+    private static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
+    ProcessNode agent() {
+        return agent;
+    }
+
+    List<LightEntry> entries() {
+        return entries;
+    }
+
+    double bytes(RelayDirection direction) {
+        return relays.stream().mapToDouble(relay -> relay.bytes(direction)).sum();
+    }
+
+    void awaitReady() throws InterruptedException {
+        if (!Readiness.of(client).await(http, START_WAIT)) {
+            throw new IllegalStateException("the agent is not ready; see " + agent.log());
+        }
+    }
+
+    @Override
+    public void close() {
+        agent.close();
+        target.close();
+        timer.shutdownNow();
+        entries.forEach(LightEntry::close);
+        relays.forEach(Relay::close);
+        client.close();
+        loops.close();
+    }
+}
