--- a/node/src/main/java/org/teaselhook/node/claim/Claims.java
+++ b/node/src/main/java/org/teaselhook/node/claim/Claims.java
@@ -86,6 +86,9 @@
      */
     public CompletionStage<ClaimResult> claim(String key, long bodyDigest, long deadlineNanos, long nowNanos) {
         Objects.requireNonNull(key, "key is null");
+        if (deadlineNanos - nowNanos <= 0) {
+            return CompletableFuture.completedFuture(new ClaimResult.Unavailable(Duration.ZERO));
+        }
         CompletableFuture<ClaimResult> result = new CompletableFuture<>();
         open.add(result);
         result.whenComplete((answer, failure) -> open.remove(result));
