--- a/core/src/main/java/org/teaselhook/core/claim/ShardLog.java
+++ b/core/src/main/java/org/teaselhook/core/claim/ShardLog.java
@@ -307,10 +307,11 @@
         claims.requeueBatch();
     }
 
+    /** Should the ledger contradict itself, it fails here before anything is won, and the shard stays as it is. */
     private void settle(LogBatch settled, ClockReading now) {
+        claims.addOwn(settled.sequence(), settled.row(), settled.firstSent(), now);
         batch = Optional.empty();
         position.advance();
-        claims.addOwn(settled.sequence(), settled.row(), settled.firstSent(), now);
     }
 
     private void trimmed(TableResult result, ClockReading now) {
