Read settings files in one place

The command read them itself, so SettingsFile was dead code; a file that cannot be read is now a fault like any other.

--- a/app/src/main/java/org/teaselhook/app/SettingsOption.java
+++ b/app/src/main/java/org/teaselhook/app/SettingsOption.java
@@ -1,13 +1,12 @@
 package org.teaselhook.app;
 
-import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
 
 import org.teaselhook.node.settings.SettingFault;
+import org.teaselhook.node.settings.SettingsFile;
 import org.teaselhook.node.settings.SettingsResult;
 import picocli.CommandLine.Option;
 
@@ -25,12 +24,7 @@
 
     /** Reads the settings; prints every fault to standard error and returns empty if there is any. */
     <T> Optional<T> read(Function<String, SettingsResult<T>> parse) {
-        try {
-            return parse.apply(Files.readString(file)).fold(Optional::of, this::report);
-        } catch (IOException e) {
-            System.err.println("cannot read " + file + ": " + e + "; give the path of a readable file");
-            return Optional.empty();
-        }
+        return SettingsFile.read(file, parse).fold(Optional::of, this::report);
     }
 
     private <T> Optional<T> report(List<SettingFault> faults) {
--- a/node/src/main/java/org/teaselhook/node/settings/SettingsFile.java
+++ b/node/src/main/java/org/teaselhook/node/settings/SettingsFile.java
@@ -15,26 +15,14 @@
     private SettingsFile() {}
 
     /**
-     * Reads an entry's settings.
+     * Reads a settings file.
      *
+     * @param <T> the type of the settings
      * @param file the YAML file
-     * @return the settings, or every fault
+     * @param parse reads its text, such as {@code EntrySettings::parse}
+     * @return the settings, or every fault; that the file cannot be read is one
      */
-    public static SettingsResult<EntrySettings> readEntry(Path file) {
-        return read(file, EntrySettings::parse);
-    }
-
-    /**
-     * Reads an agent's settings.
-     *
-     * @param file the YAML file
-     * @return the settings, or every fault
-     */
-    public static SettingsResult<AgentSettings> readAgent(Path file) {
-        return read(file, AgentSettings::parse);
-    }
-
-    private static <T> SettingsResult<T> read(Path file, Function<String, SettingsResult<T>> parse) {
+    public static <T> SettingsResult<T> read(Path file, Function<String, SettingsResult<T>> parse) {
         try {
             return parse.apply(Files.readString(file));
         } catch (CharacterCodingException e) {
--- a/node/src/test/java/org/teaselhook/node/settings/EntrySettingsTest.java
+++ b/node/src/test/java/org/teaselhook/node/settings/EntrySettingsTest.java
@@ -1,5 +1,6 @@
 package org.teaselhook.node.settings;
 
+import java.nio.file.Path;
 import java.util.List;
 
 import org.teaselhook.core.placement.PlacementPolicy;
@@ -91,6 +92,13 @@
         assertTrue(!faults.get(0).remedy().isBlank());
     }
 
+    @Test
+    public void shouldReportFileThatCannotBeRead() {
+        SettingsResult<EntrySettings> result = SettingsFile.read(Path.of("no", "such.yaml"), EntrySettings::parse);
+
+        assertEquals(faults(result).get(0).kind(), SettingFaultKind.UNREADABLE);
+    }
+
     // -- agent
 
     @Test
