--- a/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
@@ -29,6 +29,7 @@
 import org.teaselhook.net.http.HttpLimits;
 import org.teaselhook.net.http.HttpServer;
 import org.teaselhook.net.log.LogLine;
+import org.teaselhook.net.table.FailoverTableService;
 import org.teaselhook.net.table.HttpTableService;
 import org.teaselhook.node.admin.AdminHandler;
 import org.teaselhook.node.caller.SubmissionReader;
@@ -98,7 +99,9 @@
                 settings.zone(),
                 text(settings.advertisedGrpc()));
         this.tableClient = HttpClient.create(loops, TABLE_CONNECTIONS, CONNECT_TIMEOUT_MILLIS);
-        TableService table = HttpTableService.of(tableClient, settings.table().get(0), TABLE_TIMEOUT_MILLIS);
+        TableService table = FailoverTableService.of(settings.table().stream()
+                .map(address -> HttpTableService.of(tableClient, address, TABLE_TIMEOUT_MILLIS))
+                .toList());
         this.claims = Claims.start(self.incarnation(), table, LedgerLimits.standard(), ClaimListener.none());
         this.configuration = new EntryConfiguration(control.nowNanos(), this::rulesChanged);
         this.registry = new SubmissionRegistry(
--- a/node/src/main/java/org/teaselhook/node/settings/EntrySettings.java
+++ b/node/src/main/java/org/teaselhook/node/settings/EntrySettings.java
@@ -22,7 +22,7 @@
  * @param http where callers' and operators' HTTP is served
  * @param grpc where agents and other entries are served
  * @param advertisedGrpc the address under which others reach {@code grpc}
- * @param table addresses of the table service, at least one
+ * @param table addresses of the one table service, at least one; the next is used when one does not answer
  * @param peers gRPC addresses of other entries, possibly none
  * @param defaultCustomer the customer of requests that name none
  * @param placementPolicy how workers are chosen
