--- a/net/src/main/java/org/teaselhook/net/table/FailoverTableService.java
+++ b/net/src/main/java/org/teaselhook/net/table/AlternatingTable.java
@@ -10,33 +10,30 @@
 import org.teaselhook.core.table.Transaction;
 
 /**
- * A table service that is reached under several addresses. Calls go to one address until it does not answer, then to
- * the next. The call that was not answered is not sent again, since a transaction may have taken effect. Safe for use
- * by several threads.
+ * One table service behind several addresses: calls go to one address until it does not answer, then to the next. No
+ * call is repeated here, since a transaction without an answer may have taken effect. Thread-safe.
  */
-public final class FailoverTableService implements TableService {
+public final class AlternatingTable implements TableService {
 
     private final List<TableService> addresses;
     private final AtomicInteger current = new AtomicInteger();
 
-    private FailoverTableService(List<? extends TableService> addresses) {
-        this.addresses = List.copyOf(addresses);
+    private AlternatingTable(List<TableService> addresses) {
+        this.addresses = addresses;
     }
 
-    // -- factories
-
     /**
-     * Returns a table service under several addresses.
+     * Returns a client of all addresses.
      *
-     * @param addresses a client for each address, at least one
-     * @return the table service; the only client if there is one
+     * @param addresses clients of the same table service, at least one
+     * @return the client
      * @throws IllegalArgumentException if there is none
      */
-    public static TableService of(List<? extends TableService> addresses) {
+    public static AlternatingTable of(List<? extends TableService> addresses) {
         if (addresses.isEmpty()) {
             throw new IllegalArgumentException("addresses is empty");
         }
-        return addresses.size() == 1 ? addresses.get(0) : new FailoverTableService(addresses);
+        return new AlternatingTable(List.copyOf(addresses));
     }
 
     // -- calls
@@ -56,11 +53,11 @@
         return call(table -> table.commit(transaction));
     }
 
-    private CompletionStage<TableResult> call(Function<TableService, CompletionStage<TableResult>> request) {
-        int index = current.get();
-        return request.apply(addresses.get(index)).thenApply(result -> {
+    private CompletionStage<TableResult> call(Function<TableService, CompletionStage<TableResult>> operation) {
+        int used = current.get();
+        return operation.apply(addresses.get(used)).thenApply(result -> {
             if (result instanceof TableResult.Unavailable) {
-                current.compareAndSet(index, (index + 1) % addresses.size());
+                current.compareAndSet(used, (used + 1) % addresses.size());
             }
             return result;
         });
