Hedge only on learned run times

Until a kind's run times were observed, a request counted as late by the declared time alone, so a declaration ten times too short had each early request sent twice, as the new test showed. Lateness is now judged by observation, or after 2 s without any; the 99th percentile of fewer than 100 samples is taken as at least twice the 90th.

--- a/core/src/main/java/org/teaselhook/core/dispatch/Scheduler.java
+++ b/core/src/main/java/org/teaselhook/core/dispatch/Scheduler.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 
 import org.agrona.collections.Long2ObjectHashMap;
+import org.teaselhook.core.estimate.RunTimeEstimate;
 import org.teaselhook.core.placement.CandidateSet;
 import org.teaselhook.core.queue.FairQueue;
 import org.teaselhook.core.retry.Budget;
@@ -16,6 +17,7 @@
     private static final double MOST_HEDGES_SAVED = 20;
     private static final double LATE_RATIO = 1.5;
     private static final long LATE_MARGIN_NANOS = 30_000_000L;
+    private static final long UNLEARNED_LATE_NANOS = 2_000_000_000L;
 
     private final Control control;
     private final Fleet fleet;
@@ -151,7 +153,7 @@
         attempt.task().opened(attempt);
         member.worker().opened(attempt);
         member.opened();
-        long lateAfter = lateAfter(attempt);
+        long lateAfter = lateAfter(nowNanos, attempt);
         attempt.watch(control.timers().timer(now -> late(now, attempt)), nowNanos + lateAfter);
         fleet.refresh(nowNanos, member.worker());
     }
@@ -192,18 +194,26 @@
 
     // -- late orders
 
-    private static long lateAfter(Attempt attempt) {
-        long extreme = attempt.member().pool().runTime(attempt.task().request()).extreme();
-        return (long) (LATE_RATIO * extreme) + LATE_MARGIN_NANOS;
+    private static long lateAfter(long nowNanos, Attempt attempt) {
+        RunTimeEstimate runTime = runTimeOf(attempt);
+        long learned = (long) (LATE_RATIO * runTime.extreme()) + LATE_MARGIN_NANOS;
+        return runTime.isLearned(nowNanos) ? learned : Math.max(learned, UNLEARNED_LATE_NANOS);
+    }
+
+    private static RunTimeEstimate runTimeOf(Attempt attempt) {
+        return attempt.member().pool().runTime(attempt.task().request());
     }
 
     private void late(long nowNanos, Attempt attempt) {
         long elapsed = nowNanos - attempt.sentAt();
+        long lateAfter = lateAfter(nowNanos, attempt);
+        if (elapsed < lateAfter) {
+            attempt.watchAgain(attempt.sentAt() + lateAfter);
+            return;
+        }
         if (!attempt.isLate()) {
             attempt.late();
-            long typical =
-                    attempt.member().pool().runTime(attempt.task().request()).typical();
-            double ratio = (double) elapsed / typical;
+            double ratio = (double) elapsed / runTimeOf(attempt).typical();
             fleet.observe(
                     nowNanos, attempt.member(), () -> attempt.member().health().late(nowNanos, ratio));
         }
--- a/core/src/main/java/org/teaselhook/core/estimate/RunTimeEstimate.java
+++ b/core/src/main/java/org/teaselhook/core/estimate/RunTimeEstimate.java
@@ -10,6 +10,7 @@
 public final class RunTimeEstimate {
 
     private static final int LEARNED_SAMPLES = 5;
+    private static final int EXTREME_SAMPLES = 100;
     private static final int RECENT = 16;
     private static final int REFRESH_SAMPLES = 8;
     private static final double HALVE_AT_WEIGHT = 512;
@@ -86,7 +87,8 @@
     }
 
     /**
-     * Returns the run time that 99 tasks of 100 do not exceed.
+     * Returns the run time that 99 tasks of 100 do not exceed. Few samples say little of it, so it is then at least
+     * twice {@link #high()}.
      *
      * @return the run time, in nanoseconds
      */
@@ -145,7 +147,7 @@
     private void refresh() {
         typical = quantile(0.5);
         high = quantile(0.9);
-        extreme = quantile(0.99);
+        extreme = samples < EXTREME_SAMPLES ? Math.max(quantile(0.99), 2 * high) : quantile(0.99);
         mean = average();
     }
 
--- a/core/src/test/java/org/teaselhook/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/teaselhook/core/dispatch/DispatcherTest.java
@@ -349,6 +349,16 @@
         assertFalse(output.acked.isEmpty());
     }
 
+    @Test
+    public void shouldNotHedgeOnADeclaredRunTime() {
+        join(1, "thrissur", 4);
+        join(2, "thrissur", 4);
+        submit("unknown", 1, false, 5 * SECOND);
+        tickUntil(now + 900 * MILLI);
+        assertEquals(output.orders.size(), 1);
+        assertEquals(dispatcher.stats().hedges(), 0);
+    }
+
     // -- cancel
 
     @Test
