Count internal errors of the daemons as violations of a failure run

Broken invariants throw on the control thread, which logs them as event=internal-error; the run looked only for a line that no daemon writes.

--- a/bench/src/main/java/org/teaselhook/bench/failure/Observer.java
+++ b/bench/src/main/java/org/teaselhook/bench/failure/Observer.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
 import java.util.stream.Stream;
 
 import org.teaselhook.bench.history.HistoryEvent;
@@ -19,7 +20,7 @@
 
     private static final long POLL_INTERVAL_MILLIS = 250;
     private static final int MAX_HISTORY = 1_000;
-    private static final String INVARIANT_VIOLATED = "event=invariant-violated";
+    private static final Pattern INVARIANT_VIOLATED = Pattern.compile("event=(invariant-violated|internal-error) ");
 
     private final Site site;
     private final HistoryRecorder recorder;
@@ -64,14 +65,14 @@
         }
     }
 
-    /** Finds broken invariants in every log. */
+    /** Finds broken invariants, which a control thread logs as internal errors, in every log. */
     void readLogs() {
         site.processes().forEach(this::readLog);
     }
 
     private void readLog(ProcessNode process) {
         try (Stream<String> lines = Files.lines(process.log(), StandardCharsets.ISO_8859_1)) {
-            lines.filter(line -> line.contains(INVARIANT_VIOLATED))
+            lines.filter(line -> INVARIANT_VIOLATED.matcher(line).find())
                     .forEach(line -> recorder.record(
                             new HistoryEvent.InvariantViolated(process.name(), line, recorder.nowNanos())));
         } catch (IOException e) {
