Fail a run whose faults or observers ended early, and watch the agents' versions

An exception on any thread of the run now ends it as incomplete, with exit status 1; that run is not counted. The versions that agents hold are polled as well as those of entries.

--- a/bench/src/main/java/org/teaselhook/bench/failure/FailureRun.java
+++ b/bench/src/main/java/org/teaselhook/bench/failure/FailureRun.java
@@ -4,6 +4,8 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 
 import org.teaselhook.bench.history.History;
@@ -32,6 +34,7 @@
     private final HistoryRecorder recorder = HistoryRecorder.of(System::nanoTime);
     private final Downtimes downtimes = new Downtimes();
     private final List<Thread> threads = new ArrayList<>();
+    private final Queue<Throwable> failures = new ConcurrentLinkedQueue<>();
 
     FailureRun(long seed, Duration duration, double perSecond, Path directory) {
         this.seed = seed;
@@ -56,6 +59,7 @@
             observers.forEach(Thread::interrupt);
             observer.readChanges();
             observer.readLogs();
+            failIfIncomplete();
             return report(site);
         } finally {
             threads.forEach(Thread::interrupt);
@@ -135,29 +139,43 @@
 
     // -- threads
 
-    private static List<Thread> watch(Site site, Observer observer, Balancer balancer) {
+    private List<Thread> watch(Site site, Observer observer, Balancer balancer) {
         List<Thread> observers = new ArrayList<>();
         for (int i = 0; i < site.entries().size(); i++) {
             int index = i;
             observers.add(start(() -> observer.watch(site.entries().get(index))));
             observers.add(start(() -> balancer.watch(index)));
         }
+        site.agents().forEach(agent -> observers.add(start(() -> observer.watch(agent))));
         return observers;
     }
 
-    private static Thread start(Step step) {
-        Thread thread = new Thread(() -> {
-            try {
-                step.run();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        });
+    private Thread start(Step step) {
+        Thread thread = new Thread(() -> runStep(step));
         thread.setDaemon(true);
         thread.start();
         return thread;
     }
 
+    private void runStep(Step step) {
+        try {
+            step.run();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (RuntimeException | Error e) {
+            failures.add(e);
+        }
+    }
+
+    /** A run whose faults or observers ended early proves nothing. */
+    private void failIfIncomplete() {
+        if (!failures.isEmpty()) {
+            IllegalStateException incomplete = new IllegalStateException("the run is incomplete; run it again");
+            failures.forEach(incomplete::addSuppressed);
+            throw incomplete;
+        }
+    }
+
     private static void sleepUntil(long startNanos, long atMillis) throws InterruptedException {
         long waitNanos = startNanos + TimeUnit.MILLISECONDS.toNanos(atMillis) - System.nanoTime();
         if (waitNanos > 0) {
--- a/bench/src/main/java/org/teaselhook/bench/failure/Observer.java
+++ b/bench/src/main/java/org/teaselhook/bench/failure/Observer.java
@@ -4,13 +4,17 @@
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
 
 import org.teaselhook.bench.history.HistoryEvent;
 import org.teaselhook.bench.history.HistoryRecorder;
+import org.teaselhook.bench.process.AgentNode;
 import org.teaselhook.bench.process.EntryNode;
+import org.teaselhook.bench.process.MetricsPage;
 import org.teaselhook.bench.process.Operators;
 import org.teaselhook.bench.process.ProcessNode;
 import org.teaselhook.bench.process.Site;
@@ -19,6 +23,7 @@
 final class Observer {
 
     private static final long POLL_INTERVAL_MILLIS = 250;
+    private static final String AGENT_VERSION = "teaselhook_agent_config_version";
     private static final int MAX_HISTORY = 1_000;
     private static final Pattern INVARIANT_VIOLATED = Pattern.compile("event=(invariant-violated|internal-error) ");
 
@@ -32,9 +37,20 @@
 
     /** Polls the version of one entry until interrupted. */
     void watch(EntryNode entry) {
+        Operators operators = Operators.of(site.client(), entry.http());
+        watch(entry.process(), operators::version);
+    }
+
+    /** Polls the version of one agent until interrupted. */
+    void watch(AgentNode agent) {
+        MetricsPage metrics = MetricsPage.of(site.client(), agent.http());
+        watch(agent.process(), () -> metrics.value(AGENT_VERSION));
+    }
+
+    private void watch(ProcessNode process, Supplier<OptionalLong> version) {
         try {
             while (!Thread.currentThread().isInterrupted()) {
-                poll(entry);
+                poll(process, version);
                 TimeUnit.MILLISECONDS.sleep(POLL_INTERVAL_MILLIS);
             }
         } catch (InterruptedException e) {
@@ -42,14 +58,16 @@
         }
     }
 
-    private void poll(EntryNode entry) {
-        if (!entry.process().isActive()) {
+    private void poll(ProcessNode process, Supplier<OptionalLong> version) {
+        if (!process.isActive()) {
             return;
         }
-        String run = entry.process().name() + "#" + entry.process().pid();
-        Operators.of(site.client(), entry.http())
-                .version()
-                .ifPresent(version -> recorder.record(new HistoryEvent.VersionSeen(run, version, recorder.nowNanos())));
+        long pid = process.pid();
+        OptionalLong seen = version.get();
+        if (seen.isPresent() && process.pid() == pid) {
+            String run = process.name() + "#" + pid;
+            recorder.record(new HistoryEvent.VersionSeen(run, seen.getAsLong(), recorder.nowNanos()));
+        }
     }
 
     /** Reads the configuration's history from the first entry that can tell it. */
--- a/bench/src/main/java/org/teaselhook/bench/process/Site.java
+++ b/bench/src/main/java/org/teaselhook/bench/process/Site.java
@@ -60,7 +60,7 @@
     // -- factories
 
     /**
-     * Starts every process of a site and applies its rules; does not wait until they are ready.
+     * Starts every process of a site; does not wait until they are ready.
      *
      * @param plan what the site consists of
      * @param listener told of every start of a task at a target
