Wait for hedges on their way before counting starts against ends

Cause: LeavingTest failed twice with one start more than ends. Its loop ended while both were equal and every caller was answered; a hedge that had been sent before the first answer started just after that. Ruled out: a lost end (the count of ends rises to that of starts later) and a cut task. Change: 500 ms are waited for such a start before the comparison, which stays an equality.

--- a/bench/src/test/java/org/teaselhook/bench/process/LeavingTest.java
+++ b/bench/src/test/java/org/teaselhook/bench/process/LeavingTest.java
@@ -30,6 +30,9 @@
 
     private static final int CALLERS = 24;
     private static final long CALLER_TIMEOUT_MILLIS = 10_000;
+    /** A hedge that was sent just before the first answer came may start after the caller is answered. */
+    private static final long HEDGE_ARRIVAL_MILLIS = 500;
+
     private static final long LEAVING_NANOS = TimeUnit.SECONDS.toNanos(3);
 
     private final Queue<TaskStart> starts = new ConcurrentLinkedQueue<>();
@@ -98,7 +101,11 @@
     private void finish() throws InterruptedException {
         sending.set(false);
         long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(CALLER_TIMEOUT_MILLIS);
-        while ((waiting.get() > 0 || ends.get() < starts.size()) && System.nanoTime() < deadline) {
+        while (waiting.get() > 0 && System.nanoTime() < deadline) {
+            Thread.sleep(10);
+        }
+        Thread.sleep(HEDGE_ARRIVAL_MILLIS);
+        while (ends.get() < starts.size() && System.nanoTime() < deadline) {
             Thread.sleep(10);
         }
         assertEquals(failures.toString(), "[]");
