Count an answer without an outcome as a violation

The three outcomes must never be blurred; an answer that names none was only counted. The checker's cases, 28 broken and 27 sound histories, and FailurePlanTest pass: 63.

--- a/bench/src/main/java/org/teaselhook/bench/failure/Callers.java
+++ b/bench/src/main/java/org/teaselhook/bench/failure/Callers.java
@@ -22,12 +22,12 @@
 import org.teaselhook.bench.process.Site;
 import org.teaselhook.bench.process.SitePlan;
 import org.teaselhook.net.http.HttpCall;
+import org.teaselhook.net.http.HttpResult;
 
 /** Sends submissions as their plans say, sends them again after failures, and records every call. */
 final class Callers {
 
     private static final long GIVE_UP_MILLIS = 6_000;
-
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private final long timeoutMillis;
@@ -91,10 +91,7 @@
         site.client()
                 .send(entry.callers().address(), named.http(timeoutMillis), timeoutMillis + GIVE_UP_MILLIS)
                 .thenAccept(result -> {
-                    long nowNanos = recorder.nowNanos();
-                    boolean timedOut =
-                            nowNanos - sentNanos >= TimeUnit.MILLISECONDS.toNanos(timeoutMillis + GIVE_UP_MILLIS);
-                    Answered answer = CallReader.read(number, plan.job(), result, timedOut, nowNanos);
+                    Answered answer = answered(number, plan.job(), result, sentNanos);
                     recorder.record(answer);
                     if (followed && isCalledAgain(plan, attempt, answer)) {
                         later(plan.waitsMillis().get(attempt), () -> call(named, attempt + 1, true));
@@ -103,6 +100,12 @@
                 });
     }
 
+    private Answered answered(long number, boolean job, HttpResult result, long sentNanos) {
+        long nowNanos = recorder.nowNanos();
+        long waitedMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - sentNanos);
+        return CallReader.read(number, job, result, waitedMillis >= timeoutMillis + GIVE_UP_MILLIS, nowNanos);
+    }
+
     private static boolean isCalledAgain(PlannedSubmission plan, int attempt, Answered answer) {
         boolean wanted = answer.kind() != AnswerKind.COMPLETE || plan.again();
         return wanted && attempt + 1 < plan.maxCalls();
--- a/bench/src/main/java/org/teaselhook/bench/history/AnswerChecks.java
+++ b/bench/src/main/java/org/teaselhook/bench/history/AnswerChecks.java
@@ -12,6 +12,12 @@
 
     private AnswerChecks() {}
 
+    static Stream<Violation> withoutOutcome(History history) {
+        return history.calls().stream()
+                .filter(call -> call.ended(AnswerKind.UNLABELLED))
+                .map(call -> violation(ViolationKind.NO_OUTCOME, call));
+    }
+
     static Stream<Violation> wrongAnswers(History history) {
         return complete(history.calls()).flatMap(call -> wrongAnswer(call).stream());
     }
--- a/bench/src/main/java/org/teaselhook/bench/history/HistoryChecker.java
+++ b/bench/src/main/java/org/teaselhook/bench/history/HistoryChecker.java
@@ -31,6 +31,7 @@
                 StartChecks::startedUnasked,
                 NotRunChecks::notRunButStarted,
                 NotRunChecks::notRunAfterStart,
+                AnswerChecks::withoutOutcome,
                 AnswerChecks::wrongAnswers,
                 AnswerChecks::differentAnswers,
                 AnswerChecks::completeButNotStarted,
--- a/bench/src/main/java/org/teaselhook/bench/history/ViolationKind.java
+++ b/bench/src/main/java/org/teaselhook/bench/history/ViolationKind.java
@@ -10,6 +10,8 @@
     NOT_RUN_BUT_STARTED("a call was answered not run although a task started for it"),
     /** A call was refused as not run although a task of its key had started before the call was sent. */
     NOT_RUN_AFTER_START("a resubmission was answered not run although its key's work had started before"),
+    /** An answer leaves open whether the work was done. */
+    NO_OUTCOME("an answer named none of the three outcomes"),
     /** A complete answer lacks tasks. */
     PARTIAL_ANSWER("a complete answer has another number of tasks than the submission"),
     /** A complete answer holds the answer to something else. */
--- a/bench/src/test/java/org/teaselhook/bench/history/BrokenHistoryTest.java
+++ b/bench/src/test/java/org/teaselhook/bench/history/BrokenHistoryTest.java
@@ -9,6 +9,7 @@
 import static org.teaselhook.bench.history.AnswerKind.MAY_HAVE_RUN;
 import static org.teaselhook.bench.history.AnswerKind.NOT_RUN;
 import static org.teaselhook.bench.history.AnswerKind.NOT_SENT;
+import static org.teaselhook.bench.history.AnswerKind.UNLABELLED;
 import static org.teaselhook.bench.history.HandMade.history;
 import static org.teaselhook.bench.history.ViolationKind.CHANGE_APPLIED_TWICE;
 import static org.teaselhook.bench.history.ViolationKind.CHANGE_LOST;
@@ -19,6 +20,7 @@
 import static org.teaselhook.bench.history.ViolationKind.INVARIANT;
 import static org.teaselhook.bench.history.ViolationKind.NOT_RUN_AFTER_START;
 import static org.teaselhook.bench.history.ViolationKind.NOT_RUN_BUT_STARTED;
+import static org.teaselhook.bench.history.ViolationKind.NO_OUTCOME;
 import static org.teaselhook.bench.history.ViolationKind.PARTIAL_ANSWER;
 import static org.teaselhook.bench.history.ViolationKind.STARTED_AT_LEAVING_TARGET;
 import static org.teaselhook.bench.history.ViolationKind.STARTED_IN_ZONE_OUT;
@@ -79,6 +81,7 @@
     @DataProvider
     public Object[][] brokenAnswers() {
         return new Object[][] {
+            {NO_OUTCOME, history().booking("k").answer(1, UNLABELLED)},
             {PARTIAL_ANSWER, history().job("k", 2).start("k/0").start("k/1").complete(1, "k/0\nx")},
             {FOREIGN_ANSWER, history().job("k", 2).start("k/0").start("k/1").complete(1, "k/1\nx", "k/0\nx")},
             {FOREIGN_ANSWER, history().check("k").start("k/0").complete(1, "k/01\nx")},
