Name the entries on heartbeats only after a change and now and then

Cause: each heartbeat to an agent carried the addresses of all entries twice a second, so an agent's traffic grew with the square of the entries (CAPACITY.md: 77 B/s received at 1 entry, 468 at 3, 1,533 at 6, 5,568 at 12). Ruled out: naming them only after a change, since an agent forgets an entry that nobody names and that does not answer.

--- a/node/src/main/java/org/teaselhook/node/session/AgentSession.java
+++ b/node/src/main/java/org/teaselhook/node/session/AgentSession.java
@@ -12,6 +12,7 @@
 
     private final AgentInfo info;
     private StreamObserver<EntryFrame> stream;
+    private EntryNames names = new EntryNames();
     private long connection;
     private AgentClock clock;
     private AgentState state;
@@ -35,6 +36,7 @@
         connection = newConnection;
         clock = newClock;
         lastHeardNanos = nowNanos;
+        names = new EntryNames();
         connected = true;
         return true;
     }
@@ -77,6 +79,10 @@
 
     // -- accessors
 
+    EntryNames names() {
+        return names;
+    }
+
     AgentInfo info() {
         return info;
     }
--- a/node/src/main/java/org/teaselhook/node/session/AgentSessions.java
+++ b/node/src/main/java/org/teaselhook/node/session/AgentSessions.java
@@ -295,7 +295,7 @@
                 .setEchoAgentNanos(session.clock().agentNanos())
                 .setConfigVersion(config.get().getVersion())
                 .setWantedSlots(dispatcher.wantedSlots(nowNanos, session.info().incarnation()))
-                .addAllEntries(entryAddresses.get())
+                .addAllEntries(session.names().next(entryAddresses.get()))
                 .setLeaving(leaving)
                 .build();
     }
--- a/wire/src/main/java/org/teaselhook/wire/EntryHeartbeat.java
+++ b/wire/src/main/java/org/teaselhook/wire/EntryHeartbeat.java
@@ -97,7 +97,7 @@
       com.google.protobuf.LazyStringArrayList.emptyList();
   /**
    * <pre>
-   * gRPC addresses (host:port) of all live entries known to this one.
+   * gRPC addresses (host:port) of all live entries known to this one; empty when they were named lately.
    * </pre>
    *
    * <code>repeated string entries = 4;</code>
@@ -109,7 +109,7 @@
   }
   /**
    * <pre>
-   * gRPC addresses (host:port) of all live entries known to this one.
+   * gRPC addresses (host:port) of all live entries known to this one; empty when they were named lately.
    * </pre>
    *
    * <code>repeated string entries = 4;</code>
@@ -120,7 +120,7 @@
   }
   /**
    * <pre>
-   * gRPC addresses (host:port) of all live entries known to this one.
+   * gRPC addresses (host:port) of all live entries known to this one; empty when they were named lately.
    * </pre>
    *
    * <code>repeated string entries = 4;</code>
@@ -132,7 +132,7 @@
   }
   /**
    * <pre>
-   * gRPC addresses (host:port) of all live entries known to this one.
+   * gRPC addresses (host:port) of all live entries known to this one; empty when they were named lately.
    * </pre>
    *
    * <code>repeated string entries = 4;</code>
@@ -690,7 +690,7 @@
     }
     /**
      * <pre>
-     * gRPC addresses (host:port) of all live entries known to this one.
+     * gRPC addresses (host:port) of all live entries known to this one; empty when they were named lately.
      * </pre>
      *
      * <code>repeated string entries = 4;</code>
@@ -703,7 +703,7 @@
     }
     /**
      * <pre>
-     * gRPC addresses (host:port) of all live entries known to this one.
+     * gRPC addresses (host:port) of all live entries known to this one; empty when they were named lately.
      * </pre>
      *
      * <code>repeated string entries = 4;</code>
@@ -714,7 +714,7 @@
     }
     /**
      * <pre>
-     * gRPC addresses (host:port) of all live entries known to this one.
+     * gRPC addresses (host:port) of all live entries known to this one; empty when they were named lately.
      * </pre>
      *
      * <code>repeated string entries = 4;</code>
@@ -726,7 +726,7 @@
     }
     /**
      * <pre>
-     * gRPC addresses (host:port) of all live entries known to this one.
+     * gRPC addresses (host:port) of all live entries known to this one; empty when they were named lately.
      * </pre>
      *
      * <code>repeated string entries = 4;</code>
@@ -739,7 +739,7 @@
     }
     /**
      * <pre>
-     * gRPC addresses (host:port) of all live entries known to this one.
+     * gRPC addresses (host:port) of all live entries known to this one; empty when they were named lately.
      * </pre>
      *
      * <code>repeated string entries = 4;</code>
@@ -758,7 +758,7 @@
     }
     /**
      * <pre>
-     * gRPC addresses (host:port) of all live entries known to this one.
+     * gRPC addresses (host:port) of all live entries known to this one; empty when they were named lately.
      * </pre>
      *
      * <code>repeated string entries = 4;</code>
@@ -776,7 +776,7 @@
     }
     /**
      * <pre>
-     * gRPC addresses (host:port) of all live entries known to this one.
+     * gRPC addresses (host:port) of all live entries known to this one; empty when they were named lately.
      * </pre>
      *
      * <code>repeated string entries = 4;</code>
@@ -794,7 +794,7 @@
     }
     /**
      * <pre>
-     * gRPC addresses (host:port) of all live entries known to this one.
+     * gRPC addresses (host:port) of all live entries known to this one; empty when they were named lately.
      * </pre>
      *
      * <code>repeated string entries = 4;</code>
@@ -809,7 +809,7 @@
     }
     /**
      * <pre>
-     * gRPC addresses (host:port) of all live entries known to this one.
+     * gRPC addresses (host:port) of all live entries known to this one; empty when they were named lately.
      * </pre>
      *
      * <code>repeated string entries = 4;</code>
--- a/wire/src/main/java/org/teaselhook/wire/EntryHeartbeatOrBuilder.java
+++ b/wire/src/main/java/org/teaselhook/wire/EntryHeartbeatOrBuilder.java
@@ -38,7 +38,7 @@
 
   /**
    * <pre>
-   * gRPC addresses (host:port) of all live entries known to this one.
+   * gRPC addresses (host:port) of all live entries known to this one; empty when they were named lately.
    * </pre>
    *
    * <code>repeated string entries = 4;</code>
@@ -48,7 +48,7 @@
       getEntriesList();
   /**
    * <pre>
-   * gRPC addresses (host:port) of all live entries known to this one.
+   * gRPC addresses (host:port) of all live entries known to this one; empty when they were named lately.
    * </pre>
    *
    * <code>repeated string entries = 4;</code>
@@ -57,7 +57,7 @@
   int getEntriesCount();
   /**
    * <pre>
-   * gRPC addresses (host:port) of all live entries known to this one.
+   * gRPC addresses (host:port) of all live entries known to this one; empty when they were named lately.
    * </pre>
    *
    * <code>repeated string entries = 4;</code>
@@ -67,7 +67,7 @@
   java.lang.String getEntries(int index);
   /**
    * <pre>
-   * gRPC addresses (host:port) of all live entries known to this one.
+   * gRPC addresses (host:port) of all live entries known to this one; empty when they were named lately.
    * </pre>
    *
    * <code>repeated string entries = 4;</code>
