--- a/node/src/main/java/org/teaselhook/node/agent/AgentControl.java
+++ b/node/src/main/java/org/teaselhook/node/agent/AgentControl.java
@@ -12,7 +12,6 @@
 import org.teaselhook.core.admission.StartRequest;
 import org.teaselhook.core.admission.Verdict;
 import org.teaselhook.core.dispatch.RefusalReason;
-import org.teaselhook.core.grant.GrantChange;
 import org.teaselhook.core.grant.GrantSharing;
 import org.teaselhook.core.id.Incarnation;
 import org.teaselhook.net.http.HttpResult;
@@ -40,6 +39,7 @@
     private final AgentMetrics metrics;
     private final Admission admission;
     private final GrantSharing sharing;
+    private final GrantSender grants;
     private final TargetTable targets = new TargetTable();
     private final Map<Incarnation, EntryState> entries = new HashMap<>();
     private final Map<EntryStream, Incarnation> streams = new HashMap<>();
@@ -53,6 +53,7 @@
         this.metrics = metrics;
         this.admission = Admission.of(agent.incarnation());
         this.sharing = GrantSharing.of(agent.slots());
+        this.grants = new GrantSender(sharing, entries);
     }
 
     // -- accessors
@@ -365,29 +366,15 @@
     }
 
     private void shareSlots(long nowNanos) {
-        share(nowNanos).forEach((id, granted) -> entries.get(id).send(AgentFrames.grant(granted)));
+        grants.share(canStart(), nowNanos);
     }
 
-    /** Shares the free slots, and returns those granted to one entry, for the frame that goes there anyway. */
     private int shareSlots(long nowNanos, Incarnation along) {
-        Map<Incarnation, Integer> granted = share(nowNanos);
-        Integer result = granted.remove(along);
-        granted.forEach((id, slots) -> entries.get(id).send(AgentFrames.grant(slots)));
-        return result == null ? 0 : result;
+        return grants.shareAlong(along, canStart(), nowNanos);
     }
 
-    private Map<Incarnation, Integer> share(long nowNanos) {
+    private boolean canStart() {
         boolean zoneOut = configuration.rules().isOut(agent.zone());
-        sharing.open(configuration.isKnown() && !zoneOut && !leaving && targets.anyAvailable());
-        Map<Incarnation, Integer> granted = new HashMap<>();
-        for (GrantChange change : sharing.share(nowNanos)) {
-            if (change.reclaimed() > 0) {
-                entries.get(change.entry()).send(AgentFrames.reclaim(change.reclaimed()));
-            }
-            if (change.granted() > 0) {
-                granted.put(change.entry(), change.granted());
-            }
-        }
-        return granted;
+        return configuration.isKnown() && !zoneOut && !leaving && targets.anyAvailable();
     }
 }
