Look at a bounded number of ejected workers for each probe

Starting an unclaimed request looked at every ejected worker, up to a third of all, and a leaving worker was searched in the list of all. Both are now bounded: four in turn, and a swap by position.

--- a/core/src/main/java/org/teaselhook/core/dispatch/Member.java
+++ b/core/src/main/java/org/teaselhook/core/dispatch/Member.java
@@ -12,6 +12,7 @@
     private final ServicePool pool;
     private final WorkerHealth health;
     private int running;
+    private int position;
 
     Member(Worker worker, ServicePool pool) {
         this.worker = worker;
@@ -56,8 +57,17 @@
         return hasSlot(nowNanos) && health.accepts(running);
     }
 
+    /** Returns its place in the pool's list of members. */
+    int position() {
+        return position;
+    }
+
     // -- updates
 
+    void position(int newPosition) {
+        position = newPosition;
+    }
+
     void opened() {
         running++;
         pool.opened();
--- a/core/src/main/java/org/teaselhook/core/dispatch/ServicePool.java
+++ b/core/src/main/java/org/teaselhook/core/dispatch/ServicePool.java
@@ -18,6 +18,7 @@
  */
 final class ServicePool {
 
+    private static final int PROBES_EXAMINED = 4;
     private static final double CAPACITY_MEMORY_NANOS = 500_000_000.0;
 
     private final String service;
@@ -80,11 +81,18 @@
         return runTimes.of(task.kind(), task.declaredRunNanos());
     }
 
-    /** Finds an ejected worker that may get a probe now. */
+    /** Finds an ejected worker that may get a probe now. Looks at a few of them in turn, whatever their number. */
     Optional<Member> dueForProbe(long nowNanos) {
-        return ejected.stream()
-                .filter(member -> member.health().isProbeDue(nowNanos) && member.hasSlot(nowNanos))
-                .findFirst();
+        int looked = Math.min(PROBES_EXAMINED, ejected.size());
+        for (int i = 0; i < looked; i++) {
+            Member member = ejected.iterator().next();
+            ejected.remove(member);
+            ejected.add(member);
+            if (member.health().isProbeDue(nowNanos) && member.hasSlot(nowNanos)) {
+                return Optional.of(member);
+            }
+        }
+        return Optional.empty();
     }
 
     /** Returns the slots this wait could use at one more worker. */
@@ -117,11 +125,16 @@
     // -- members
 
     void add(Member member) {
+        member.position(members.size());
         members.add(member);
     }
 
     void remove(Member member) {
-        members.remove(member);
+        Member last = members.remove(members.size() - 1);
+        if (last != member) {
+            members.set(member.position(), last);
+            last.position(member.position());
+        }
         ejected.remove(member);
         ready.set(member, false);
         member.health().leave();
@@ -141,7 +154,7 @@
         slotsInService += sign * member.worker().info().slots();
     }
 
-    /** Restores the longest ejected worker if more are ejected than the bound allows. */
+    /** Restores an ejected worker if more are ejected than the bound allows. */
     Optional<Member> restoreBeyondBound() {
         if (!peers.exceedsBound() || ejected.isEmpty()) {
             return Optional.empty();
