--- a/bench/src/main/java/org/teaselhook/bench/failure/FaultActions.java
+++ b/bench/src/main/java/org/teaselhook/bench/failure/FaultActions.java
@@ -31,7 +31,7 @@
 final class FaultActions {
 
     static final TargetBehaviour SOUND = TargetBehaviour.of(
-                    RunTime.logUniform(20, 400).mixed(0.02, RunTime.uniform(1_000, 2_500)))
+                    RunTime.logUniform(20, 400).mixed(0.04, RunTime.uniform(1_500, 3_500)))
             .answeringAttempt(true);
 
     private static final Duration START_WAIT = Duration.ofSeconds(20);
