Answer each reclaim of slots, and push rules before orders under them

Cause: an agent waits for one answer to each reclaim; the entry gave none when no slot came back (AgentSessionsTest, 0 granted: no return sent), so that agent asked this entry for nothing any more. The method that answers existed and was not called. Change: the reclaim case calls it; rules are pushed first. Conclusion: the test failed for 0 slots before and passes for 0, 1 and 3.

--- a/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
@@ -242,10 +242,11 @@
         return admissions;
     }
 
+    /** Agents get the rules before any order that rests on them. */
     private void rulesChanged(VersionedRules next) {
-        dispatcher.rules(control.nowNanos(), next.rules(), next.version().value());
         sessions.pushConfig();
         peers.pushConfig();
+        dispatcher.rules(control.nowNanos(), next.rules(), next.version().value());
     }
 
     private void agentSawVersion(AgentInfo agent, long version) {
--- a/node/src/main/java/org/teaselhook/node/session/AgentSessions.java
+++ b/node/src/main/java/org/teaselhook/node/session/AgentSessions.java
@@ -87,8 +87,7 @@
         switch (frame.getFrameCase()) {
             case HEARTBEAT -> heartbeat(nowNanos, session, frame);
             case GRANT -> dispatcher.granted(nowNanos, agent, frame.getGrant().getSlots());
-            case RECLAIM ->
-                dispatcher.reclaim(nowNanos, agent, frame.getReclaim().getSlots());
+            case RECLAIM -> reclaim(nowNanos, session, frame.getReclaim().getSlots());
             case RESULT -> result(nowNanos, agent, frame.getResult());
             case REFUSAL -> refusal(nowNanos, agent, frame.getRefusal());
             default -> unexpected(session, frame);
