Count no call that was sent after a task was cut as waiting for it

Trace: call 506 for s359 was sent at 4002.43 s with 4 s to wait; the entry answered TIMED_OUT and the agent gave the task up at its finish-by, at 4006.436 s, while it was stopping; call 677 came at 4006.857 s. The check took call 677, sent after the cut, for one that waited. Ruled out: a cut by the stop itself; without any stop the task would have been given up at the same instant. Change: only calls sent before the cut count; margins stay.

--- a/bench/src/main/java/org/teaselhook/bench/history/StopChecks.java
+++ b/bench/src/main/java/org/teaselhook/bench/history/StopChecks.java
@@ -50,6 +50,7 @@
     private static boolean isAwaited(History history, TaskCut cut) {
         return history.calls().stream()
                 .filter(call -> call.sent().bodies().contains(cut.body()))
+                .filter(call -> call.sent().atNanos() <= cut.atNanos())
                 .filter(call -> cut.atNanos() < call.deadlineNanos() - CANCEL_MARGIN_NANOS)
                 .anyMatch(call ->
                         call.answer().filter(a -> a.atNanos() < cut.atNanos()).isEmpty());
--- a/bench/src/test/java/org/teaselhook/bench/history/SoundHistoryTest.java
+++ b/bench/src/test/java/org/teaselhook/bench/history/SoundHistoryTest.java
@@ -152,6 +152,17 @@
                         .cut("k/0")
                         .stopped("agent-1")
             },
+            {
+                "task cut at its deadline before its key was sent again",
+                history()
+                        .booking("k")
+                        .start("k/0")
+                        .pause(9)
+                        .stopping("agent-1")
+                        .cut("k/0")
+                        .booking("k")
+                        .stopped("agent-1")
+            },
             {"task cut by a kill", history().booking("k").start("k/0").cut("k/0")},
         };
     }
