Count the ledger's events, and print a ctl line that works

Cause: read as a newcomer: the line that local prints for ctl was refused (the option belongs to the subcommand), and the ledger's events were logged but not counted. Conclusion: /metrics shows teaselhook_entry_ledger_events_total by kind; tried by hand on local.

--- a/app/src/main/java/org/teaselhook/app/LocalCommand.java
+++ b/app/src/main/java/org/teaselhook/app/LocalCommand.java
@@ -46,6 +46,6 @@
                 + "{\"kind\":\"chart\",\"body\":\"A\"},{\"kind\":\"chart\",\"body\":\"B\"}]}' " + base + "/v1/jobs");
         System.out.println("  curl -X POST '" + base + "/v1/tickets?n=2'");
         System.out.println(
-                "  bin/teaselhook ctl --entry 127.0.0.1:" + site.http().getPort() + " status");
+                "  bin/teaselhook ctl status --entry 127.0.0.1:" + site.http().getPort());
     }
 }
--- a/node/src/main/java/org/teaselhook/node/entry/EntryMetrics.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryMetrics.java
@@ -4,9 +4,11 @@
 import java.util.function.Supplier;
 import java.util.function.ToDoubleFunction;
 
+import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.teaselhook.core.claim.LedgerEvent;
 import org.teaselhook.core.dispatch.DispatchStats;
 
 /**
@@ -16,6 +18,11 @@
 
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final Supplier<EntryStatus> status;
+    private final Counter ledgerEvents = Counter.builder()
+            .name("teaselhook_entry_ledger_events_total")
+            .help("Events of the ledger of claims")
+            .labelNames("kind")
+            .register(registry);
 
     EntryMetrics(Supplier<EntryStatus> status) {
         this.status = status;
@@ -27,6 +34,11 @@
         return registry;
     }
 
+    /** Counts an event of the ledger; called on its control thread. */
+    void count(LedgerEvent event) {
+        ledgerEvents.labelValues(event.kind().name()).inc();
+    }
+
     private void counters() {
         counter("submissions", "Submissions taken or refused", DispatchStats::submissions);
         counter("complete", "Submissions answered complete", DispatchStats::complete);
--- a/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
@@ -33,7 +33,6 @@
 import org.teaselhook.net.table.HttpTableService;
 import org.teaselhook.node.admin.AdminHandler;
 import org.teaselhook.node.caller.SubmissionReader;
-import org.teaselhook.node.claim.ClaimListener;
 import org.teaselhook.node.claim.Claims;
 import org.teaselhook.node.config.ConfigPoller;
 import org.teaselhook.node.config.ConfigStore;
@@ -71,6 +70,7 @@
     private final EntrySettings settings;
     private final EventLoops loops = EventLoops.of(TRAFFIC_THREADS);
     private final ControlLoop control = ControlLoop.start("entry-control", System::nanoTime, EntryNode::failed);
+    private final EntryMetrics metrics = new EntryMetrics(this::status);
     private final EntryIdentity self;
     private final HttpClient tableClient;
     private final Claims claims;
@@ -102,7 +102,7 @@
         TableService table = AlternatingTable.of(settings.table().stream()
                 .map(address -> HttpTableService.of(tableClient, address, TABLE_TIMEOUT_MILLIS))
                 .toList());
-        this.claims = Claims.start(self.incarnation(), table, LedgerLimits.standard(), ClaimListener.none());
+        this.claims = Claims.start(self.incarnation(), table, LedgerLimits.standard(), metrics::count);
         this.configuration = new EntryConfiguration(control.nowNanos(), this::rulesChanged);
         this.registry = new SubmissionRegistry(
                 settings.limits().keptAnswersBytes(),
@@ -149,9 +149,8 @@
     // -- construction
 
     private EntryHttp handler(TableService table, OtherEntries others, Tickets tickets) {
-        HealthPages health =
-                new HealthPages(new EntryMetrics(() -> status).registry(), () -> Optional.of(status.unreadyReason())
-                        .filter(reason -> !reason.isEmpty()));
+        HealthPages health = new HealthPages(
+                metrics.registry(), () -> Optional.of(status.unreadyReason()).filter(reason -> !reason.isEmpty()));
         EntryCluster cluster =
                 new EntryCluster(self, control, configuration, sessions, peers, poller::isTableReachable);
         AdminHandler admin = AdminHandler.of(ConfigStore.of(table, System::currentTimeMillis), cluster);
@@ -238,6 +237,10 @@
 
     // -- events on the control thread
 
+    private EntryStatus status() {
+        return status;
+    }
+
     private Admissions admissions() {
         return admissions;
     }
