Answer 'may have run' where an entry has read no claims since its start

Trace: entry-3 had just been restarted in an outage of the table service, had read neither the configuration nor the claims, and refused call 1956 for s1044 as not run (not ready), although a task of that key had started 5.5 s before. Its set of remembered entries was empty, and an empty set is always complete. Ruled out: a wrong answer of the other entries; none that knew the key was live. Change: a refusal is certain only after the log of claims was read once.

--- a/bench/src/main/java/org/teaselhook/bench/failure/FaultActions.java
+++ b/bench/src/main/java/org/teaselhook/bench/failure/FaultActions.java
@@ -106,8 +106,9 @@
     }
 
     private void start(ProcessNode process) {
-        process.start();
-        CompletableFuture.runAsync(() -> awaitLive(process));
+        if (process.startUnlessRunning()) {
+            CompletableFuture.runAsync(() -> awaitLive(process));
+        }
     }
 
     /** A process that was started counts as down until it answers. */
--- a/bench/src/main/java/org/teaselhook/bench/process/ProcessNode.java
+++ b/bench/src/main/java/org/teaselhook/bench/process/ProcessNode.java
@@ -111,6 +111,20 @@
 
     // -- commands
 
+    /**
+     * Starts the process unless it runs already, as after two faults of which the first has ended.
+     *
+     * @return true if it was started
+     * @throws UncheckedIOException if it cannot be started
+     */
+    public synchronized boolean startUnlessRunning() {
+        if (isRunning()) {
+            return false;
+        }
+        start();
+        return true;
+    }
+
     /**
      * Starts the process, which must not be running.
      *
--- a/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
@@ -298,7 +298,7 @@
 
     private void slowTick(long nowNanos) {
         poller.tick(nowNanos);
-        if (poller.isTableReachable()) {
+        if (warm && poller.isTableReachable()) {
             peers.remember();
         }
         members.tick(nowNanos);
--- a/node/src/main/java/org/teaselhook/node/peer/Peers.java
+++ b/node/src/main/java/org/teaselhook/node/peer/Peers.java
@@ -34,7 +34,7 @@
     private final PeerEvents events;
     private final Supplier<ConfigDocument> config;
     private final Map<String, PeerLink> links = new HashMap<>();
-    private Set<Incarnation> remembered = Set.of();
+    private Optional<Set<Incarnation>> remembered = Optional.empty();
     private boolean leaving;
 
     /**
@@ -231,15 +231,15 @@
      * Tells whether every run of an entry that was live when {@link #remember} was last called is live still. Only
      * those can hold claims that this entry has not read.
      *
-     * @return true if none is missing
+     * @return true if none is missing; false before the first call of {@link #remember}
      */
     public boolean noneLost() {
-        return liveIncarnations().containsAll(remembered);
+        return remembered.filter(runs -> liveIncarnations().containsAll(runs)).isPresent();
     }
 
-    /** Remembers the runs of entries that are live now; to be called while the table service is reached. */
+    /** Remembers the runs of entries that are live now; to be called while the log of claims is read to its end. */
     public void remember() {
-        remembered = liveIncarnations();
+        remembered = Optional.of(liveIncarnations());
     }
 
     private Set<Incarnation> liveIncarnations() {
