Remember every entry that may hold claims not read yet

Ruled out: reading the log alone, since its breaker was still open at that moment. Change: every run of an entry that is seen live counts as one that may hold unknown claims, until the log of claims was read to its end and the rows of all entries were read for 3 s while the same entries were live.

--- a/core/src/main/java/org/teaselhook/core/claim/Ledger.java
+++ b/core/src/main/java/org/teaselhook/core/claim/Ledger.java
@@ -26,11 +26,14 @@
     private static final int HEADS_SLOT = Shards.COUNT;
     private static final int NONE = -1;
     private static final long HEADS_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
+    private static final long CURRENT_NANOS = 2_000_000_000L;
 
     private final LedgerOutput output;
     private final Breaker breaker;
     private final SlotWatch watch;
     private final ShardLog[] shards;
+    private boolean headsKnown;
+    private long headsKnownNanos;
     private long lastHeadsNanos;
     private int halfOpenSlot = NONE;
 
@@ -115,6 +118,19 @@
 
     // -- accessors
 
+    /**
+     * Tells whether the logs were read to their ends lately.
+     *
+     * @param nowNanos the present time
+     * @return true if the ends were read within the last 2 s, no shard is behind them, and the breaker is closed
+     */
+    public boolean isCurrent(long nowNanos) {
+        boolean lately = headsKnown && nowNanos - headsKnownNanos <= CURRENT_NANOS;
+        return lately
+                && breaker.state() == Breaker.State.CLOSED
+                && IntStream.range(0, shards.length).noneMatch(shard -> shards[shard].isBehind());
+    }
+
     /**
      * Tells whether every shard was read once.
      *
@@ -221,6 +237,8 @@
 
     private void headsRead(TableResult result, ClockReading now) {
         if (result instanceof TableResult.Rows rows) {
+            headsKnown = true;
+            headsKnownNanos = lastHeadsNanos;
             LogHeads heads = LogHeads.of(rows.rows());
             for (ShardLog shard : shards) {
                 shard.compare(heads);
--- a/core/src/main/java/org/teaselhook/core/claim/ShardLog.java
+++ b/core/src/main/java/org/teaselhook/core/claim/ShardLog.java
@@ -123,6 +123,11 @@
         return warm;
     }
 
+    /** Tells whether rows are known to be missing. */
+    boolean isBehind() {
+        return !warm || stale || unreadable;
+    }
+
     int heldKeys() {
         return claims.heldKeys();
     }
--- a/node/src/main/java/org/teaselhook/node/claim/Claims.java
+++ b/node/src/main/java/org/teaselhook/node/claim/Claims.java
@@ -114,6 +114,15 @@
                 new LookupResult.NotHeld(false), 2 * LOOKUP_TIMEOUT_NANOS, TimeUnit.NANOSECONDS);
     }
 
+    /**
+     * Tells whether all claims are known that were made until about two seconds ago.
+     *
+     * @return true while the table service is reached and its log was read to its end
+     */
+    public boolean isCurrent() {
+        return loop.isCurrent();
+    }
+
     /**
      * States that the submission under a key that was won did not start and will not under that claim. A later claim of
      * the key by this incarnation may win it again.
--- a/node/src/main/java/org/teaselhook/node/claim/LedgerLoop.java
+++ b/node/src/main/java/org/teaselhook/node/claim/LedgerLoop.java
@@ -32,6 +32,7 @@
     private final Long2ObjectHashMap<CompletableFuture<ClaimResult>> claims = new Long2ObjectHashMap<>();
     private final Long2ObjectHashMap<CompletableFuture<LookupResult>> lookups = new Long2ObjectHashMap<>();
     private final CompletableFuture<Void> warm = new CompletableFuture<>();
+    private volatile boolean current;
     private long lastId;
 
     LedgerLoop(
@@ -69,8 +70,14 @@
         ledger.abandon(key);
     }
 
+    /** Tells whether the logs were read to their ends lately; may be asked on any thread. */
+    boolean isCurrent() {
+        return current;
+    }
+
     void tick() {
         ledger.tick(now());
+        current = ledger.isCurrent(now().nanos());
         if (ledger.isWarm()) {
             warm.complete(null);
         }
--- a/node/src/main/java/org/teaselhook/node/config/EntryRegistry.java
+++ b/node/src/main/java/org/teaselhook/node/config/EntryRegistry.java
@@ -25,6 +25,7 @@
 
     private static final int MAX_ENTRIES = 1_000;
     private static final long MIN_INTERVAL_NANOS = 1_700_000_000L;
+    private static final long CURRENT_NANOS = 3_000_000_000L;
     private static final long MAX_INTERVAL_NANOS = 2_300_000_000L;
 
     private final TableService table;
@@ -37,6 +38,8 @@
     private List<Member> live = List.of();
     private boolean started;
     private boolean left;
+    private boolean scanned;
+    private long scannedNanos;
     private long dueNanos;
 
     private EntryRegistry(
@@ -110,6 +113,8 @@
         rowVersions.clear();
         rows.rows().forEach(row -> add(row, members));
         membership.scanned(members, askedNanos);
+        scanned = true;
+        scannedNanos = askedNanos;
         membership.forgettable().forEach(this::deleteRow);
         publish(membership.live());
     }
@@ -141,6 +146,16 @@
 
     // -- accessors
 
+    /**
+     * Tells whether the rows were read lately.
+     *
+     * @param nowNanos the present time
+     * @return true if a scan that was sent within the last 3 s was answered
+     */
+    public boolean isCurrent(long nowNanos) {
+        return scanned && nowNanos - scannedNanos <= CURRENT_NANOS;
+    }
+
     /**
      * Returns the live entries, this one among them once its row was seen.
      *
--- a/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
@@ -298,9 +298,7 @@
 
     private void slowTick(long nowNanos) {
         poller.tick(nowNanos);
-        if (warm && poller.isTableReachable()) {
-            peers.remember();
-        }
+        peers.observe(nowNanos, knowsAllClaims(nowNanos));
         members.tick(nowNanos);
         sessions.checkSilence(nowNanos);
         dispatcher.serving(nowNanos, configuration.mayStart(nowNanos));
@@ -310,6 +308,14 @@
         }
     }
 
+    private boolean knowsAllClaims(long nowNanos) {
+        List<Incarnation> others = members.live().stream()
+                .map(Member::incarnation)
+                .filter(run -> !run.equals(self.incarnation()))
+                .collect(Collectors.toList());
+        return claims.isCurrent() && members.isCurrent(nowNanos) && peers.areLive(others);
+    }
+
     private void heartbeat(long nowNanos) {
         sessions.heartbeatAll(nowNanos);
         peers.heartbeatAll(nowNanos);
--- a/node/src/main/java/org/teaselhook/node/peer/Peers.java
+++ b/node/src/main/java/org/teaselhook/node/peer/Peers.java
@@ -1,6 +1,7 @@
 package org.teaselhook.node.peer;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -34,7 +35,7 @@
     private final PeerEvents events;
     private final Supplier<ConfigDocument> config;
     private final Map<String, PeerLink> links = new HashMap<>();
-    private Optional<Set<Incarnation>> remembered = Optional.empty();
+    private final KnownRuns runs = new KnownRuns();
     private boolean leaving;
 
     /**
@@ -228,18 +229,32 @@
     }
 
     /**
-     * Tells whether every run of an entry that was live when {@link #remember} was last called is live still. Only
-     * those can hold claims that this entry has not read.
+     * Tells whether every run of an entry that may hold claims that this entry has not read answers now.
      *
-     * @return true if none is missing; false before the first call of {@link #remember}
+     * @return true if none is missing; false until the log of claims was read while the entries stayed the same
      */
     public boolean noneLost() {
-        return remembered.filter(runs -> liveIncarnations().containsAll(runs)).isPresent();
+        return runs.noneLost(liveIncarnations());
     }
 
-    /** Remembers the runs of entries that are live now; to be called while the log of claims is read to its end. */
-    public void remember() {
-        remembered = Optional.of(liveIncarnations());
+    /**
+     * Notes which runs are live; to be called several times a second.
+     *
+     * @param nowNanos the present time
+     * @param current whether the log of claims is read to its end
+     */
+    public void observe(long nowNanos, boolean current) {
+        runs.observe(nowNanos, liveIncarnations(), current);
+    }
+
+    /**
+     * Tells whether all of some runs answer now.
+     *
+     * @param others the runs
+     * @return true if none is missing
+     */
+    public boolean areLive(Collection<Incarnation> others) {
+        return liveIncarnations().containsAll(others);
     }
 
     private Set<Incarnation> liveIncarnations() {
