Record an operation that changes nothing as done

Ruled out: a fault of placement or of the agents, which followed version 22 at once. Change: an unchanged operation writes its row in a transaction with the version that it saw; any later try finds the row and does nothing. Conclusion: UnchangedOperationTest failed before and passes.

--- a/node/src/main/java/org/teaselhook/node/config/ChangeAttempts.java
+++ b/node/src/main/java/org/teaselhook/node/config/ChangeAttempts.java
@@ -65,10 +65,11 @@
             return done(new ApplyResult.OperationReused(operation.version()));
         }
         ConfigRecord dropped = new ConfigRecord(operation.version(), change.operation(), change.author(), 0, "");
-        return with(
-                store.readRecord(operation.version()),
-                number,
-                record -> done(new ApplyResult.Applied(record.orElse(dropped), true)));
+        return with(store.readRecord(operation.version()), number, read -> {
+            ConfigRecord record = read.orElse(dropped);
+            boolean changed = record.operation().equals(change.operation());
+            return done(changed ? new ApplyResult.Applied(record, true) : new ApplyResult.Unchanged(record.version()));
+        });
     }
 
     private CompletionStage<ApplyResult> propose(int number, ConfigPointer pointer) {
@@ -87,7 +88,7 @@
             return done(new ApplyResult.Rejected(faults));
         }
         if (text.equals(current.text())) {
-            return done(new ApplyResult.Unchanged(pointer.version()));
+            return unchanged(number, pointer);
         }
         ConfigVersion version = pointer.version().next();
         ConfigRecord record =
@@ -97,6 +98,20 @@
                 .thenCompose(result -> committed(number, result, record));
     }
 
+    /** Records that the operation is done, so that no earlier try of it can change a later version. */
+    private CompletionStage<ApplyResult> unchanged(int number, ConfigPointer pointer) {
+        OperationRecord operation = new OperationRecord(pointer.version(), change.request());
+        Transaction done = Transaction.empty()
+                .require(ConfigKeys.CURRENT, pointer.rowVersion())
+                .requireAbsent(ConfigKeys.operation(change.operation()))
+                .put(ConfigKeys.operation(change.operation()), ConfigCodec.operation(operation));
+        return store.table()
+                .commit(done)
+                .thenCompose(result -> result instanceof TableResult.Committed
+                        ? done(new ApplyResult.Unchanged(pointer.version()))
+                        : attempt(number + 1, ConfigRead.reason(result)));
+    }
+
     private CompletionStage<ApplyResult> committed(int number, TableResult result, ConfigRecord record) {
         return result instanceof TableResult.Committed
                 ? done(new ApplyResult.Applied(record, false))
--- /dev/null
+++ b/node/src/test/java/org/teaselhook/node/config/UnchangedOperationTest.java
@@ -0,0 +1,61 @@
+package org.teaselhook.node.config;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import org.teaselhook.core.config.ConfigVersion;
+import org.teaselhook.core.table.InMemoryTable;
+import org.teaselhook.core.table.TableResult;
+import org.teaselhook.core.table.TableService;
+import org.teaselhook.core.table.Transaction;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+public class UnchangedOperationTest {
+
+    private static final String RULES = "kind s k once timeout=4s run=300ms  # Anil: the only kind\n";
+
+    // -- edit
+
+    @Test
+    public void shouldNotApplyOperationLaterThatWasAnsweredUnchanged() {
+        ConfigStore store = ConfigStore.of(new DirectTable(), () -> 0);
+        store.apply(ConfigVersion.NONE, RULES, "op-first", "Anil");
+
+        assertTrue(zoneIn(store) instanceof ApplyResult.Unchanged);
+        store.edit("zone z out", text -> text.withZoneOut("z", "Binu", "power"), "op-out", "Binu");
+        assertTrue(
+                zoneIn(store) instanceof ApplyResult.Unchanged, "a late try of the same operation undid the take-out");
+
+        ConfigRecord current = store.current().toCompletableFuture().join().orElseThrow();
+        assertEquals(current.operation(), "op-out");
+    }
+
+    private static ApplyResult zoneIn(ConfigStore store) {
+        return store.edit("zone z in", text -> text.withZoneIn("z"), "op-in", "Anil")
+                .toCompletableFuture()
+                .join();
+    }
+
+    private static final class DirectTable implements TableService {
+
+        private final InMemoryTable rows = InMemoryTable.empty();
+
+        @Override
+        public CompletionStage<TableResult> read(String key) {
+            return CompletableFuture.completedFuture(rows.read(key));
+        }
+
+        @Override
+        public CompletionStage<TableResult> scan(String fromInclusive, String toExclusive, int limit) {
+            return CompletableFuture.completedFuture(rows.scan(fromInclusive, toExclusive, limit));
+        }
+
+        @Override
+        public CompletionStage<TableResult> commit(Transaction transaction) {
+            return CompletableFuture.completedFuture(rows.commit(transaction));
+        }
+    }
+}
