Admit tickets by the clock that issues them

Cause: found on reading the whole change: tickets carry a wall-clock expiry, but the entry admitted them by its monotonic clock, so none ever expired or was forgotten, and after 1,000,000 admissions an entry would refuse every ticket. Ruled out: a fault in Tickets, whose own tests pass their times. Change: the wall clock at both places. Conclusion: TicketsTest, SubmissionReaderTest and LocalSiteTest pass; a test of expiry through an entry is not written yet.

--- a/node/src/main/java/org/teaselhook/node/entry/Admissions.java
+++ b/node/src/main/java/org/teaselhook/node/entry/Admissions.java
@@ -101,7 +101,7 @@
     // -- tickets
 
     private CompletionStage<Outcome> admitTicket(long nowNanos, SubmissionName name, Arrival arrival) {
-        TicketResult result = tickets.admit(name.text(), arrival.digest(), millis(nowNanos));
+        TicketResult result = tickets.admit(name.text(), arrival.digest(), System.currentTimeMillis());
         if (result instanceof TicketResult.Admitted) {
             return startOrRefuse(nowNanos, name, arrival, Hold.TICKET);
         }
@@ -268,8 +268,4 @@
     private static CompletionStage<Outcome> done(Outcome outcome) {
         return CompletableFuture.completedFuture(Objects.requireNonNull(outcome, "outcome is null"));
     }
-
-    private static long millis(long nowNanos) {
-        return TimeUnit.NANOSECONDS.toMillis(nowNanos);
-    }
 }
