Use one order sink in both measurements, drop an unread flag

Cause: found on reading the whole change: PendingOrders repeated OrderSink line for line, and EntryStatus.warm was no longer read since the ledger itself tells whether it is current.

--- a/bench/src/main/java/org/teaselhook/bench/capacity/DispatcherBenchmark.java
+++ b/bench/src/main/java/org/teaselhook/bench/capacity/DispatcherBenchmark.java
@@ -9,6 +9,7 @@
 import org.openjdk.jmh.annotations.Scope;
 import org.openjdk.jmh.annotations.Setup;
 import org.openjdk.jmh.annotations.State;
+import org.teaselhook.bench.load.OrderSink;
 import org.teaselhook.core.dispatch.AgentInfo;
 import org.teaselhook.core.dispatch.AgentState;
 import org.teaselhook.core.dispatch.Dispatcher;
@@ -42,7 +43,7 @@
     @Param({"0", "1000", "20000"})
     public int queued;
 
-    private final PendingOrders orders = new PendingOrders();
+    private final OrderSink orders = new OrderSink();
     private Dispatcher dispatcher;
     private long now = 1;
     private long nextId;
@@ -74,7 +75,7 @@
     @Benchmark
     public void task() {
         now += STEP_NANOS;
-        PendingOrders.Order order = orders.take();
+        OrderSink.Sent order = orders.take();
         dispatcher.result(now, order.agent(), order.number(), TaskStatus.COMPLETE, ANSWER, RUN_NANOS);
         dispatcher.granted(now, order.agent(), 1);
         submit();
--- a/bench/src/main/java/org/teaselhook/bench/load/OrderSink.java
+++ b/bench/src/main/java/org/teaselhook/bench/load/OrderSink.java
@@ -9,15 +9,29 @@
 import org.teaselhook.core.id.Incarnation;
 import org.teaselhook.core.outcome.Outcome;
 
-/** Keeps the orders in progress, oldest first, and drops all other effects. */
-final class OrderSink implements DispatchOutput {
+/**
+ * Keeps the orders in progress, oldest first, and drops all other effects.
+ */
+public final class OrderSink implements DispatchOutput {
 
     /** An order in progress. */
-    record Sent(Incarnation agent, long number) {}
+    /**
+     * One order.
+     *
+     * @param agent the agent's run
+     * @param number the dispatch number
+     */
+    public record Sent(Incarnation agent, long number) {}
 
     private final Deque<Sent> sent = new ArrayDeque<>();
 
-    Sent take() {
+    /**
+     * Removes the oldest order.
+     *
+     * @return the order
+     * @throws java.util.NoSuchElementException if there is none
+     */
+    public Sent take() {
         return sent.remove();
     }
 
--- a/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
@@ -86,7 +86,6 @@
     private final HttpServer http;
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
     private volatile EntryStatus status;
-    private volatile boolean warm;
     private boolean stopping;
     private long stoppingSince;
     private long lastTickNanos;
@@ -166,7 +165,6 @@
 
     private void begin() {
         settings.peers().forEach(peer -> control.execute(() -> peers.add(control.nowNanos(), text(peer))));
-        claims.warmUp().thenRun(() -> warm = true);
         control.execute(() -> lastTickNanos = control.nowNanos());
         control.every(TICK_MILLIS, this::tick);
         control.every(SLOW_TICK_MILLIS, this::slowTick);
@@ -325,7 +323,6 @@
         return new EntryStatus(
                 dispatcher.stats(),
                 configuration.mayStart(control.nowNanos()),
-                warm,
                 stopping,
                 registry.size(),
                 sessions.connectedAgents().size(),
--- a/node/src/main/java/org/teaselhook/node/entry/EntryStatus.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryStatus.java
@@ -7,7 +7,6 @@
  *
  * @param stats the dispatcher's counts
  * @param mayStart whether the configuration is recent enough to start work
- * @param warm whether the claims have been read
  * @param stopping whether the entry is stopping
  * @param running submissions in progress
  * @param agents connected agents
@@ -17,7 +16,6 @@
 record EntryStatus(
         DispatchStats stats,
         boolean mayStart,
-        boolean warm,
         boolean stopping,
         int running,
         int agents,
