Draw ports below the range of outgoing connections

Cause: ports were drawn by binding port 0, hence from 32768 to 60999, the range from which the kernel also takes the local ports of outgoing connections; between the draw and the listen, or during a restart, a connection could take the port. Ruled out: two draws giving one port (they were held together), and TIME_WAIT (listeners set SO_REUSEADDR).

Ports are now drawn one after the other from 10000 to 32000, from a random start, each tried by binding it; none is given twice by one process.

--- a/bench/src/main/java/org/teaselhook/bench/process/FreePorts.java
+++ b/bench/src/main/java/org/teaselhook/bench/process/FreePorts.java
@@ -7,40 +7,63 @@
 import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicInteger;
 
-/** Finds loopback ports that a process can be told to listen on, also after a restart. */
+/**
+ * Finds loopback ports that a process can be told to listen on, also after a restart. They lie below the range from
+ * which Linux takes ports for outgoing connections, so that no connection occupies one before the process listens.
+ */
 public final class FreePorts {
 
+    static final int FIRST_PORT = 10_000;
+    static final int LAST_PORT = 32_000;
+
+    private static final AtomicInteger NEXT_PORT =
+            new AtomicInteger(FIRST_PORT + new Random().nextInt(LAST_PORT - FIRST_PORT));
+
     private FreePorts() {}
 
     /**
-     * Finds free ports. They are held together while being drawn, so that no two are equal.
+     * Finds free ports. No port is given twice by one process until all have been tried.
      *
      * @param count how many ports
      * @return loopback addresses on which nothing listened at the time of the call
-     * @throws UncheckedIOException if a port cannot be bound
+     * @throws IllegalStateException if fewer ports are free
+     * @throws UncheckedIOException if a socket cannot be closed
      */
     public static List<InetSocketAddress> draw(int count) {
-        List<ServerSocket> held = new ArrayList<>();
-        try {
-            for (int i = 0; i < count; i++) {
-                held.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
+        List<InetSocketAddress> result = new ArrayList<>();
+        for (int tried = 0; result.size() < count; tried++) {
+            if (tried > LAST_PORT - FIRST_PORT) {
+                throw new IllegalStateException("fewer than " + count + " ports are free between " + FIRST_PORT
+                        + " and " + LAST_PORT + "; end processes that listen there");
             }
-            return held.stream()
-                    .map(socket -> new InetSocketAddress(socket.getInetAddress(), socket.getLocalPort()))
-                    .toList();
+            free(nextPort()).ifPresent(result::add);
+        }
+        return List.copyOf(result);
+    }
+
+    private static int nextPort() {
+        return NEXT_PORT.getAndUpdate(port -> port < LAST_PORT ? port + 1 : FIRST_PORT);
+    }
+
+    private static Optional<InetSocketAddress> free(int port) {
+        InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+        try (ServerSocket socket = new ServerSocket()) {
+            return bind(socket, address) ? Optional.of(address) : Optional.empty();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
-        } finally {
-            held.forEach(FreePorts::release);
         }
     }
 
-    private static void release(ServerSocket socket) {
+    private static boolean bind(ServerSocket socket, InetSocketAddress address) {
         try {
-            socket.close();
+            socket.bind(address);
+            return true;
         } catch (IOException e) {
-            throw new UncheckedIOException(e);
+            return false;
         }
     }
 }
