Await known claims before the test of keys in an outage

Cause: the test before it kills and restarts an entry. For about 3 s after that an entry counts the killed run as one whose claims it may not have read (KnownRuns), and if the table service goes down then, its refusals are rightly doubtful. On a quiet machine the outage came 4.7 s after the restart (log of one run), which left little for a busy one. Shown by killing and restarting entry-2 right before the outage: the test failed with the same answer, and the entry logged refusal-doubtful cause=entry-lost. Ruled out: a peer that gives no answer as the only cause (in that trial the lost entry was counted first; no-answer came too while its link still counted as live).

Change: the gauge teaselhook_entry_claims_known and the event refusal-doubtful, for operators as well. The test now kills and restarts an entry itself, waits until all entries report that claims are known, and then demands "not run" as before.

--- a/bench/src/main/java/org/teaselhook/bench/process/Site.java
+++ b/bench/src/main/java/org/teaselhook/bench/process/Site.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
 import org.teaselhook.net.http.EventLoops;
@@ -33,6 +34,8 @@
     private static final int TRAFFIC_THREADS = 2;
     private static final int MAX_CONNECTIONS_PER_HOST = 256;
     private static final long CONNECT_TIMEOUT_MILLIS = 1_000;
+    private static final long POLL_INTERVAL_MILLIS = 50;
+    private static final String CLAIMS_KNOWN = "teaselhook_entry_claims_known";
     private static final TargetBehaviour BEHAVIOUR =
             TargetBehaviour.of(RunTime.uniform(20, 100)).answeringAttempt(true);
 
@@ -168,6 +171,28 @@
         }
     }
 
+    /**
+     * Waits until every entry knows all claims, or whom to ask: until then it calls a refusal of a key doubtful while
+     * the table service is out.
+     *
+     * @param timeout the longest wait
+     * @throws InterruptedException if the thread is interrupted
+     * @throws IllegalStateException if an entry does not report it in time
+     */
+    public void awaitClaimsKnown(Duration timeout) throws InterruptedException {
+        long deadlineNanos = System.nanoTime() + timeout.toNanos();
+        for (EntryNode entry : entries) {
+            MetricsPage metrics = MetricsPage.of(client, entry.http());
+            while (metrics.value(CLAIMS_KNOWN).orElse(0) != 1) {
+                if (System.nanoTime() > deadlineNanos) {
+                    throw new IllegalStateException(entry.process().name() + " does not know all claims; see "
+                            + entry.process().log());
+                }
+                TimeUnit.MILLISECONDS.sleep(POLL_INTERVAL_MILLIS);
+            }
+        }
+    }
+
     /** Ends every process, relay and stand-in. */
     @Override
     public void close() {
--- a/bench/src/test/java/org/teaselhook/bench/failure/SiteFaultTest.java
+++ b/bench/src/test/java/org/teaselhook/bench/failure/SiteFaultTest.java
@@ -164,6 +164,10 @@
         PlannedSubmission warm = ticket(0);
         callers.submit(warm);
         awaitAnswers();
+        PlannedFault killed = fault(FaultKind.KILL_ENTRY, "entry-2", 0);
+        actions.kill(killed);
+        restart(killed);
+        site.awaitClaimsKnown(Duration.ofSeconds(30));
         FaultKind.TABLE_OUTAGE.begin(actions, fault(FaultKind.TABLE_OUTAGE, "table", 0));
         PlannedSubmission key = booking(0);
         PlannedSubmission ticket = ticket(0);
--- a/node/src/main/java/org/teaselhook/node/entry/EntryMetrics.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryMetrics.java
@@ -72,6 +72,7 @@
         gauge("running", "Submissions in progress", EntryStatus::running);
         gauge("agents", "Connected agents", EntryStatus::agents);
         gauge("peers", "Live entries beside this one", EntryStatus::peers);
+        gauge("claims_known", "1 if a refusal of a key can be certain in an outage", s -> s.claimsKnown() ? 1 : 0);
         gauge("config_version", "Configuration version held", EntryStatus::configVersion);
         gauge("may_start", "1 if the configuration is recent enough to start work", s -> s.mayStart() ? 1 : 0);
     }
--- a/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
@@ -327,6 +327,7 @@
                 registry.size(),
                 sessions.connectedAgents().size(),
                 peers.live().size(),
+                peers.noneLost(),
                 configuration.current().version().value());
     }
 
--- a/node/src/main/java/org/teaselhook/node/entry/EntryStatus.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryStatus.java
@@ -11,6 +11,7 @@
  * @param running submissions in progress
  * @param agents connected agents
  * @param peers live peers
+ * @param claimsKnown whether every entry that may hold claims that this one has not read answers
  * @param configVersion the configuration version held
  */
 record EntryStatus(
@@ -20,6 +21,7 @@
         int running,
         int agents,
         int peers,
+        boolean claimsKnown,
         long configVersion) {
 
     /** Returns why the balancer should send nothing, or an empty text. */
--- a/node/src/main/java/org/teaselhook/node/entry/OtherEntries.java
+++ b/node/src/main/java/org/teaselhook/node/entry/OtherEntries.java
@@ -115,8 +115,7 @@
 
     private CompletionStage<Outcome> askAll(SubmissionName name, Arrival arrival, Problem refusal) {
         long timeoutMillis = TimeUnit.NANOSECONDS.toMillis(AdmissionCheck.timeoutNanos(rules.get(), arrival.request()));
-        CompletionStage<Outcome> result = CompletableFuture.completedFuture(
-                peers.noneLost() ? Outcome.notRun(refusal) : Outcome.mayHaveRun(refusal));
+        CompletionStage<Outcome> result = CompletableFuture.completedFuture(ownView(name, refusal));
         for (PeerInfo peer : peers.live()) {
             CompletionStage<Outcome> asked = join(
                             peer.incarnation(),
@@ -124,15 +123,28 @@
                             OptionalLong.of(arrival.digest()),
                             timeoutMillis,
                             arrival.closed())
-                    .thenApply(reply -> known(reply, refusal));
+                    .thenApply(reply -> known(name, peer.incarnation(), reply, refusal));
             result = result.thenCombine(asked, OtherEntries::stronger);
         }
         return result;
     }
 
+    private Outcome ownView(SubmissionName name, Problem refusal) {
+        if (peers.noneLost()) {
+            return Outcome.notRun(refusal);
+        }
+        logDoubt(name).with("cause", "entry-lost").info();
+        return Outcome.mayHaveRun(refusal);
+    }
+
+    private static LogLine logDoubt(SubmissionName name) {
+        return LogLine.of("refusal-doubtful").with("submission", name.text());
+    }
+
     /** An entry that knows nothing leaves the refusal as it is; one that does not answer makes it doubtful. */
-    private static Outcome known(Optional<Outcome> reply, Problem refusal) {
+    private static Outcome known(SubmissionName name, Incarnation asked, Optional<Outcome> reply, Problem refusal) {
         if (reply.isEmpty()) {
+            logDoubt(name).with("cause", "no-answer").with("asked", asked).info();
             return Outcome.mayHaveRun(refusal);
         }
         if (reply.get() instanceof Outcome.NotRun notRun && notRun.problem().kind() == ProblemKind.UNKNOWN_JOB) {
