Test over processes that running tasks are settled

Cause: with the settlement of running tasks broken (a started task is called not started when its connection is replaced) no test over processes failed, as tasks rarely outlast the 2 s after which a silent connection is replaced.

Change: SiteFaultTest runs a job of 12 tasks of 3.5 to 4 s, silences the connections of all agents to the job's entry while they run, and demands a complete answer and 12 starts. With Admission.settle broken on a scratch copy, it passed in one direction, in the next the job failed and the history check saw 12 tasks started twice (the third was skipped then). On the sound code all 15 tests of the class passed (73 s, load average 10).

--- a/bench/src/test/java/org/teaselhook/bench/failure/SiteFaultTest.java
+++ b/bench/src/test/java/org/teaselhook/bench/failure/SiteFaultTest.java
@@ -35,8 +35,8 @@
     private static final String ZONE = "kottayam";
     private static final int JOB_TASKS = 30;
     private static final int MAX_WARM_UPS = 50;
-    private static final TargetBehaviour BEHAVIOUR =
-            TargetBehaviour.of(RunTime.uniform(200, 400)).answeringAttempt(true);
+    private static final int RUNNING_TASKS = 12;
+    private static final RunTime RUN_TIME = RunTime.uniform(200, 400);
 
     private final HistoryRecorder recorder = HistoryRecorder.of(System::nanoTime);
     private final AtomicLong numbers = new AtomicLong();
@@ -49,7 +49,7 @@
         SitePlan plan = SitePlan.standard().withProcesses(3, 3);
         site = Site.start(plan, new RecordingListener(recorder), Files.createTempDirectory("site-fault-test"));
         site.awaitReady(Duration.ofSeconds(60));
-        site.agents().forEach(agent -> agent.target().behaveAs(BEHAVIOUR));
+        runEachTaskFor(RUN_TIME);
         actions = new FaultActions(site, recorder, new Downtimes());
         callers = new Callers(site, new Balancer(site.entries(), site.client()), recorder, TIMEOUT_MILLIS);
         warmUp();
@@ -101,6 +101,27 @@
         assertEnded(job, AnswerKind.COMPLETE);
     }
 
+    @Test(dataProvider = "directions")
+    public void shouldSettleRunningTasksWhenConnectionsOfAgentsGoSilent(int variant) throws InterruptedException {
+        runEachTaskFor(RunTime.uniform(3_500, 4_000));
+        PlannedSubmission job = job(0, RUNNING_TASKS);
+        callers.submit(job);
+        TimeUnit.MILLISECONDS.sleep(500);
+        for (int agent = 1; agent <= 3; agent++) {
+            actions.silenceLink(fault(FaultKind.SILENT_AGENT_LINK, "agent-" + agent + ">entry-1", variant));
+        }
+        awaitAnswers();
+        runEachTaskFor(RUN_TIME);
+
+        assertEnded(job, AnswerKind.COMPLETE);
+        assertEquals(starts(job), RUNNING_TASKS);
+    }
+
+    private void runEachTaskFor(RunTime time) {
+        site.agents().forEach(agent -> agent.target()
+                .behaveAs(TargetBehaviour.of(time).answeringAttempt(true)));
+    }
+
     // -- processes
 
     @Test
@@ -235,8 +256,12 @@
     // -- submissions
 
     private PlannedSubmission job(int entry) {
+        return job(entry, JOB_TASKS);
+    }
+
+    private PlannedSubmission job(int entry, int tasks) {
         return new PlannedSubmission(
-                numbers.incrementAndGet(), true, false, JOB_TASKS, false, List.of(entry), List.of(0), false, false, 0);
+                numbers.incrementAndGet(), true, false, tasks, false, List.of(entry), List.of(0), false, false, 0);
     }
 
     private PlannedSubmission booking(int entry) {
