--- a/core/src/main/java/org/teaselhook/core/config/Freshness.java
+++ b/core/src/main/java/org/teaselhook/core/config/Freshness.java
@@ -1,16 +1,27 @@
 package org.teaselhook.core.config;
 
+import java.util.Collection;
+import java.util.List;
+import java.util.OptionalLong;
+
+import org.teaselhook.core.id.Incarnation;
+
 /**
  * Decides whether an entry's configuration is recent enough to start work. Confined to one thread.
  *
- * <p>The configuration is confirmed by a read of the table service or by word from a peer, either of which must name
- * no version newer than the one held. A confirmation counts as of an instant on this process's own clock at which the
- * statement cannot yet have been made: for a read the time at which the request was sent, for a peer the time at which
- * this entry sent the heartbeat that the peer's frame echoes. So an answer that lay in a buffer, or a process that
- * was frozen, makes nothing look recent.
+ * <p>A confirmation is an instant as of which no version newer than the one held had been accepted. It lasts for
+ * {@link #FRESH_NANOS} and comes from one of three sources:
+ * <ul>
+ *   <li>a read of the table service, as of the time at which it was sent;
+ *   <li>a peer that passes its own confirmation on with its age, as of the time at which this entry sent the heartbeat
+ *       that the peer's frame echoes, less that age, so a chain of peers adds nothing to the 3 s;
+ *   <li>in an outage, the word of every other entry that may have accepted a change, as of the oldest of these words:
+ *       see {@link EntryGroup}.
+ * </ul>
+ * An answer that lay in a buffer, or a process that was frozen, makes nothing look recent.
  *
  * <p>A process that has just started may serve only after it has read the table service. While that is out of order it
- * may take the newest version among its peers instead, once it has listened to them for {@link #LISTEN_NANOS}.
+ * may rely on its peers instead, once it has listened to them for {@link #LISTEN_NANOS}.
  *
  * <p>All times are nanoseconds of this process's monotonic clock.
  */
@@ -23,13 +34,16 @@
     public static final long LISTEN_NANOS = 2_000_000_000L;
 
     private final long startedNanos;
+    private final EntryGroup group;
     private boolean tableRead;
     private boolean peerHeard;
     private boolean tableFailed;
+    private boolean tableFailing;
     private boolean confirmed;
     private long confirmedNanos;
 
-    private Freshness(long startedNanos) {
+    private Freshness(String self, long startedNanos) {
+        this.group = new EntryGroup(self);
         this.startedNanos = startedNanos;
     }
 
@@ -38,11 +52,12 @@
     /**
      * Returns the state of a process that has just started.
      *
+     * @param self the name of this entry
      * @param nowNanos the present time
      * @return a new state
      */
-    public static Freshness startedAt(long nowNanos) {
-        return new Freshness(nowNanos);
+    public static Freshness startedAt(String self, long nowNanos) {
+        return new Freshness(self, nowNanos);
     }
 
     // -- events
@@ -55,7 +70,9 @@
      * @param sentNanos when the read was sent
      */
     public void tableRead(ConfigState state, ConfigVersion version, long sentNanos) {
-        if (confirm(state, version, sentNanos)) {
+        tableFailing = false;
+        state.heard(version);
+        if (confirm(state, sentNanos)) {
             tableRead = true;
         }
     }
@@ -63,19 +80,52 @@
     /** Notes that a read of the table service failed. */
     public void tableFailed() {
         tableFailed = true;
+        tableFailing = true;
+    }
+
+    /**
+     * Notes which entries the table service lists as live.
+     *
+     * @param live the entries, this one among them
+     * @param sentNanos when the scan was sent
+     */
+    public void entriesListed(Collection<KnownEntry> live, long sentNanos) {
+        group.scanned(live, sentNanos);
     }
 
     /**
-     * Notes word from a peer.
+     * Notes which entries a peer knows.
+     *
+     * @param known the entries
+     * @param nowNanos the present time
+     */
+    public void entriesInherited(Collection<KnownEntry> known, long nowNanos) {
+        group.inherited(known, nowNanos);
+    }
+
+    /**
+     * Notes word from a peer. A peer that holds no version is no reason to start work.
      *
      * @param state the configuration held
-     * @param version the version that the peer holds
+     * @param word what the peer said
      * @param asOfNanos an instant not after the one at which the peer said so
+     * @param nowNanos the present time
      */
-    public void peerHeard(ConfigState state, ConfigVersion version, long asOfNanos) {
-        if (!version.equals(ConfigVersion.NONE)) {
-            peerHeard = confirm(state, version, asOfNanos);
+    public void peerHeard(ConfigState state, PeerWord word, long asOfNanos, long nowNanos) {
+        group.heard(word.entry(), word.leaving(), asOfNanos);
+        if (word.version().equals(ConfigVersion.NONE)) {
+            return;
         }
+        state.heard(word.version());
+        boolean passedOn = word.confirmedAgeNanos().isPresent()
+                && confirm(state, asOfNanos - word.confirmedAgeNanos().getAsLong());
+        boolean outage = tableFailing && confirmByGroup(state, nowNanos);
+        peerHeard = passedOn || outage || peerHeard && !state.isBehind();
+    }
+
+    private boolean confirmByGroup(ConfigState state, long nowNanos) {
+        OptionalLong silentAsOf = group.silentAsOf(nowNanos);
+        return silentAsOf.isPresent() && confirm(state, silentAsOf.getAsLong());
     }
 
     // -- decisions
@@ -117,8 +167,7 @@
         return tableFailed && peerHeard && nowNanos - startedNanos >= LISTEN_NANOS;
     }
 
-    private boolean confirm(ConfigState state, ConfigVersion version, long asOfNanos) {
-        state.heard(version);
+    private boolean confirm(ConfigState state, long asOfNanos) {
         if (state.isBehind()) {
             return false;
         }
@@ -128,4 +177,55 @@
         confirmed = true;
         return true;
     }
+
+    // -- what peers are told
+
+    /**
+     * Returns how long ago the instant lies as of which the configuration is confirmed.
+     *
+     * @param nowNanos the present time
+     * @return the age in nanoseconds; empty if it is too old to be passed on
+     */
+    public OptionalLong confirmedAgeNanos(long nowNanos) {
+        long ageNanos = nowNanos - confirmedNanos;
+        return confirmed && ageNanos <= FRESH_NANOS ? OptionalLong.of(Math.max(0, ageNanos)) : OptionalLong.empty();
+    }
+
+    /**
+     * Tells whether the table service is reached.
+     *
+     * @return true if the last read was answered
+     */
+    public boolean isTableReachable() {
+        return tableRead && !tableFailing;
+    }
+
+    /**
+     * Tells whether this process does not know which entries there are.
+     *
+     * @return true until the table service or a peer has listed them
+     */
+    public boolean lacksEntries() {
+        return !group.isLoaded();
+    }
+
+    /**
+     * Returns the entries that the table service listed last.
+     *
+     * @param selfRun the run of this process
+     * @return the entries with the newest run known of each
+     */
+    public List<KnownEntry> listedEntries(Incarnation selfRun) {
+        return group.voters(selfRun);
+    }
+
+    /**
+     * Returns the entries that were known and are silent now.
+     *
+     * @param nowNanos the present time
+     * @return their names
+     */
+    public List<String> missingEntries(long nowNanos) {
+        return group.missing(nowNanos);
+    }
 }
--- a/core/src/test/java/org/teaselhook/core/config/FreshnessTest.java
+++ b/core/src/test/java/org/teaselhook/core/config/FreshnessTest.java
@@ -1,5 +1,9 @@
 package org.teaselhook.core.config;
 
+import java.util.List;
+import java.util.OptionalLong;
+
+import org.teaselhook.core.id.Incarnation;
 import org.teaselhook.core.rules.Rules;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -9,6 +13,7 @@
 public class FreshnessTest {
 
     private static final long SECOND = 1_000_000_000L;
+    private static final long UNCONFIRMED = -1;
     private static final ConfigVersion SEVEN = ConfigVersion.of(7);
     private static final ConfigVersion EIGHT = ConfigVersion.of(8);
 
@@ -18,7 +23,7 @@
     @BeforeMethod
     public void start() {
         state = ConfigState.empty();
-        freshness = Freshness.startedAt(Long.MAX_VALUE - SECOND);
+        freshness = Freshness.startedAt("entry-1", Long.MAX_VALUE - SECOND);
     }
 
     // -- verdict
@@ -43,46 +48,73 @@
     public void shouldGoOnByWordOfPeersDuringOutage() {
         state.offer(version(SEVEN));
         freshness.tableRead(state, SEVEN, at(0));
+        freshness.entriesListed(List.of(entry("entry-1"), entry("entry-2")), at(0));
         freshness.tableFailed();
-        freshness.peerHeard(state, SEVEN, at(3_500));
+        heard("entry-2", SEVEN, UNCONFIRMED, 3_500);
 
         assertVerdict(FreshnessVerdict.FRESH, 6_500);
         assertVerdict(FreshnessVerdict.STALE, 6_501);
     }
 
+    @Test
+    public void shouldCountPassedOnConfirmationFromItsOwnInstant() {
+        state.offer(version(SEVEN));
+        freshness.tableRead(state, SEVEN, at(0));
+        heard("entry-2", SEVEN, 1_200, 2_000);
+
+        assertVerdict(FreshnessVerdict.FRESH, 3_800);
+        assertVerdict(FreshnessVerdict.STALE, 3_801);
+        assertEquals(freshness.confirmedAgeNanos(at(2_100)), OptionalLong.of(1_300_000_000L));
+        assertEquals(freshness.confirmedAgeNanos(at(3_801)), OptionalLong.empty());
+    }
+
+    @Test
+    public void shouldNotCountWordOfPeerThatIsNotConfirmedItselfUnlessAllAnswer() {
+        state.offer(version(SEVEN));
+        freshness.tableRead(state, SEVEN, at(0));
+        freshness.entriesListed(List.of(entry("entry-1"), entry("entry-2"), entry("entry-3")), at(0));
+        freshness.tableFailed();
+        heard("entry-2", SEVEN, UNCONFIRMED, 2_500);
+        assertVerdict(FreshnessVerdict.STALE, 3_001);
+
+        heard("entry-3", SEVEN, UNCONFIRMED, 3_100);
+        assertVerdict(FreshnessVerdict.FRESH, 5_500);
+        assertVerdict(FreshnessVerdict.STALE, 5_501);
+    }
+
     @Test
     public void shouldNotCountWordOfNewerVersionWhoseTextIsMissing() {
         state.offer(version(SEVEN));
         freshness.tableRead(state, SEVEN, at(0));
-        freshness.peerHeard(state, EIGHT, at(2_000));
+        heard("entry-2", EIGHT, 0, 2_000);
         freshness.tableRead(state, SEVEN, at(2_500));
         assertVerdict(FreshnessVerdict.STALE, 3_001);
 
         state.offer(version(EIGHT));
-        freshness.peerHeard(state, SEVEN, at(3_100));
+        heard("entry-2", SEVEN, 0, 3_100);
         assertVerdict(FreshnessVerdict.FRESH, 6_000);
     }
 
     @Test
     public void shouldServeAfterStartDuringOutageOnlyByHighestVersionOfPeers() {
         state.offer(version(SEVEN));
-        freshness.peerHeard(state, SEVEN, at(1_900));
+        heard("entry-2", SEVEN, 0, 1_900);
         assertVerdict(FreshnessVerdict.NEVER_LOADED, 2_500);
 
         freshness.tableFailed();
         assertVerdict(FreshnessVerdict.NEVER_LOADED, 1_999);
         assertVerdict(FreshnessVerdict.FRESH, 2_000);
-        freshness.peerHeard(state, EIGHT, at(2_100));
+        heard("entry-2", EIGHT, 0, 2_100);
         assertVerdict(FreshnessVerdict.NEVER_LOADED, 2_200);
         state.offer(version(EIGHT));
-        freshness.peerHeard(state, EIGHT, at(2_300));
+        heard("entry-2", EIGHT, 0, 2_300);
         assertVerdict(FreshnessVerdict.FRESH, 2_400);
     }
 
     @Test
     public void shouldNotRelyOnPeerThatHoldsNothing() {
         freshness.tableFailed();
-        freshness.peerHeard(state, ConfigVersion.NONE, at(2_900));
+        heard("entry-2", ConfigVersion.NONE, 0, 2_900);
 
         assertVerdict(FreshnessVerdict.NEVER_LOADED, 3_000);
     }
@@ -99,6 +131,15 @@
         assertEquals(state.current(), version(EIGHT));
     }
 
+    private void heard(String name, ConfigVersion version, long ageMillis, long millis) {
+        OptionalLong age = ageMillis == UNCONFIRMED ? OptionalLong.empty() : OptionalLong.of(ageMillis * 1_000_000);
+        freshness.peerHeard(state, new PeerWord(entry(name), version, false, age), at(millis), at(millis));
+    }
+
+    private static KnownEntry entry(String name) {
+        return new KnownEntry(name, Incarnation.of(name.hashCode()));
+    }
+
     private void assertVerdict(FreshnessVerdict expected, long millis) {
         assertEquals(freshness.verdict(at(millis)), expected);
     }
--- a/node/src/main/java/org/teaselhook/node/config/EntryRegistry.java
+++ b/node/src/main/java/org/teaselhook/node/config/EntryRegistry.java
@@ -7,7 +7,6 @@
 import java.util.Objects;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Executor;
-import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
 import org.teaselhook.core.member.Member;
@@ -31,7 +30,7 @@
     private final TableService table;
     private final Executor control;
     private final RandomGenerator random;
-    private final Consumer<List<Member>> listener;
+    private final MemberListener listener;
     private final Membership membership = Membership.empty();
     private final Map<String, Long> rowVersions = new HashMap<>();
     private Member self;
@@ -43,11 +42,7 @@
     private long dueNanos;
 
     private EntryRegistry(
-            TableService table,
-            Member self,
-            Consumer<List<Member>> listener,
-            Executor control,
-            RandomGenerator random) {
+            TableService table, Member self, MemberListener listener, Executor control, RandomGenerator random) {
         this.table = Objects.requireNonNull(table, "table is null");
         this.self = Objects.requireNonNull(self, "self is null");
         this.listener = Objects.requireNonNull(listener, "listener is null");
@@ -62,17 +57,13 @@
      *
      * @param table the table service
      * @param self this entry
-     * @param listener told on the control thread when the live entries or what they say have changed, other than beats
+     * @param listener told of the live entries on the control thread
      * @param control runs on the control thread
      * @param random spreads the writes of several processes
      * @return the registry
      */
     public static EntryRegistry of(
-            TableService table,
-            Member self,
-            Consumer<List<Member>> listener,
-            Executor control,
-            RandomGenerator random) {
+            TableService table, Member self, MemberListener listener, Executor control, RandomGenerator random) {
         return new EntryRegistry(table, self, listener, control, random);
     }
 
@@ -116,7 +107,7 @@
         scanned = true;
         scannedNanos = askedNanos;
         membership.forgettable().forEach(this::deleteRow);
-        publish(membership.live());
+        publish(membership.live(), askedNanos);
     }
 
     private void add(Row row, List<Member> members) {
@@ -132,11 +123,12 @@
                 Transaction.empty().require(key, rowVersions.get(dead.name())).delete(key));
     }
 
-    private void publish(List<Member> next) {
+    private void publish(List<Member> next, long askedNanos) {
+        listener.listed(next, askedNanos);
         List<Member> before = withoutBeats(live);
         live = next;
         if (!before.equals(withoutBeats(next))) {
-            listener.accept(next);
+            listener.changed(next);
         }
     }
 
--- a/node/src/main/java/org/teaselhook/node/entry/EntryConfiguration.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryConfiguration.java
@@ -1,34 +1,42 @@
 package org.teaselhook.node.entry;
 
+import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 
 import org.teaselhook.core.config.ConfigState;
 import org.teaselhook.core.config.ConfigVersion;
 import org.teaselhook.core.config.Freshness;
+import org.teaselhook.core.config.KnownEntry;
+import org.teaselhook.core.config.PeerWord;
 import org.teaselhook.core.config.VersionedRules;
+import org.teaselhook.core.member.Member;
 import org.teaselhook.core.outcome.Problem;
 import org.teaselhook.core.outcome.ProblemKind;
 import org.teaselhook.core.rules.Rules;
 import org.teaselhook.node.config.ConfigHolder;
 import org.teaselhook.node.peer.PeerEvents;
-import org.teaselhook.node.peer.PeerInfo;
+import org.teaselhook.node.peer.PeerKnowledge;
+import org.teaselhook.node.session.EntryIdentity;
 import org.teaselhook.wire.ConfigDocument;
 
 /**
  * The configuration that this entry holds, and whether it is recent enough to start work. Confined to the control
  * thread.
  */
-final class EntryConfiguration implements PeerEvents {
+final class EntryConfiguration implements PeerEvents, PeerKnowledge {
 
+    private final EntryIdentity self;
     private final ConfigHolder holder;
     private final Freshness freshness;
     private final Consumer<VersionedRules> onChange;
     private ConfigDocument document = ConfigDocument.getDefaultInstance();
 
-    EntryConfiguration(long nowNanos, Consumer<VersionedRules> onChange) {
+    EntryConfiguration(EntryIdentity self, long nowNanos, Consumer<VersionedRules> onChange) {
+        this.self = self;
         this.holder = ConfigHolder.of(ConfigState.empty(), this::changed);
-        this.freshness = Freshness.startedAt(nowNanos);
+        this.freshness = Freshness.startedAt(self.name(), nowNanos);
         this.onChange = onChange;
     }
 
@@ -44,8 +52,9 @@
     // -- events
 
     @Override
-    public void peerSpoke(PeerInfo peer, long asOfNanos) {
-        freshness.peerHeard(holder.state(), ConfigVersion.of(peer.configVersion()), asOfNanos);
+    public void peerSpoke(PeerWord word, List<KnownEntry> known, long asOfNanos, long nowNanos) {
+        freshness.entriesInherited(known, nowNanos);
+        freshness.peerHeard(holder.state(), word, asOfNanos, nowNanos);
     }
 
     @Override
@@ -53,6 +62,14 @@
         offer(received.getVersion(), received.getText(), received.getOperation());
     }
 
+    /** The table service has listed the live entries. */
+    void entriesListed(List<Member> live, long sentNanos) {
+        List<KnownEntry> entries = live.stream()
+                .map(member -> new KnownEntry(member.name(), member.incarnation()))
+                .toList();
+        freshness.entriesListed(entries, sentNanos);
+    }
+
     /** An agent has seen a version; if it is newer than the one held, this entry is behind. */
     void agentSaw(long version) {
         holder.state().heard(ConfigVersion.of(version));
@@ -74,10 +91,31 @@
         return freshness;
     }
 
-    ConfigDocument document() {
+    @Override
+    public ConfigDocument document() {
         return document;
     }
 
+    @Override
+    public OptionalLong confirmedAgeNanos(long nowNanos) {
+        return freshness.confirmedAgeNanos(nowNanos);
+    }
+
+    @Override
+    public boolean isTableReachable() {
+        return freshness.isTableReachable();
+    }
+
+    @Override
+    public boolean lacksEntries() {
+        return freshness.lacksEntries();
+    }
+
+    @Override
+    public List<KnownEntry> listedEntries() {
+        return freshness.listedEntries(self.incarnation());
+    }
+
     VersionedRules current() {
         return holder.state().current();
     }
--- a/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
@@ -37,6 +37,7 @@
 import org.teaselhook.node.config.ConfigPoller;
 import org.teaselhook.node.config.ConfigStore;
 import org.teaselhook.node.config.EntryRegistry;
+import org.teaselhook.node.config.MemberListener;
 import org.teaselhook.node.control.ControlLoop;
 import org.teaselhook.node.health.HealthPages;
 import org.teaselhook.node.peer.PeerChannels;
@@ -102,7 +103,7 @@
                 .map(address -> HttpTableService.of(tableClient, address, TABLE_TIMEOUT_MILLIS))
                 .toList());
         this.claims = Claims.start(self.incarnation(), table, LedgerLimits.standard(), metrics::count);
-        this.configuration = new EntryConfiguration(control.nowNanos(), this::rulesChanged);
+        this.configuration = new EntryConfiguration(self, control.nowNanos(), this::rulesChanged);
         this.registry = new SubmissionRegistry(
                 settings.limits().keptAnswersBytes(),
                 settings.limits().keptAnswersTime().toNanos());
@@ -116,7 +117,7 @@
                 control,
                 control::nowNanos,
                 configuration,
-                configuration::document);
+                configuration);
         this.sessions = new AgentSessions(
                 self, dispatcher, this::agentSawVersion, configuration::document, this::entryAddresses);
         output.connect(sessions);
@@ -133,7 +134,7 @@
                 configuration::rules,
                 this::notReady);
         this.poller = ConfigPoller.of(table, configuration.holder(), configuration.freshness(), control, new Random());
-        this.members = EntryRegistry.of(table, member(), this::membersChanged, control, new Random());
+        this.members = EntryRegistry.of(table, member(), new Listing(), control, new Random());
         this.status = currentStatus();
         Forwards forwards = new Forwards(self.incarnation(), control, admissions, claims);
         this.grpc = EntryGrpcServer.start(
@@ -261,6 +262,19 @@
         return result;
     }
 
+    private final class Listing implements MemberListener {
+
+        @Override
+        public void listed(List<Member> live, long sentNanos) {
+            configuration.entriesListed(live, sentNanos);
+        }
+
+        @Override
+        public void changed(List<Member> live) {
+            membersChanged(live);
+        }
+    }
+
     private void membersChanged(List<Member> live) {
         long now = control.nowNanos();
         List<String> known = live.stream().map(Member::grpcAddress).collect(Collectors.toCollection(ArrayList::new));
--- a/node/src/main/java/org/teaselhook/node/peer/PeerEvents.java
+++ b/node/src/main/java/org/teaselhook/node/peer/PeerEvents.java
@@ -1,5 +1,9 @@
 package org.teaselhook.node.peer;
 
+import java.util.List;
+
+import org.teaselhook.core.config.KnownEntry;
+import org.teaselhook.core.config.PeerWord;
 import org.teaselhook.wire.ConfigDocument;
 
 /**
@@ -10,10 +14,12 @@
     /**
      * Another entry spoke.
      *
-     * @param peer what it said
+     * @param word what it said of its configuration
+     * @param known the entries that it knows; empty unless this entry asked for them
      * @param asOfNanos an instant on this entry's clock after which the peer certainly spoke
+     * @param nowNanos the present time
      */
-    void peerSpoke(PeerInfo peer, long asOfNanos);
+    void peerSpoke(PeerWord word, List<KnownEntry> known, long asOfNanos, long nowNanos);
 
     /**
      * Another entry sent its configuration.
--- /dev/null
+++ b/node/src/main/java/org/teaselhook/node/peer/PeerFrames.java
@@ -0,0 +1,75 @@
+package org.teaselhook.node.peer;
+
+import java.util.List;
+import java.util.OptionalLong;
+
+import org.teaselhook.core.config.ConfigVersion;
+import org.teaselhook.core.config.KnownEntry;
+import org.teaselhook.core.config.PeerWord;
+import org.teaselhook.core.id.Incarnation;
+import org.teaselhook.node.session.EntryIdentity;
+import org.teaselhook.wire.PeerFrame;
+import org.teaselhook.wire.PeerHeartbeat;
+
+/**
+ * Converts between frames among entries and their meaning.
+ */
+final class PeerFrames {
+
+    private PeerFrames() {}
+
+    // -- to peers
+
+    static PeerHeartbeat.Builder heartbeat(
+            EntryIdentity self, PeerKnowledge knowledge, boolean leaving, long nowNanos) {
+        OptionalLong ageNanos = knowledge.confirmedAgeNanos(nowNanos);
+        return PeerHeartbeat.newBuilder()
+                .setName(self.name())
+                .setIncarnation(self.incarnation().value())
+                .setZone(self.zone())
+                .setAddress(self.address())
+                .setConfigVersion(knowledge.document().getVersion())
+                .setLeaving(leaving)
+                .setTableReachable(knowledge.isTableReachable())
+                .setConfirmed(ageNanos.isPresent())
+                .setConfirmedAgeNanos(ageNanos.orElse(0))
+                .setLacksEntries(knowledge.lacksEntries());
+    }
+
+    static PeerFrame frame(PeerHeartbeat.Builder heartbeat) {
+        return PeerFrame.newBuilder().setHeartbeat(heartbeat).build();
+    }
+
+    static org.teaselhook.wire.KnownEntry known(KnownEntry entry) {
+        return org.teaselhook.wire.KnownEntry.newBuilder()
+                .setName(entry.name())
+                .setIncarnation(entry.run().value())
+                .build();
+    }
+
+    // -- from peers
+
+    static PeerInfo info(PeerHeartbeat heartbeat) {
+        return new PeerInfo(
+                heartbeat.getName(),
+                Incarnation.of(heartbeat.getIncarnation()),
+                heartbeat.getZone(),
+                heartbeat.getAddress(),
+                heartbeat.getConfigVersion(),
+                heartbeat.getLeaving());
+    }
+
+    static PeerWord word(PeerHeartbeat heartbeat) {
+        return new PeerWord(
+                new KnownEntry(heartbeat.getName(), Incarnation.of(heartbeat.getIncarnation())),
+                ConfigVersion.of(heartbeat.getConfigVersion()),
+                heartbeat.getLeaving(),
+                heartbeat.getConfirmed() ? OptionalLong.of(heartbeat.getConfirmedAgeNanos()) : OptionalLong.empty());
+    }
+
+    static List<KnownEntry> known(PeerHeartbeat heartbeat) {
+        return heartbeat.getKnownEntriesList().stream()
+                .map(entry -> new KnownEntry(entry.getName(), Incarnation.of(entry.getIncarnation())))
+                .toList();
+    }
+}
--- a/node/src/main/java/org/teaselhook/node/peer/PeerLink.java
+++ b/node/src/main/java/org/teaselhook/node/peer/PeerLink.java
@@ -24,7 +24,7 @@
     private final String address;
     private final PeerChannels channels;
     private final Executor control;
-    private final PeerFrames frames;
+    private final LinkOwner owner;
     private final EchoTimes echoes = new EchoTimes();
     private ManagedChannel channel;
     private StreamObserver<PeerFrame> stream;
@@ -33,17 +33,17 @@
     private Optional<PeerInfo> peer = Optional.empty();
 
     /** What a link needs of its owner, on the control thread. */
-    interface PeerFrames {
-        PeerHeartbeat heartbeat(long sequence, long echoSequence);
+    interface LinkOwner {
+        PeerHeartbeat.Builder heartbeat(long nowNanos);
 
         void received(PeerLink link, PeerFrame frame);
     }
 
-    PeerLink(String address, PeerChannels channels, Executor control, PeerFrames frames, long nowNanos) {
+    PeerLink(String address, PeerChannels channels, Executor control, LinkOwner owner, long nowNanos) {
         this.address = address;
         this.channels = channels;
         this.control = control;
-        this.frames = frames;
+        this.owner = owner;
         dial(nowNanos);
     }
 
@@ -74,7 +74,7 @@
 
     private void receive(ManagedChannel from, PeerFrame frame) {
         if (from == channel) {
-            frames.received(this, frame);
+            owner.received(this, frame);
         }
     }
 
@@ -99,10 +99,7 @@
 
     void sendHeartbeat(long nowNanos) {
         long sequence = echoes.sending(nowNanos);
-        PeerFrame frame = PeerFrame.newBuilder()
-                .setHeartbeat(frames.heartbeat(sequence, 0))
-                .build();
-        SessionStreams.send(stream, frame);
+        SessionStreams.send(stream, PeerFrames.frame(owner.heartbeat(nowNanos).setSequence(sequence)));
     }
 
     void sendConfig(ConfigDocument document) {
--- a/node/src/main/java/org/teaselhook/node/peer/Peers.java
+++ b/node/src/main/java/org/teaselhook/node/peer/Peers.java
@@ -10,7 +10,6 @@
 import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.function.LongSupplier;
-import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
 import io.grpc.stub.StreamObserver;
@@ -18,7 +17,6 @@
 import org.teaselhook.net.log.LogLine;
 import org.teaselhook.node.session.EntryIdentity;
 import org.teaselhook.node.session.SessionStreams;
-import org.teaselhook.wire.ConfigDocument;
 import org.teaselhook.wire.EntryServiceGrpc;
 import org.teaselhook.wire.PeerFrame;
 import org.teaselhook.wire.PeerHeartbeat;
@@ -33,7 +31,7 @@
     private final Executor control;
     private final LongSupplier clock;
     private final PeerEvents events;
-    private final Supplier<ConfigDocument> config;
+    private final PeerKnowledge knowledge;
     private final Map<String, PeerLink> links = new HashMap<>();
     private final KnownRuns runs = new KnownRuns();
     private boolean leaving;
@@ -46,7 +44,7 @@
      * @param control runs on the control thread
      * @param clock the entry's monotonic clock, in nanoseconds
      * @param events told of what peers say
-     * @param config the configuration in force, version 0 while there is none
+     * @param knowledge what peers are told of the configuration
      */
     public Peers(
             EntryIdentity self,
@@ -54,13 +52,13 @@
             Executor control,
             LongSupplier clock,
             PeerEvents events,
-            Supplier<ConfigDocument> config) {
+            PeerKnowledge knowledge) {
         this.self = Objects.requireNonNull(self, "self is null");
         this.channels = Objects.requireNonNull(channels, "channels is null");
         this.control = Objects.requireNonNull(control, "control is null");
         this.clock = Objects.requireNonNull(clock, "clock is null");
         this.events = Objects.requireNonNull(events, "events is null");
-        this.config = Objects.requireNonNull(config, "config is null");
+        this.knowledge = Objects.requireNonNull(knowledge, "knowledge is null");
     }
 
     // -- links
@@ -76,7 +74,7 @@
             return;
         }
         LogLine.of("peer-dialed").with("address", address).info();
-        links.put(address, new PeerLink(address, channels, control, new LinkFrames(), nowNanos));
+        links.put(address, new PeerLink(address, channels, control, new Links(), nowNanos));
     }
 
     /**
@@ -110,7 +108,7 @@
 
     /** Sends the configuration in force to every peer. */
     public void pushConfig() {
-        links.values().forEach(link -> link.sendConfig(config.get()));
+        links.values().forEach(link -> link.sendConfig(knowledge.document()));
     }
 
     /**
@@ -149,41 +147,34 @@
     public void received(long nowNanos, StreamObserver<PeerFrame> stream, PeerFrame frame) {
         if (frame.hasConfig()) {
             events.configReceived(frame.getConfig());
+            SessionStreams.send(stream, PeerFrames.frame(heartbeat(nowNanos)));
         }
         if (!frame.hasHeartbeat()) {
             return;
         }
         PeerHeartbeat heartbeat = frame.getHeartbeat();
         add(nowNanos, heartbeat.getAddress());
-        SessionStreams.send(
-                stream,
-                PeerFrame.newBuilder()
-                        .setHeartbeat(heartbeat(0, heartbeat.getSequence()))
-                        .build());
-        if (heartbeat.getConfigVersion() < config.get().getVersion()) {
+        PeerHeartbeat.Builder answer = heartbeat(nowNanos).setEchoSequence(heartbeat.getSequence());
+        if (heartbeat.getLacksEntries()) {
+            knowledge.listedEntries().forEach(entry -> answer.addKnownEntries(PeerFrames.known(entry)));
+        }
+        SessionStreams.send(stream, PeerFrames.frame(answer));
+        if (heartbeat.getConfigVersion() < knowledge.document().getVersion()) {
             SessionStreams.send(
-                    stream, PeerFrame.newBuilder().setConfig(config.get()).build());
+                    stream,
+                    PeerFrame.newBuilder().setConfig(knowledge.document()).build());
         }
     }
 
-    private PeerHeartbeat heartbeat(long sequence, long echoSequence) {
-        return PeerHeartbeat.newBuilder()
-                .setName(self.name())
-                .setIncarnation(self.incarnation().value())
-                .setZone(self.zone())
-                .setAddress(self.address())
-                .setConfigVersion(config.get().getVersion())
-                .setLeaving(leaving)
-                .setSequence(sequence)
-                .setEchoSequence(echoSequence)
-                .build();
+    private PeerHeartbeat.Builder heartbeat(long nowNanos) {
+        return PeerFrames.heartbeat(self, knowledge, leaving, nowNanos);
     }
 
-    private final class LinkFrames implements PeerLink.PeerFrames {
+    private final class Links implements PeerLink.LinkOwner {
 
         @Override
-        public PeerHeartbeat heartbeat(long sequence, long echoSequence) {
-            return Peers.this.heartbeat(sequence, echoSequence);
+        public PeerHeartbeat.Builder heartbeat(long nowNanos) {
+            return Peers.this.heartbeat(nowNanos);
         }
 
         @Override
@@ -198,17 +189,10 @@
     }
 
     private void heartbeatReceived(PeerLink link, PeerHeartbeat heartbeat) {
-        PeerInfo info = new PeerInfo(
-                heartbeat.getName(),
-                Incarnation.of(heartbeat.getIncarnation()),
-                heartbeat.getZone(),
-                heartbeat.getAddress(),
-                heartbeat.getConfigVersion(),
-                heartbeat.getLeaving());
-        long asOf = link.heard(info, heartbeat.getEchoSequence());
-        events.peerSpoke(info, asOf);
-        if (heartbeat.getConfigVersion() < config.get().getVersion()) {
-            link.sendConfig(config.get());
+        long asOfNanos = link.heard(PeerFrames.info(heartbeat), heartbeat.getEchoSequence());
+        events.peerSpoke(PeerFrames.word(heartbeat), PeerFrames.known(heartbeat), asOfNanos, clock.getAsLong());
+        if (heartbeat.getConfigVersion() < knowledge.document().getVersion()) {
+            link.sendConfig(knowledge.document());
         }
     }
 
--- a/node/src/test/java/org/teaselhook/node/config/ConfigRaceTest.java
+++ b/node/src/test/java/org/teaselhook/node/config/ConfigRaceTest.java
@@ -180,7 +180,7 @@
                 assertTrue(last.isOlderThan(rules.version()), "the version fell from " + last);
                 last = rules.version();
             });
-            poller = ConfigPoller.of(table, holder, Freshness.startedAt(0), Runnable::run, random);
+            poller = ConfigPoller.of(table, holder, Freshness.startedAt("observer", 0), Runnable::run, random);
         }
 
         void tick(long nowNanos) {
--- a/wire/src/main/java/org/teaselhook/wire/AgentFrame.java
+++ b/wire/src/main/java/org/teaselhook/wire/AgentFrame.java
@@ -60,6 +60,7 @@
     RESULT(4),
     REFUSAL(5),
     RECLAIM(6),
+    CONFIG(7),
     FRAME_NOT_SET(0);
     private final int value;
     private FrameCase(int value) {
@@ -83,6 +84,7 @@
         case 4: return RESULT;
         case 5: return REFUSAL;
         case 6: return RECLAIM;
+        case 7: return CONFIG;
         case 0: return FRAME_NOT_SET;
         default: return null;
       }
@@ -284,6 +286,49 @@
     return org.teaselhook.wire.GrantReclaim.getDefaultInstance();
   }
 
+  public static final int CONFIG_FIELD_NUMBER = 7;
+  /**
+   * <pre>
+   * The configuration held, sent when the entry asks for it.
+   * </pre>
+   *
+   * <code>.teaselhook.v1.ConfigDocument config = 7;</code>
+   * @return Whether the config field is set.
+   */
+  @java.lang.Override
+  public boolean hasConfig() {
+    return frameCase_ == 7;
+  }
+  /**
+   * <pre>
+   * The configuration held, sent when the entry asks for it.
+   * </pre>
+   *
+   * <code>.teaselhook.v1.ConfigDocument config = 7;</code>
+   * @return The config.
+   */
+  @java.lang.Override
+  public org.teaselhook.wire.ConfigDocument getConfig() {
+    if (frameCase_ == 7) {
+       return (org.teaselhook.wire.ConfigDocument) frame_;
+    }
+    return org.teaselhook.wire.ConfigDocument.getDefaultInstance();
+  }
+  /**
+   * <pre>
+   * The configuration held, sent when the entry asks for it.
+   * </pre>
+   *
+   * <code>.teaselhook.v1.ConfigDocument config = 7;</code>
+   */
+  @java.lang.Override
+  public org.teaselhook.wire.ConfigDocumentOrBuilder getConfigOrBuilder() {
+    if (frameCase_ == 7) {
+       return (org.teaselhook.wire.ConfigDocument) frame_;
+    }
+    return org.teaselhook.wire.ConfigDocument.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -316,6 +361,9 @@
     if (frameCase_ == 6) {
       output.writeMessage(6, (org.teaselhook.wire.GrantReclaim) frame_);
     }
+    if (frameCase_ == 7) {
+      output.writeMessage(7, (org.teaselhook.wire.ConfigDocument) frame_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -344,6 +392,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(6, (org.teaselhook.wire.GrantReclaim) frame_);
     }
+    if (frameCase_ == 7) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(7, (org.teaselhook.wire.ConfigDocument) frame_);
+    }
     return size;
   }
   @java.lang.Override
@@ -394,6 +446,10 @@
         if (!getReclaim()
             .equals(other.getReclaim())) return false;
         break;
+      case 7:
+        if (!getConfig()
+            .equals(other.getConfig())) return false;
+        break;
       case 0:
       default:
     }
@@ -433,6 +489,10 @@
         hash = (37 * hash) + RECLAIM_FIELD_NUMBER;
         hash = (53 * hash) + getReclaim().hashCode();
         break;
+      case 7:
+        hash = (37 * hash) + CONFIG_FIELD_NUMBER;
+        hash = (53 * hash) + getConfig().hashCode();
+        break;
       case 0:
       default:
     }
@@ -585,6 +645,9 @@
       if (reclaimBuilder_ != null) {
         reclaimBuilder_.clear();
       }
+      if (configBuilder_ != null) {
+        configBuilder_.clear();
+      }
       frameCase_ = 0;
       frame_ = null;
       return this;
@@ -650,6 +713,10 @@
           reclaimBuilder_ != null) {
         result.frame_ = reclaimBuilder_.build();
       }
+      if (frameCase_ == 7 &&
+          configBuilder_ != null) {
+        result.frame_ = configBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -689,6 +756,10 @@
           mergeReclaim(other.getReclaim());
           break;
         }
+        case CONFIG: {
+          mergeConfig(other.getConfig());
+          break;
+        }
         case FRAME_NOT_SET: {
           break;
         }
@@ -759,6 +830,13 @@
               frameCase_ = 6;
               break;
             } // case 50
+            case 58: {
+              input.readMessage(
+                  internalGetConfigFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              frameCase_ = 7;
+              break;
+            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1631,6 +1709,182 @@
       return reclaimBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.teaselhook.wire.ConfigDocument, org.teaselhook.wire.ConfigDocument.Builder, org.teaselhook.wire.ConfigDocumentOrBuilder> configBuilder_;
+    /**
+     * <pre>
+     * The configuration held, sent when the entry asks for it.
+     * </pre>
+     *
+     * <code>.teaselhook.v1.ConfigDocument config = 7;</code>
+     * @return Whether the config field is set.
+     */
+    @java.lang.Override
+    public boolean hasConfig() {
+      return frameCase_ == 7;
+    }
+    /**
+     * <pre>
+     * The configuration held, sent when the entry asks for it.
+     * </pre>
+     *
+     * <code>.teaselhook.v1.ConfigDocument config = 7;</code>
+     * @return The config.
+     */
+    @java.lang.Override
+    public org.teaselhook.wire.ConfigDocument getConfig() {
+      if (configBuilder_ == null) {
+        if (frameCase_ == 7) {
+          return (org.teaselhook.wire.ConfigDocument) frame_;
+        }
+        return org.teaselhook.wire.ConfigDocument.getDefaultInstance();
+      } else {
+        if (frameCase_ == 7) {
+          return configBuilder_.getMessage();
+        }
+        return org.teaselhook.wire.ConfigDocument.getDefaultInstance();
+      }
+    }
+    /**
+     * <pre>
+     * The configuration held, sent when the entry asks for it.
+     * </pre>
+     *
+     * <code>.teaselhook.v1.ConfigDocument config = 7;</code>
+     */
+    public Builder setConfig(org.teaselhook.wire.ConfigDocument value) {
+      if (configBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        frame_ = value;
+        onChanged();
+      } else {
+        configBuilder_.setMessage(value);
+      }
+      frameCase_ = 7;
+      return this;
+    }
+    /**
+     * <pre>
+     * The configuration held, sent when the entry asks for it.
+     * </pre>
+     *
+     * <code>.teaselhook.v1.ConfigDocument config = 7;</code>
+     */
+    public Builder setConfig(
+        org.teaselhook.wire.ConfigDocument.Builder builderForValue) {
+      if (configBuilder_ == null) {
+        frame_ = builderForValue.build();
+        onChanged();
+      } else {
+        configBuilder_.setMessage(builderForValue.build());
+      }
+      frameCase_ = 7;
+      return this;
+    }
+    /**
+     * <pre>
+     * The configuration held, sent when the entry asks for it.
+     * </pre>
+     *
+     * <code>.teaselhook.v1.ConfigDocument config = 7;</code>
+     */
+    public Builder mergeConfig(org.teaselhook.wire.ConfigDocument value) {
+      if (configBuilder_ == null) {
+        if (frameCase_ == 7 &&
+            frame_ != org.teaselhook.wire.ConfigDocument.getDefaultInstance()) {
+          frame_ = org.teaselhook.wire.ConfigDocument.newBuilder((org.teaselhook.wire.ConfigDocument) frame_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          frame_ = value;
+        }
+        onChanged();
+      } else {
+        if (frameCase_ == 7) {
+          configBuilder_.mergeFrom(value);
+        } else {
+          configBuilder_.setMessage(value);
+        }
+      }
+      frameCase_ = 7;
+      return this;
+    }
+    /**
+     * <pre>
+     * The configuration held, sent when the entry asks for it.
+     * </pre>
+     *
+     * <code>.teaselhook.v1.ConfigDocument config = 7;</code>
+     */
+    public Builder clearConfig() {
+      if (configBuilder_ == null) {
+        if (frameCase_ == 7) {
+          frameCase_ = 0;
+          frame_ = null;
+          onChanged();
+        }
+      } else {
+        if (frameCase_ == 7) {
+          frameCase_ = 0;
+          frame_ = null;
+        }
+        configBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The configuration held, sent when the entry asks for it.
+     * </pre>
+     *
+     * <code>.teaselhook.v1.ConfigDocument config = 7;</code>
+     */
+    public org.teaselhook.wire.ConfigDocument.Builder getConfigBuilder() {
+      return internalGetConfigFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * The configuration held, sent when the entry asks for it.
+     * </pre>
+     *
+     * <code>.teaselhook.v1.ConfigDocument config = 7;</code>
+     */
+    @java.lang.Override
+    public org.teaselhook.wire.ConfigDocumentOrBuilder getConfigOrBuilder() {
+      if ((frameCase_ == 7) && (configBuilder_ != null)) {
+        return configBuilder_.getMessageOrBuilder();
+      } else {
+        if (frameCase_ == 7) {
+          return (org.teaselhook.wire.ConfigDocument) frame_;
+        }
+        return org.teaselhook.wire.ConfigDocument.getDefaultInstance();
+      }
+    }
+    /**
+     * <pre>
+     * The configuration held, sent when the entry asks for it.
+     * </pre>
+     *
+     * <code>.teaselhook.v1.ConfigDocument config = 7;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.teaselhook.wire.ConfigDocument, org.teaselhook.wire.ConfigDocument.Builder, org.teaselhook.wire.ConfigDocumentOrBuilder> 
+        internalGetConfigFieldBuilder() {
+      if (configBuilder_ == null) {
+        if (!(frameCase_ == 7)) {
+          frame_ = org.teaselhook.wire.ConfigDocument.getDefaultInstance();
+        }
+        configBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.teaselhook.wire.ConfigDocument, org.teaselhook.wire.ConfigDocument.Builder, org.teaselhook.wire.ConfigDocumentOrBuilder>(
+                (org.teaselhook.wire.ConfigDocument) frame_,
+                getParentForChildren(),
+                isClean());
+        frame_ = null;
+      }
+      frameCase_ = 7;
+      onChanged();
+      return configBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:teaselhook.v1.AgentFrame)
   }
 
--- a/wire/src/main/java/org/teaselhook/wire/AgentFrameOrBuilder.java
+++ b/wire/src/main/java/org/teaselhook/wire/AgentFrameOrBuilder.java
@@ -100,5 +100,32 @@
    */
   org.teaselhook.wire.GrantReclaimOrBuilder getReclaimOrBuilder();
 
+  /**
+   * <pre>
+   * The configuration held, sent when the entry asks for it.
+   * </pre>
+   *
+   * <code>.teaselhook.v1.ConfigDocument config = 7;</code>
+   * @return Whether the config field is set.
+   */
+  boolean hasConfig();
+  /**
+   * <pre>
+   * The configuration held, sent when the entry asks for it.
+   * </pre>
+   *
+   * <code>.teaselhook.v1.ConfigDocument config = 7;</code>
+   * @return The config.
+   */
+  org.teaselhook.wire.ConfigDocument getConfig();
+  /**
+   * <pre>
+   * The configuration held, sent when the entry asks for it.
+   * </pre>
+   *
+   * <code>.teaselhook.v1.ConfigDocument config = 7;</code>
+   */
+  org.teaselhook.wire.ConfigDocumentOrBuilder getConfigOrBuilder();
+
   org.teaselhook.wire.AgentFrame.FrameCase getFrameCase();
 }
--- a/wire/src/main/java/org/teaselhook/wire/EntryFrame.java
+++ b/wire/src/main/java/org/teaselhook/wire/EntryFrame.java
@@ -61,6 +61,7 @@
     CANCEL(5),
     ACK(6),
     GRANT_RETURN(7),
+    CONFIG_REQUEST(8),
     FRAME_NOT_SET(0);
     private final int value;
     private FrameCase(int value) {
@@ -85,6 +86,7 @@
         case 5: return CANCEL;
         case 6: return ACK;
         case 7: return GRANT_RETURN;
+        case 8: return CONFIG_REQUEST;
         case 0: return FRAME_NOT_SET;
         default: return null;
       }
@@ -317,6 +319,37 @@
     return org.teaselhook.wire.GrantReturn.getDefaultInstance();
   }
 
+  public static final int CONFIG_REQUEST_FIELD_NUMBER = 8;
+  /**
+   * <code>.teaselhook.v1.ConfigRequest config_request = 8;</code>
+   * @return Whether the configRequest field is set.
+   */
+  @java.lang.Override
+  public boolean hasConfigRequest() {
+    return frameCase_ == 8;
+  }
+  /**
+   * <code>.teaselhook.v1.ConfigRequest config_request = 8;</code>
+   * @return The configRequest.
+   */
+  @java.lang.Override
+  public org.teaselhook.wire.ConfigRequest getConfigRequest() {
+    if (frameCase_ == 8) {
+       return (org.teaselhook.wire.ConfigRequest) frame_;
+    }
+    return org.teaselhook.wire.ConfigRequest.getDefaultInstance();
+  }
+  /**
+   * <code>.teaselhook.v1.ConfigRequest config_request = 8;</code>
+   */
+  @java.lang.Override
+  public org.teaselhook.wire.ConfigRequestOrBuilder getConfigRequestOrBuilder() {
+    if (frameCase_ == 8) {
+       return (org.teaselhook.wire.ConfigRequest) frame_;
+    }
+    return org.teaselhook.wire.ConfigRequest.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -352,6 +385,9 @@
     if (frameCase_ == 7) {
       output.writeMessage(7, (org.teaselhook.wire.GrantReturn) frame_);
     }
+    if (frameCase_ == 8) {
+      output.writeMessage(8, (org.teaselhook.wire.ConfigRequest) frame_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -384,6 +420,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(7, (org.teaselhook.wire.GrantReturn) frame_);
     }
+    if (frameCase_ == 8) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(8, (org.teaselhook.wire.ConfigRequest) frame_);
+    }
     return size;
   }
   @java.lang.Override
@@ -438,6 +478,10 @@
         if (!getGrantReturn()
             .equals(other.getGrantReturn())) return false;
         break;
+      case 8:
+        if (!getConfigRequest()
+            .equals(other.getConfigRequest())) return false;
+        break;
       case 0:
       default:
     }
@@ -481,6 +525,10 @@
         hash = (37 * hash) + GRANT_RETURN_FIELD_NUMBER;
         hash = (53 * hash) + getGrantReturn().hashCode();
         break;
+      case 8:
+        hash = (37 * hash) + CONFIG_REQUEST_FIELD_NUMBER;
+        hash = (53 * hash) + getConfigRequest().hashCode();
+        break;
       case 0:
       default:
     }
@@ -636,6 +684,9 @@
       if (grantReturnBuilder_ != null) {
         grantReturnBuilder_.clear();
       }
+      if (configRequestBuilder_ != null) {
+        configRequestBuilder_.clear();
+      }
       frameCase_ = 0;
       frame_ = null;
       return this;
@@ -705,6 +756,10 @@
           grantReturnBuilder_ != null) {
         result.frame_ = grantReturnBuilder_.build();
       }
+      if (frameCase_ == 8 &&
+          configRequestBuilder_ != null) {
+        result.frame_ = configRequestBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -748,6 +803,10 @@
           mergeGrantReturn(other.getGrantReturn());
           break;
         }
+        case CONFIG_REQUEST: {
+          mergeConfigRequest(other.getConfigRequest());
+          break;
+        }
         case FRAME_NOT_SET: {
           break;
         }
@@ -825,6 +884,13 @@
               frameCase_ = 7;
               break;
             } // case 58
+            case 66: {
+              input.readMessage(
+                  internalGetConfigRequestFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              frameCase_ = 8;
+              break;
+            } // case 66
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1837,6 +1903,146 @@
       return grantReturnBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.teaselhook.wire.ConfigRequest, org.teaselhook.wire.ConfigRequest.Builder, org.teaselhook.wire.ConfigRequestOrBuilder> configRequestBuilder_;
+    /**
+     * <code>.teaselhook.v1.ConfigRequest config_request = 8;</code>
+     * @return Whether the configRequest field is set.
+     */
+    @java.lang.Override
+    public boolean hasConfigRequest() {
+      return frameCase_ == 8;
+    }
+    /**
+     * <code>.teaselhook.v1.ConfigRequest config_request = 8;</code>
+     * @return The configRequest.
+     */
+    @java.lang.Override
+    public org.teaselhook.wire.ConfigRequest getConfigRequest() {
+      if (configRequestBuilder_ == null) {
+        if (frameCase_ == 8) {
+          return (org.teaselhook.wire.ConfigRequest) frame_;
+        }
+        return org.teaselhook.wire.ConfigRequest.getDefaultInstance();
+      } else {
+        if (frameCase_ == 8) {
+          return configRequestBuilder_.getMessage();
+        }
+        return org.teaselhook.wire.ConfigRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.teaselhook.v1.ConfigRequest config_request = 8;</code>
+     */
+    public Builder setConfigRequest(org.teaselhook.wire.ConfigRequest value) {
+      if (configRequestBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        frame_ = value;
+        onChanged();
+      } else {
+        configRequestBuilder_.setMessage(value);
+      }
+      frameCase_ = 8;
+      return this;
+    }
+    /**
+     * <code>.teaselhook.v1.ConfigRequest config_request = 8;</code>
+     */
+    public Builder setConfigRequest(
+        org.teaselhook.wire.ConfigRequest.Builder builderForValue) {
+      if (configRequestBuilder_ == null) {
+        frame_ = builderForValue.build();
+        onChanged();
+      } else {
+        configRequestBuilder_.setMessage(builderForValue.build());
+      }
+      frameCase_ = 8;
+      return this;
+    }
+    /**
+     * <code>.teaselhook.v1.ConfigRequest config_request = 8;</code>
+     */
+    public Builder mergeConfigRequest(org.teaselhook.wire.ConfigRequest value) {
+      if (configRequestBuilder_ == null) {
+        if (frameCase_ == 8 &&
+            frame_ != org.teaselhook.wire.ConfigRequest.getDefaultInstance()) {
+          frame_ = org.teaselhook.wire.ConfigRequest.newBuilder((org.teaselhook.wire.ConfigRequest) frame_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          frame_ = value;
+        }
+        onChanged();
+      } else {
+        if (frameCase_ == 8) {
+          configRequestBuilder_.mergeFrom(value);
+        } else {
+          configRequestBuilder_.setMessage(value);
+        }
+      }
+      frameCase_ = 8;
+      return this;
+    }
+    /**
+     * <code>.teaselhook.v1.ConfigRequest config_request = 8;</code>
+     */
+    public Builder clearConfigRequest() {
+      if (configRequestBuilder_ == null) {
+        if (frameCase_ == 8) {
+          frameCase_ = 0;
+          frame_ = null;
+          onChanged();
+        }
+      } else {
+        if (frameCase_ == 8) {
+          frameCase_ = 0;
+          frame_ = null;
+        }
+        configRequestBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.teaselhook.v1.ConfigRequest config_request = 8;</code>
+     */
+    public org.teaselhook.wire.ConfigRequest.Builder getConfigRequestBuilder() {
+      return internalGetConfigRequestFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.teaselhook.v1.ConfigRequest config_request = 8;</code>
+     */
+    @java.lang.Override
+    public org.teaselhook.wire.ConfigRequestOrBuilder getConfigRequestOrBuilder() {
+      if ((frameCase_ == 8) && (configRequestBuilder_ != null)) {
+        return configRequestBuilder_.getMessageOrBuilder();
+      } else {
+        if (frameCase_ == 8) {
+          return (org.teaselhook.wire.ConfigRequest) frame_;
+        }
+        return org.teaselhook.wire.ConfigRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.teaselhook.v1.ConfigRequest config_request = 8;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.teaselhook.wire.ConfigRequest, org.teaselhook.wire.ConfigRequest.Builder, org.teaselhook.wire.ConfigRequestOrBuilder> 
+        internalGetConfigRequestFieldBuilder() {
+      if (configRequestBuilder_ == null) {
+        if (!(frameCase_ == 8)) {
+          frame_ = org.teaselhook.wire.ConfigRequest.getDefaultInstance();
+        }
+        configRequestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.teaselhook.wire.ConfigRequest, org.teaselhook.wire.ConfigRequest.Builder, org.teaselhook.wire.ConfigRequestOrBuilder>(
+                (org.teaselhook.wire.ConfigRequest) frame_,
+                getParentForChildren(),
+                isClean());
+        frame_ = null;
+      }
+      frameCase_ = 8;
+      onChanged();
+      return configRequestBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:teaselhook.v1.EntryFrame)
   }
 
--- a/wire/src/main/java/org/teaselhook/wire/EntryFrameOrBuilder.java
+++ b/wire/src/main/java/org/teaselhook/wire/EntryFrameOrBuilder.java
@@ -115,5 +115,20 @@
    */
   org.teaselhook.wire.GrantReturnOrBuilder getGrantReturnOrBuilder();
 
+  /**
+   * <code>.teaselhook.v1.ConfigRequest config_request = 8;</code>
+   * @return Whether the configRequest field is set.
+   */
+  boolean hasConfigRequest();
+  /**
+   * <code>.teaselhook.v1.ConfigRequest config_request = 8;</code>
+   * @return The configRequest.
+   */
+  org.teaselhook.wire.ConfigRequest getConfigRequest();
+  /**
+   * <code>.teaselhook.v1.ConfigRequest config_request = 8;</code>
+   */
+  org.teaselhook.wire.ConfigRequestOrBuilder getConfigRequestOrBuilder();
+
   org.teaselhook.wire.EntryFrame.FrameCase getFrameCase();
 }
--- a/wire/src/main/java/org/teaselhook/wire/EntryServiceGrpc.java
+++ b/wire/src/main/java/org/teaselhook/wire/EntryServiceGrpc.java
@@ -105,6 +105,37 @@
     return getForwardMethod;
   }
 
+  private static volatile io.grpc.MethodDescriptor<org.teaselhook.wire.AgentsRequest,
+      org.teaselhook.wire.AgentsReply> getAgentsMethod;
+
+  @io.grpc.stub.annotations.RpcMethod(
+      fullMethodName = SERVICE_NAME + '/' + "Agents",
+      requestType = org.teaselhook.wire.AgentsRequest.class,
+      responseType = org.teaselhook.wire.AgentsReply.class,
+      methodType = io.grpc.MethodDescriptor.MethodType.UNARY)
+  public static io.grpc.MethodDescriptor<org.teaselhook.wire.AgentsRequest,
+      org.teaselhook.wire.AgentsReply> getAgentsMethod() {
+    io.grpc.MethodDescriptor<org.teaselhook.wire.AgentsRequest, org.teaselhook.wire.AgentsReply> getAgentsMethod;
+    if ((getAgentsMethod = EntryServiceGrpc.getAgentsMethod) == null) {
+      synchronized (EntryServiceGrpc.class) {
+        if ((getAgentsMethod = EntryServiceGrpc.getAgentsMethod) == null) {
+          EntryServiceGrpc.getAgentsMethod = getAgentsMethod =
+              io.grpc.MethodDescriptor.<org.teaselhook.wire.AgentsRequest, org.teaselhook.wire.AgentsReply>newBuilder()
+              .setType(io.grpc.MethodDescriptor.MethodType.UNARY)
+              .setFullMethodName(generateFullMethodName(SERVICE_NAME, "Agents"))
+              .setSampledToLocalTracing(true)
+              .setRequestMarshaller(io.grpc.protobuf.ProtoUtils.marshaller(
+                  org.teaselhook.wire.AgentsRequest.getDefaultInstance()))
+              .setResponseMarshaller(io.grpc.protobuf.ProtoUtils.marshaller(
+                  org.teaselhook.wire.AgentsReply.getDefaultInstance()))
+              .setSchemaDescriptor(new EntryServiceMethodDescriptorSupplier("Agents"))
+              .build();
+        }
+      }
+    }
+    return getAgentsMethod;
+  }
+
   /**
    * Creates a new async stub that supports all call types for the service
    */
@@ -197,6 +228,16 @@
         io.grpc.stub.StreamObserver<org.teaselhook.wire.ForwardReply> responseObserver) {
       io.grpc.stub.ServerCalls.asyncUnimplementedUnaryCall(getForwardMethod(), responseObserver);
     }
+
+    /**
+     * <pre>
+     * The agents connected to an entry, for operators who ask another one.
+     * </pre>
+     */
+    default void agents(org.teaselhook.wire.AgentsRequest request,
+        io.grpc.stub.StreamObserver<org.teaselhook.wire.AgentsReply> responseObserver) {
+      io.grpc.stub.ServerCalls.asyncUnimplementedUnaryCall(getAgentsMethod(), responseObserver);
+    }
   }
 
   /**
@@ -258,6 +299,17 @@
       io.grpc.stub.ClientCalls.asyncUnaryCall(
           getChannel().newCall(getForwardMethod(), getCallOptions()), request, responseObserver);
     }
+
+    /**
+     * <pre>
+     * The agents connected to an entry, for operators who ask another one.
+     * </pre>
+     */
+    public void agents(org.teaselhook.wire.AgentsRequest request,
+        io.grpc.stub.StreamObserver<org.teaselhook.wire.AgentsReply> responseObserver) {
+      io.grpc.stub.ClientCalls.asyncUnaryCall(
+          getChannel().newCall(getAgentsMethod(), getCallOptions()), request, responseObserver);
+    }
   }
 
   /**
@@ -309,6 +361,16 @@
       return io.grpc.stub.ClientCalls.blockingV2UnaryCall(
           getChannel(), getForwardMethod(), getCallOptions(), request);
     }
+
+    /**
+     * <pre>
+     * The agents connected to an entry, for operators who ask another one.
+     * </pre>
+     */
+    public org.teaselhook.wire.AgentsReply agents(org.teaselhook.wire.AgentsRequest request) throws io.grpc.StatusException {
+      return io.grpc.stub.ClientCalls.blockingV2UnaryCall(
+          getChannel(), getAgentsMethod(), getCallOptions(), request);
+    }
   }
 
   /**
@@ -336,6 +398,16 @@
       return io.grpc.stub.ClientCalls.blockingUnaryCall(
           getChannel(), getForwardMethod(), getCallOptions(), request);
     }
+
+    /**
+     * <pre>
+     * The agents connected to an entry, for operators who ask another one.
+     * </pre>
+     */
+    public org.teaselhook.wire.AgentsReply agents(org.teaselhook.wire.AgentsRequest request) {
+      return io.grpc.stub.ClientCalls.blockingUnaryCall(
+          getChannel(), getAgentsMethod(), getCallOptions(), request);
+    }
   }
 
   /**
@@ -364,11 +436,23 @@
       return io.grpc.stub.ClientCalls.futureUnaryCall(
           getChannel().newCall(getForwardMethod(), getCallOptions()), request);
     }
+
+    /**
+     * <pre>
+     * The agents connected to an entry, for operators who ask another one.
+     * </pre>
+     */
+    public com.google.common.util.concurrent.ListenableFuture<org.teaselhook.wire.AgentsReply> agents(
+        org.teaselhook.wire.AgentsRequest request) {
+      return io.grpc.stub.ClientCalls.futureUnaryCall(
+          getChannel().newCall(getAgentsMethod(), getCallOptions()), request);
+    }
   }
 
   private static final int METHODID_FORWARD = 0;
-  private static final int METHODID_SESSION = 1;
-  private static final int METHODID_PEER = 2;
+  private static final int METHODID_AGENTS = 1;
+  private static final int METHODID_SESSION = 2;
+  private static final int METHODID_PEER = 3;
 
   private static final class MethodHandlers<Req, Resp> implements
       io.grpc.stub.ServerCalls.UnaryMethod<Req, Resp>,
@@ -391,6 +475,10 @@
           serviceImpl.forward((org.teaselhook.wire.ForwardRequest) request,
               (io.grpc.stub.StreamObserver<org.teaselhook.wire.ForwardReply>) responseObserver);
           break;
+        case METHODID_AGENTS:
+          serviceImpl.agents((org.teaselhook.wire.AgentsRequest) request,
+              (io.grpc.stub.StreamObserver<org.teaselhook.wire.AgentsReply>) responseObserver);
+          break;
         default:
           throw new AssertionError();
       }
@@ -436,6 +524,13 @@
               org.teaselhook.wire.ForwardRequest,
               org.teaselhook.wire.ForwardReply>(
                 service, METHODID_FORWARD)))
+        .addMethod(
+          getAgentsMethod(),
+          io.grpc.stub.ServerCalls.asyncUnaryCall(
+            new MethodHandlers<
+              org.teaselhook.wire.AgentsRequest,
+              org.teaselhook.wire.AgentsReply>(
+                service, METHODID_AGENTS)))
         .build();
   }
 
@@ -487,6 +582,7 @@
               .addMethod(getSessionMethod())
               .addMethod(getPeerMethod())
               .addMethod(getForwardMethod())
+              .addMethod(getAgentsMethod())
               .build();
         }
       }
--- a/wire/src/main/java/org/teaselhook/wire/PeerHeartbeat.java
+++ b/wire/src/main/java/org/teaselhook/wire/PeerHeartbeat.java
@@ -31,6 +31,7 @@
     name_ = "";
     zone_ = "";
     address_ = "";
+    knownEntries_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -242,6 +243,89 @@
     return tableReachable_;
   }
 
+  public static final int CONFIRMED_FIELD_NUMBER = 10;
+  private boolean confirmed_ = false;
+  /**
+   * <pre>
+   * True if no version newer than config_version had been accepted at an instant of the last seconds that the sender
+   * knows of; confirmed_age_nanos is how long that instant lies back.
+   * </pre>
+   *
+   * <code>bool confirmed = 10;</code>
+   * @return The confirmed.
+   */
+  @java.lang.Override
+  public boolean getConfirmed() {
+    return confirmed_;
+  }
+
+  public static final int CONFIRMED_AGE_NANOS_FIELD_NUMBER = 11;
+  private long confirmedAgeNanos_ = 0L;
+  /**
+   * <code>uint64 confirmed_age_nanos = 11;</code>
+   * @return The confirmedAgeNanos.
+   */
+  @java.lang.Override
+  public long getConfirmedAgeNanos() {
+    return confirmedAgeNanos_;
+  }
+
+  public static final int LACKS_ENTRIES_FIELD_NUMBER = 12;
+  private boolean lacksEntries_ = false;
+  /**
+   * <pre>
+   * True while the sender does not know which entries there are; the other side then fills known_entries.
+   * </pre>
+   *
+   * <code>bool lacks_entries = 12;</code>
+   * @return The lacksEntries.
+   */
+  @java.lang.Override
+  public boolean getLacksEntries() {
+    return lacksEntries_;
+  }
+
+  public static final int KNOWN_ENTRIES_FIELD_NUMBER = 13;
+  @SuppressWarnings("serial")
+  private java.util.List<org.teaselhook.wire.KnownEntry> knownEntries_;
+  /**
+   * <code>repeated .teaselhook.v1.KnownEntry known_entries = 13;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.teaselhook.wire.KnownEntry> getKnownEntriesList() {
+    return knownEntries_;
+  }
+  /**
+   * <code>repeated .teaselhook.v1.KnownEntry known_entries = 13;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.teaselhook.wire.KnownEntryOrBuilder> 
+      getKnownEntriesOrBuilderList() {
+    return knownEntries_;
+  }
+  /**
+   * <code>repeated .teaselhook.v1.KnownEntry known_entries = 13;</code>
+   */
+  @java.lang.Override
+  public int getKnownEntriesCount() {
+    return knownEntries_.size();
+  }
+  /**
+   * <code>repeated .teaselhook.v1.KnownEntry known_entries = 13;</code>
+   */
+  @java.lang.Override
+  public org.teaselhook.wire.KnownEntry getKnownEntries(int index) {
+    return knownEntries_.get(index);
+  }
+  /**
+   * <code>repeated .teaselhook.v1.KnownEntry known_entries = 13;</code>
+   */
+  @java.lang.Override
+  public org.teaselhook.wire.KnownEntryOrBuilder getKnownEntriesOrBuilder(
+      int index) {
+    return knownEntries_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -283,6 +367,18 @@
     if (tableReachable_ != false) {
       output.writeBool(9, tableReachable_);
     }
+    if (confirmed_ != false) {
+      output.writeBool(10, confirmed_);
+    }
+    if (confirmedAgeNanos_ != 0L) {
+      output.writeUInt64(11, confirmedAgeNanos_);
+    }
+    if (lacksEntries_ != false) {
+      output.writeBool(12, lacksEntries_);
+    }
+    for (int i = 0; i < knownEntries_.size(); i++) {
+      output.writeMessage(13, knownEntries_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -320,6 +416,27 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(9, tableReachable_);
     }
+    if (confirmed_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(10, confirmed_);
+    }
+    if (confirmedAgeNanos_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(11, confirmedAgeNanos_);
+    }
+    if (lacksEntries_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(12, lacksEntries_);
+    }
+
+        {
+          final int count = knownEntries_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(knownEntries_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -362,6 +479,14 @@
         != other.getEchoSequence()) return false;
     if (getTableReachable()
         != other.getTableReachable()) return false;
+    if (getConfirmed()
+        != other.getConfirmed()) return false;
+    if (getConfirmedAgeNanos()
+        != other.getConfirmedAgeNanos()) return false;
+    if (getLacksEntries()
+        != other.getLacksEntries()) return false;
+    if (!getKnownEntriesList()
+        .equals(other.getKnownEntriesList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -397,6 +522,19 @@
     hash = (37 * hash) + TABLE_REACHABLE_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getTableReachable());
+    hash = (37 * hash) + CONFIRMED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getConfirmed());
+    hash = (37 * hash) + CONFIRMED_AGE_NANOS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getConfirmedAgeNanos());
+    hash = (37 * hash) + LACKS_ENTRIES_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getLacksEntries());
+    if (getKnownEntriesCount() > 0) {
+      hash = (37 * hash) + KNOWN_ENTRIES_FIELD_NUMBER;
+      hash = (53 * hash) + getKnownEntriesList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -537,6 +675,16 @@
       sequence_ = 0L;
       echoSequence_ = 0L;
       tableReachable_ = false;
+      confirmed_ = false;
+      confirmedAgeNanos_ = 0L;
+      lacksEntries_ = false;
+      if (knownEntriesBuilder_ == null) {
+        knownEntries_ = java.util.Collections.emptyList();
+      } else {
+        knownEntries_ = null;
+        knownEntriesBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00001000);
       return this;
     }
 
@@ -563,11 +711,24 @@
     @java.lang.Override
     public org.teaselhook.wire.PeerHeartbeat buildPartial() {
       org.teaselhook.wire.PeerHeartbeat result = new org.teaselhook.wire.PeerHeartbeat(this);
+      buildPartialRepeatedFields(result);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
+    private void buildPartialRepeatedFields(org.teaselhook.wire.PeerHeartbeat result) {
+      if (knownEntriesBuilder_ == null) {
+        if (((bitField0_ & 0x00001000) != 0)) {
+          knownEntries_ = java.util.Collections.unmodifiableList(knownEntries_);
+          bitField0_ = (bitField0_ & ~0x00001000);
+        }
+        result.knownEntries_ = knownEntries_;
+      } else {
+        result.knownEntries_ = knownEntriesBuilder_.build();
+      }
+    }
+
     private void buildPartial0(org.teaselhook.wire.PeerHeartbeat result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
@@ -597,6 +758,15 @@
       if (((from_bitField0_ & 0x00000100) != 0)) {
         result.tableReachable_ = tableReachable_;
       }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.confirmed_ = confirmed_;
+      }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.confirmedAgeNanos_ = confirmedAgeNanos_;
+      }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.lacksEntries_ = lacksEntries_;
+      }
     }
 
     @java.lang.Override
@@ -644,6 +814,41 @@
       if (other.getTableReachable() != false) {
         setTableReachable(other.getTableReachable());
       }
+      if (other.getConfirmed() != false) {
+        setConfirmed(other.getConfirmed());
+      }
+      if (other.getConfirmedAgeNanos() != 0L) {
+        setConfirmedAgeNanos(other.getConfirmedAgeNanos());
+      }
+      if (other.getLacksEntries() != false) {
+        setLacksEntries(other.getLacksEntries());
+      }
+      if (knownEntriesBuilder_ == null) {
+        if (!other.knownEntries_.isEmpty()) {
+          if (knownEntries_.isEmpty()) {
+            knownEntries_ = other.knownEntries_;
+            bitField0_ = (bitField0_ & ~0x00001000);
+          } else {
+            ensureKnownEntriesIsMutable();
+            knownEntries_.addAll(other.knownEntries_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.knownEntries_.isEmpty()) {
+          if (knownEntriesBuilder_.isEmpty()) {
+            knownEntriesBuilder_.dispose();
+            knownEntriesBuilder_ = null;
+            knownEntries_ = other.knownEntries_;
+            bitField0_ = (bitField0_ & ~0x00001000);
+            knownEntriesBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetKnownEntriesFieldBuilder() : null;
+          } else {
+            knownEntriesBuilder_.addAllMessages(other.knownEntries_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -713,6 +918,34 @@
               bitField0_ |= 0x00000100;
               break;
             } // case 72
+            case 80: {
+              confirmed_ = input.readBool();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 80
+            case 88: {
+              confirmedAgeNanos_ = input.readUInt64();
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 88
+            case 96: {
+              lacksEntries_ = input.readBool();
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 96
+            case 106: {
+              org.teaselhook.wire.KnownEntry m =
+                  input.readMessage(
+                      org.teaselhook.wire.KnownEntry.parser(),
+                      extensionRegistry);
+              if (knownEntriesBuilder_ == null) {
+                ensureKnownEntriesIsMutable();
+                knownEntries_.add(m);
+              } else {
+                knownEntriesBuilder_.addMessage(m);
+              }
+              break;
+            } // case 106
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1162,6 +1395,363 @@
       return this;
     }
 
+    private boolean confirmed_ ;
+    /**
+     * <pre>
+     * True if no version newer than config_version had been accepted at an instant of the last seconds that the sender
+     * knows of; confirmed_age_nanos is how long that instant lies back.
+     * </pre>
+     *
+     * <code>bool confirmed = 10;</code>
+     * @return The confirmed.
+     */
+    @java.lang.Override
+    public boolean getConfirmed() {
+      return confirmed_;
+    }
+    /**
+     * <pre>
+     * True if no version newer than config_version had been accepted at an instant of the last seconds that the sender
+     * knows of; confirmed_age_nanos is how long that instant lies back.
+     * </pre>
+     *
+     * <code>bool confirmed = 10;</code>
+     * @param value The confirmed to set.
+     * @return This builder for chaining.
+     */
+    public Builder setConfirmed(boolean value) {
+
+      confirmed_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * True if no version newer than config_version had been accepted at an instant of the last seconds that the sender
+     * knows of; confirmed_age_nanos is how long that instant lies back.
+     * </pre>
+     *
+     * <code>bool confirmed = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearConfirmed() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      confirmed_ = false;
+      onChanged();
+      return this;
+    }
+
+    private long confirmedAgeNanos_ ;
+    /**
+     * <code>uint64 confirmed_age_nanos = 11;</code>
+     * @return The confirmedAgeNanos.
+     */
+    @java.lang.Override
+    public long getConfirmedAgeNanos() {
+      return confirmedAgeNanos_;
+    }
+    /**
+     * <code>uint64 confirmed_age_nanos = 11;</code>
+     * @param value The confirmedAgeNanos to set.
+     * @return This builder for chaining.
+     */
+    public Builder setConfirmedAgeNanos(long value) {
+
+      confirmedAgeNanos_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>uint64 confirmed_age_nanos = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearConfirmedAgeNanos() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      confirmedAgeNanos_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private boolean lacksEntries_ ;
+    /**
+     * <pre>
+     * True while the sender does not know which entries there are; the other side then fills known_entries.
+     * </pre>
+     *
+     * <code>bool lacks_entries = 12;</code>
+     * @return The lacksEntries.
+     */
+    @java.lang.Override
+    public boolean getLacksEntries() {
+      return lacksEntries_;
+    }
+    /**
+     * <pre>
+     * True while the sender does not know which entries there are; the other side then fills known_entries.
+     * </pre>
+     *
+     * <code>bool lacks_entries = 12;</code>
+     * @param value The lacksEntries to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLacksEntries(boolean value) {
+
+      lacksEntries_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * True while the sender does not know which entries there are; the other side then fills known_entries.
+     * </pre>
+     *
+     * <code>bool lacks_entries = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLacksEntries() {
+      bitField0_ = (bitField0_ & ~0x00000800);
+      lacksEntries_ = false;
+      onChanged();
+      return this;
+    }
+
+    private java.util.List<org.teaselhook.wire.KnownEntry> knownEntries_ =
+      java.util.Collections.emptyList();
+    private void ensureKnownEntriesIsMutable() {
+      if (!((bitField0_ & 0x00001000) != 0)) {
+        knownEntries_ = new java.util.ArrayList<org.teaselhook.wire.KnownEntry>(knownEntries_);
+        bitField0_ |= 0x00001000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.teaselhook.wire.KnownEntry, org.teaselhook.wire.KnownEntry.Builder, org.teaselhook.wire.KnownEntryOrBuilder> knownEntriesBuilder_;
+
+    /**
+     * <code>repeated .teaselhook.v1.KnownEntry known_entries = 13;</code>
+     */
+    public java.util.List<org.teaselhook.wire.KnownEntry> getKnownEntriesList() {
+      if (knownEntriesBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(knownEntries_);
+      } else {
+        return knownEntriesBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .teaselhook.v1.KnownEntry known_entries = 13;</code>
+     */
+    public int getKnownEntriesCount() {
+      if (knownEntriesBuilder_ == null) {
+        return knownEntries_.size();
+      } else {
+        return knownEntriesBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .teaselhook.v1.KnownEntry known_entries = 13;</code>
+     */
+    public org.teaselhook.wire.KnownEntry getKnownEntries(int index) {
+      if (knownEntriesBuilder_ == null) {
+        return knownEntries_.get(index);
+      } else {
+        return knownEntriesBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .teaselhook.v1.KnownEntry known_entries = 13;</code>
+     */
+    public Builder setKnownEntries(
+        int index, org.teaselhook.wire.KnownEntry value) {
+      if (knownEntriesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureKnownEntriesIsMutable();
+        knownEntries_.set(index, value);
+        onChanged();
+      } else {
+        knownEntriesBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .teaselhook.v1.KnownEntry known_entries = 13;</code>
+     */
+    public Builder setKnownEntries(
+        int index, org.teaselhook.wire.KnownEntry.Builder builderForValue) {
+      if (knownEntriesBuilder_ == null) {
+        ensureKnownEntriesIsMutable();
+        knownEntries_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        knownEntriesBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .teaselhook.v1.KnownEntry known_entries = 13;</code>
+     */
+    public Builder addKnownEntries(org.teaselhook.wire.KnownEntry value) {
+      if (knownEntriesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureKnownEntriesIsMutable();
+        knownEntries_.add(value);
+        onChanged();
+      } else {
+        knownEntriesBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .teaselhook.v1.KnownEntry known_entries = 13;</code>
+     */
+    public Builder addKnownEntries(
+        int index, org.teaselhook.wire.KnownEntry value) {
+      if (knownEntriesBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureKnownEntriesIsMutable();
+        knownEntries_.add(index, value);
+        onChanged();
+      } else {
+        knownEntriesBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .teaselhook.v1.KnownEntry known_entries = 13;</code>
+     */
+    public Builder addKnownEntries(
+        org.teaselhook.wire.KnownEntry.Builder builderForValue) {
+      if (knownEntriesBuilder_ == null) {
+        ensureKnownEntriesIsMutable();
+        knownEntries_.add(builderForValue.build());
+        onChanged();
+      } else {
+        knownEntriesBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .teaselhook.v1.KnownEntry known_entries = 13;</code>
+     */
+    public Builder addKnownEntries(
+        int index, org.teaselhook.wire.KnownEntry.Builder builderForValue) {
+      if (knownEntriesBuilder_ == null) {
+        ensureKnownEntriesIsMutable();
+        knownEntries_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        knownEntriesBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .teaselhook.v1.KnownEntry known_entries = 13;</code>
+     */
+    public Builder addAllKnownEntries(
+        java.lang.Iterable<? extends org.teaselhook.wire.KnownEntry> values) {
+      if (knownEntriesBuilder_ == null) {
+        ensureKnownEntriesIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, knownEntries_);
+        onChanged();
+      } else {
+        knownEntriesBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .teaselhook.v1.KnownEntry known_entries = 13;</code>
+     */
+    public Builder clearKnownEntries() {
+      if (knownEntriesBuilder_ == null) {
+        knownEntries_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00001000);
+        onChanged();
+      } else {
+        knownEntriesBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .teaselhook.v1.KnownEntry known_entries = 13;</code>
+     */
+    public Builder removeKnownEntries(int index) {
+      if (knownEntriesBuilder_ == null) {
+        ensureKnownEntriesIsMutable();
+        knownEntries_.remove(index);
+        onChanged();
+      } else {
+        knownEntriesBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .teaselhook.v1.KnownEntry known_entries = 13;</code>
+     */
+    public org.teaselhook.wire.KnownEntry.Builder getKnownEntriesBuilder(
+        int index) {
+      return internalGetKnownEntriesFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .teaselhook.v1.KnownEntry known_entries = 13;</code>
+     */
+    public org.teaselhook.wire.KnownEntryOrBuilder getKnownEntriesOrBuilder(
+        int index) {
+      if (knownEntriesBuilder_ == null) {
+        return knownEntries_.get(index);  } else {
+        return knownEntriesBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .teaselhook.v1.KnownEntry known_entries = 13;</code>
+     */
+    public java.util.List<? extends org.teaselhook.wire.KnownEntryOrBuilder> 
+         getKnownEntriesOrBuilderList() {
+      if (knownEntriesBuilder_ != null) {
+        return knownEntriesBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(knownEntries_);
+      }
+    }
+    /**
+     * <code>repeated .teaselhook.v1.KnownEntry known_entries = 13;</code>
+     */
+    public org.teaselhook.wire.KnownEntry.Builder addKnownEntriesBuilder() {
+      return internalGetKnownEntriesFieldBuilder().addBuilder(
+          org.teaselhook.wire.KnownEntry.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .teaselhook.v1.KnownEntry known_entries = 13;</code>
+     */
+    public org.teaselhook.wire.KnownEntry.Builder addKnownEntriesBuilder(
+        int index) {
+      return internalGetKnownEntriesFieldBuilder().addBuilder(
+          index, org.teaselhook.wire.KnownEntry.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .teaselhook.v1.KnownEntry known_entries = 13;</code>
+     */
+    public java.util.List<org.teaselhook.wire.KnownEntry.Builder> 
+         getKnownEntriesBuilderList() {
+      return internalGetKnownEntriesFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.teaselhook.wire.KnownEntry, org.teaselhook.wire.KnownEntry.Builder, org.teaselhook.wire.KnownEntryOrBuilder> 
+        internalGetKnownEntriesFieldBuilder() {
+      if (knownEntriesBuilder_ == null) {
+        knownEntriesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.teaselhook.wire.KnownEntry, org.teaselhook.wire.KnownEntry.Builder, org.teaselhook.wire.KnownEntryOrBuilder>(
+                knownEntries_,
+                ((bitField0_ & 0x00001000) != 0),
+                getParentForChildren(),
+                isClean());
+        knownEntries_ = null;
+      }
+      return knownEntriesBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:teaselhook.v1.PeerHeartbeat)
   }
 
--- a/wire/src/main/java/org/teaselhook/wire/PeerHeartbeatOrBuilder.java
+++ b/wire/src/main/java/org/teaselhook/wire/PeerHeartbeatOrBuilder.java
@@ -89,4 +89,55 @@
    * @return The tableReachable.
    */
   boolean getTableReachable();
+
+  /**
+   * <pre>
+   * True if no version newer than config_version had been accepted at an instant of the last seconds that the sender
+   * knows of; confirmed_age_nanos is how long that instant lies back.
+   * </pre>
+   *
+   * <code>bool confirmed = 10;</code>
+   * @return The confirmed.
+   */
+  boolean getConfirmed();
+
+  /**
+   * <code>uint64 confirmed_age_nanos = 11;</code>
+   * @return The confirmedAgeNanos.
+   */
+  long getConfirmedAgeNanos();
+
+  /**
+   * <pre>
+   * True while the sender does not know which entries there are; the other side then fills known_entries.
+   * </pre>
+   *
+   * <code>bool lacks_entries = 12;</code>
+   * @return The lacksEntries.
+   */
+  boolean getLacksEntries();
+
+  /**
+   * <code>repeated .teaselhook.v1.KnownEntry known_entries = 13;</code>
+   */
+  java.util.List<org.teaselhook.wire.KnownEntry> 
+      getKnownEntriesList();
+  /**
+   * <code>repeated .teaselhook.v1.KnownEntry known_entries = 13;</code>
+   */
+  org.teaselhook.wire.KnownEntry getKnownEntries(int index);
+  /**
+   * <code>repeated .teaselhook.v1.KnownEntry known_entries = 13;</code>
+   */
+  int getKnownEntriesCount();
+  /**
+   * <code>repeated .teaselhook.v1.KnownEntry known_entries = 13;</code>
+   */
+  java.util.List<? extends org.teaselhook.wire.KnownEntryOrBuilder> 
+      getKnownEntriesOrBuilderList();
+  /**
+   * <code>repeated .teaselhook.v1.KnownEntry known_entries = 13;</code>
+   */
+  org.teaselhook.wire.KnownEntryOrBuilder getKnownEntriesOrBuilder(
+      int index);
 }
--- a/wire/src/main/java/org/teaselhook/wire/Teaselhook.java
+++ b/wire/src/main/java/org/teaselhook/wire/Teaselhook.java
@@ -81,6 +81,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_teaselhook_v1_EntryHeartbeat_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_teaselhook_v1_ConfigRequest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_teaselhook_v1_ConfigRequest_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_teaselhook_v1_ConfigDocument_descriptor;
   static final 
@@ -116,6 +121,26 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_teaselhook_v1_PeerHeartbeat_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_teaselhook_v1_KnownEntry_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_teaselhook_v1_KnownEntry_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_teaselhook_v1_AgentsRequest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_teaselhook_v1_AgentsRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_teaselhook_v1_AgentsReply_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_teaselhook_v1_AgentsReply_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_teaselhook_v1_ConnectedAgent_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_teaselhook_v1_ConnectedAgent_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_teaselhook_v1_TaskSpec_descriptor;
   static final 
@@ -145,7 +170,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\020teaselhook.proto\022\rteaselhook.v1\"\250\002\n\nAg" +
+      "\n\020teaselhook.proto\022\rteaselhook.v1\"\331\002\n\nAg" +
       "entFrame\022*\n\005hello\030\001 \001(\0132\031.teaselhook.v1." +
       "AgentHelloH\000\0222\n\theartbeat\030\002 \001(\0132\035.teasel" +
       "hook.v1.AgentHeartbeatH\000\022%\n\005grant\030\003 \001(\0132" +
@@ -153,92 +178,106 @@
       "\031.teaselhook.v1.TaskResultH\000\022-\n\007refusal\030" +
       "\005 \001(\0132\032.teaselhook.v1.TaskRefusalH\000\022.\n\007r" +
       "eclaim\030\006 \001(\0132\033.teaselhook.v1.GrantReclai" +
-      "mH\000B\007\n\005frame\"\234\001\n\nAgentHello\022\014\n\004name\030\001 \001(" +
-      "\t\022\023\n\013incarnation\030\002 \001(\006\022\014\n\004zone\030\003 \001(\t\022\014\n\004" +
-      "rack\030\004 \001(\t\022\r\n\005slots\030\005 \001(\r\022\022\n\nconnection\030" +
-      "\006 \001(\004\022,\n\005state\030\007 \001(\0132\035.teaselhook.v1.Age" +
-      "ntHeartbeat\"\217\001\n\016AgentHeartbeat\022\023\n\013agent_" +
-      "nanos\030\001 \001(\006\022\026\n\016config_version\030\002 \001(\004\022+\n\007t" +
-      "argets\030\003 \003(\0132\032.teaselhook.v1.TargetOffer" +
-      "\022\017\n\007leaving\030\004 \001(\010\022\022\n\nfree_slots\030\005 \001(\r\"?\n" +
-      "\013TargetOffer\022\016\n\006target\030\001 \001(\t\022\017\n\007service\030" +
-      "\002 \001(\t\022\017\n\007leaving\030\003 \001(\010\"\026\n\005Grant\022\r\n\005slots" +
-      "\030\001 \001(\r\"\035\n\014GrantReclaim\022\r\n\005slots\030\001 \001(\r\"\274\001" +
-      "\n\nTaskResult\022\020\n\010dispatch\030\001 \001(\004\022)\n\006status" +
-      "\030\002 \001(\0162\031.teaselhook.v1.TaskStatus\022\023\n\013htt" +
-      "p_status\030\003 \001(\r\022\024\n\014content_type\030\004 \001(\t\022\014\n\004" +
-      "body\030\005 \001(\014\022\021\n\trun_nanos\030\006 \001(\004\022\025\n\rgranted" +
-      "_slots\030\007 \001(\r\022\016\n\006target\030\010 \001(\t\"d\n\013TaskRefu" +
-      "sal\022\020\n\010dispatch\030\001 \001(\004\022,\n\006reason\030\002 \001(\0162\034." +
-      "teaselhook.v1.RefusalReason\022\025\n\rgranted_s" +
-      "lots\030\003 \001(\r\"\323\002\n\nEntryFrame\022*\n\005hello\030\001 \001(\013" +
-      "2\031.teaselhook.v1.EntryHelloH\000\0222\n\theartbe" +
-      "at\030\002 \001(\0132\035.teaselhook.v1.EntryHeartbeatH" +
-      "\000\022/\n\006config\030\003 \001(\0132\035.teaselhook.v1.Config" +
-      "DocumentH\000\022+\n\010dispatch\030\004 \001(\0132\027.teaselhoo" +
-      "k.v1.DispatchH\000\022\'\n\006cancel\030\005 \001(\0132\025.teasel" +
-      "hook.v1.CancelH\000\022!\n\003ack\030\006 \001(\0132\022.teaselho" +
-      "ok.v1.AckH\000\0222\n\014grant_return\030\007 \001(\0132\032.teas" +
-      "elhook.v1.GrantReturnH\000B\007\n\005frame\"\200\001\n\nEnt" +
-      "ryHello\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001" +
-      "(\006\022\014\n\004zone\030\003 \001(\t\022\023\n\013in_progress\030\004 \003(\004\022,\n" +
-      "\005state\030\005 \001(\0132\035.teaselhook.v1.EntryHeartb" +
-      "eat\"z\n\016EntryHeartbeat\022\030\n\020echo_agent_nano" +
-      "s\030\001 \001(\006\022\026\n\016config_version\030\002 \001(\004\022\024\n\014wante" +
-      "d_slots\030\003 \001(\r\022\017\n\007entries\030\004 \003(\t\022\017\n\007leavin" +
-      "g\030\005 \001(\010\"B\n\016ConfigDocument\022\017\n\007version\030\001 \001" +
-      "(\004\022\014\n\004text\030\002 \001(\t\022\021\n\toperation\030\003 \001(\t\"\310\002\n\010" +
-      "Dispatch\022\020\n\010dispatch\030\001 \001(\004\022\031\n\021agent_inca" +
-      "rnation\030\002 \001(\006\022\030\n\020echo_agent_nanos\030\003 \001(\006\022" +
-      "\034\n\024start_by_agent_nanos\030\004 \001(\006\022\035\n\025finish_" +
-      "by_agent_nanos\030\005 \001(\006\022\026\n\016config_version\030\006" +
-      " \001(\004\022\017\n\007service\030\007 \001(\t\022\014\n\004kind\030\010 \001(\t\022\020\n\010c" +
-      "ustomer\030\t \001(\t\022\022\n\nsubmission\030\n \001(\t\022\022\n\ntas" +
-      "k_index\030\013 \001(\r\022\024\n\014content_type\030\014 \001(\t\022\014\n\004b" +
-      "ody\030\r \001(\014\022\017\n\007granted\030\016 \001(\010\022\022\n\nidempotent" +
-      "\030\017 \001(\010\"\032\n\006Cancel\022\020\n\010dispatch\030\001 \001(\004\"\027\n\003Ac" +
-      "k\022\020\n\010dispatch\030\001 \003(\004\"\034\n\013GrantReturn\022\r\n\005sl" +
-      "ots\030\001 \001(\r\"x\n\tPeerFrame\0221\n\theartbeat\030\001 \001(" +
-      "\0132\034.teaselhook.v1.PeerHeartbeatH\000\022/\n\006con" +
-      "fig\030\002 \001(\0132\035.teaselhook.v1.ConfigDocument" +
-      "H\000B\007\n\005frame\"\274\001\n\rPeerHeartbeat\022\014\n\004name\030\001 " +
-      "\001(\t\022\023\n\013incarnation\030\002 \001(\006\022\014\n\004zone\030\003 \001(\t\022\017" +
-      "\n\007address\030\004 \001(\t\022\026\n\016config_version\030\005 \001(\004\022" +
-      "\017\n\007leaving\030\006 \001(\010\022\020\n\010sequence\030\007 \001(\004\022\025\n\rec" +
-      "ho_sequence\030\010 \001(\004\022\027\n\017table_reachable\030\t \001" +
-      "(\010\"<\n\010TaskSpec\022\014\n\004kind\030\001 \001(\t\022\024\n\014content_" +
-      "type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\"\350\001\n\016ForwardRequ" +
-      "est\022\026\n\016to_incarnation\030\001 \001(\006\022\013\n\003key\030\002 \001(\t" +
-      "\022\016\n\006ticket\030\003 \001(\t\022\017\n\007service\030\004 \001(\t\022\020\n\010cus" +
-      "tomer\030\005 \001(\t\022\026\n\016timeout_millis\030\006 \001(\004\022\013\n\003j" +
-      "ob\030\007 \001(\010\022&\n\005tasks\030\010 \003(\0132\027.teaselhook.v1." +
-      "TaskSpec\022\021\n\tjoin_only\030\t \001(\010\022\016\n\006cancel\030\n " +
-      "\001(\010\022\016\n\006digest\030\013 \001(\006\"\273\001\n\014ForwardReply\022.\n\007" +
-      "outcome\030\001 \001(\0162\035.teaselhook.v1.ForwardOut" +
-      "come\022*\n\007answers\030\002 \003(\0132\031.teaselhook.v1.Ta" +
-      "skAnswer\022\017\n\007problem\030\003 \001(\t\022\016\n\006detail\030\004 \001(" +
-      "\t\022\032\n\022retry_after_millis\030\005 \001(\004\022\022\n\nsubmiss" +
-      "ion\030\006 \001(\t\"E\n\nTaskAnswer\022\023\n\013http_status\030\001" +
-      " \001(\r\022\024\n\014content_type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014" +
-      "*V\n\nTaskStatus\022\033\n\027TASK_STATUS_UNSPECIFIE" +
-      "D\020\000\022\014\n\010COMPLETE\020\001\022\020\n\014TARGET_ERROR\020\002\022\013\n\007U" +
-      "NKNOWN\020\003*\204\002\n\rRefusalReason\022\036\n\032REFUSAL_RE" +
-      "ASON_UNSPECIFIED\020\000\022\020\n\014NO_FREE_SLOT\020\001\022\020\n\014" +
-      "ALREADY_SEEN\020\002\022\023\n\017START_BY_PASSED\020\003\022\014\n\010Z" +
-      "ONE_OUT\020\004\022\013\n\007LEAVING\020\005\022\r\n\tNO_TARGET\020\006\022\017\n" +
-      "\013STALE_ENTRY\020\007\022\025\n\021WRONG_INCARNATION\020\010\022\021\n" +
-      "\rNEVER_ARRIVED\020\t\022\r\n\tCANCELLED\020\n\022\022\n\016CONNE" +
-      "CT_FAILED\020\013\022\022\n\016CONFIG_UNKNOWN\020\014*v\n\016Forwa" +
-      "rdOutcome\022\037\n\033FORWARD_OUTCOME_UNSPECIFIED" +
-      "\020\000\022\024\n\020FORWARD_COMPLETE\020\001\022\023\n\017FORWARD_NOT_" +
-      "RUN\020\002\022\030\n\024FORWARD_MAY_HAVE_RUN\020\0032\332\001\n\014Entr" +
-      "yService\022C\n\007Session\022\031.teaselhook.v1.Agen" +
-      "tFrame\032\031.teaselhook.v1.EntryFrame(\0010\001\022>\n" +
-      "\004Peer\022\030.teaselhook.v1.PeerFrame\032\030.teasel" +
-      "hook.v1.PeerFrame(\0010\001\022E\n\007Forward\022\035.tease" +
-      "lhook.v1.ForwardRequest\032\033.teaselhook.v1." +
-      "ForwardReplyB\027\n\023org.teaselhook.wireP\001b\006p" +
-      "roto3"
+      "mH\000\022/\n\006config\030\007 \001(\0132\035.teaselhook.v1.Conf" +
+      "igDocumentH\000B\007\n\005frame\"\234\001\n\nAgentHello\022\014\n\004" +
+      "name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\014\n\004zone\030" +
+      "\003 \001(\t\022\014\n\004rack\030\004 \001(\t\022\r\n\005slots\030\005 \001(\r\022\022\n\nco" +
+      "nnection\030\006 \001(\004\022,\n\005state\030\007 \001(\0132\035.teaselho" +
+      "ok.v1.AgentHeartbeat\"\217\001\n\016AgentHeartbeat\022" +
+      "\023\n\013agent_nanos\030\001 \001(\006\022\026\n\016config_version\030\002" +
+      " \001(\004\022+\n\007targets\030\003 \003(\0132\032.teaselhook.v1.Ta" +
+      "rgetOffer\022\017\n\007leaving\030\004 \001(\010\022\022\n\nfree_slots" +
+      "\030\005 \001(\r\"?\n\013TargetOffer\022\016\n\006target\030\001 \001(\t\022\017\n" +
+      "\007service\030\002 \001(\t\022\017\n\007leaving\030\003 \001(\010\"\026\n\005Grant" +
+      "\022\r\n\005slots\030\001 \001(\r\"\035\n\014GrantReclaim\022\r\n\005slots" +
+      "\030\001 \001(\r\"\274\001\n\nTaskResult\022\020\n\010dispatch\030\001 \001(\004\022" +
+      ")\n\006status\030\002 \001(\0162\031.teaselhook.v1.TaskStat" +
+      "us\022\023\n\013http_status\030\003 \001(\r\022\024\n\014content_type\030" +
+      "\004 \001(\t\022\014\n\004body\030\005 \001(\014\022\021\n\trun_nanos\030\006 \001(\004\022\025" +
+      "\n\rgranted_slots\030\007 \001(\r\022\016\n\006target\030\010 \001(\t\"d\n" +
+      "\013TaskRefusal\022\020\n\010dispatch\030\001 \001(\004\022,\n\006reason" +
+      "\030\002 \001(\0162\034.teaselhook.v1.RefusalReason\022\025\n\r" +
+      "granted_slots\030\003 \001(\r\"\213\003\n\nEntryFrame\022*\n\005he" +
+      "llo\030\001 \001(\0132\031.teaselhook.v1.EntryHelloH\000\0222" +
+      "\n\theartbeat\030\002 \001(\0132\035.teaselhook.v1.EntryH" +
+      "eartbeatH\000\022/\n\006config\030\003 \001(\0132\035.teaselhook." +
+      "v1.ConfigDocumentH\000\022+\n\010dispatch\030\004 \001(\0132\027." +
+      "teaselhook.v1.DispatchH\000\022\'\n\006cancel\030\005 \001(\013" +
+      "2\025.teaselhook.v1.CancelH\000\022!\n\003ack\030\006 \001(\0132\022" +
+      ".teaselhook.v1.AckH\000\0222\n\014grant_return\030\007 \001" +
+      "(\0132\032.teaselhook.v1.GrantReturnH\000\0226\n\016conf" +
+      "ig_request\030\010 \001(\0132\034.teaselhook.v1.ConfigR" +
+      "equestH\000B\007\n\005frame\"\200\001\n\nEntryHello\022\014\n\004name" +
+      "\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\014\n\004zone\030\003 \001(" +
+      "\t\022\023\n\013in_progress\030\004 \003(\004\022,\n\005state\030\005 \001(\0132\035." +
+      "teaselhook.v1.EntryHeartbeat\"z\n\016EntryHea" +
+      "rtbeat\022\030\n\020echo_agent_nanos\030\001 \001(\006\022\026\n\016conf" +
+      "ig_version\030\002 \001(\004\022\024\n\014wanted_slots\030\003 \001(\r\022\017" +
+      "\n\007entries\030\004 \003(\t\022\017\n\007leaving\030\005 \001(\010\"\017\n\rConf" +
+      "igRequest\"B\n\016ConfigDocument\022\017\n\007version\030\001" +
+      " \001(\004\022\014\n\004text\030\002 \001(\t\022\021\n\toperation\030\003 \001(\t\"\310\002" +
+      "\n\010Dispatch\022\020\n\010dispatch\030\001 \001(\004\022\031\n\021agent_in" +
+      "carnation\030\002 \001(\006\022\030\n\020echo_agent_nanos\030\003 \001(" +
+      "\006\022\034\n\024start_by_agent_nanos\030\004 \001(\006\022\035\n\025finis" +
+      "h_by_agent_nanos\030\005 \001(\006\022\026\n\016config_version" +
+      "\030\006 \001(\004\022\017\n\007service\030\007 \001(\t\022\014\n\004kind\030\010 \001(\t\022\020\n" +
+      "\010customer\030\t \001(\t\022\022\n\nsubmission\030\n \001(\t\022\022\n\nt" +
+      "ask_index\030\013 \001(\r\022\024\n\014content_type\030\014 \001(\t\022\014\n" +
+      "\004body\030\r \001(\014\022\017\n\007granted\030\016 \001(\010\022\022\n\nidempote" +
+      "nt\030\017 \001(\010\"\032\n\006Cancel\022\020\n\010dispatch\030\001 \001(\004\"\027\n\003" +
+      "Ack\022\020\n\010dispatch\030\001 \003(\004\"\034\n\013GrantReturn\022\r\n\005" +
+      "slots\030\001 \001(\r\"x\n\tPeerFrame\0221\n\theartbeat\030\001 " +
+      "\001(\0132\034.teaselhook.v1.PeerHeartbeatH\000\022/\n\006c" +
+      "onfig\030\002 \001(\0132\035.teaselhook.v1.ConfigDocume" +
+      "ntH\000B\007\n\005frame\"\265\002\n\rPeerHeartbeat\022\014\n\004name\030" +
+      "\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\014\n\004zone\030\003 \001(\t" +
+      "\022\017\n\007address\030\004 \001(\t\022\026\n\016config_version\030\005 \001(" +
+      "\004\022\017\n\007leaving\030\006 \001(\010\022\020\n\010sequence\030\007 \001(\004\022\025\n\r" +
+      "echo_sequence\030\010 \001(\004\022\027\n\017table_reachable\030\t" +
+      " \001(\010\022\021\n\tconfirmed\030\n \001(\010\022\033\n\023confirmed_age" +
+      "_nanos\030\013 \001(\004\022\025\n\rlacks_entries\030\014 \001(\010\0220\n\rk" +
+      "nown_entries\030\r \003(\0132\031.teaselhook.v1.Known" +
+      "Entry\"/\n\nKnownEntry\022\014\n\004name\030\001 \001(\t\022\023\n\013inc" +
+      "arnation\030\002 \001(\006\"\017\n\rAgentsRequest\"<\n\013Agent" +
+      "sReply\022-\n\006agents\030\001 \003(\0132\035.teaselhook.v1.C" +
+      "onnectedAgent\"y\n\016ConnectedAgent\022\014\n\004name\030" +
+      "\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\014\n\004zone\030\003 \001(\t" +
+      "\022\026\n\016config_version\030\004 \001(\004\022\017\n\007leaving\030\005 \001(" +
+      "\010\022\r\n\005slots\030\006 \001(\r\"<\n\010TaskSpec\022\014\n\004kind\030\001 \001" +
+      "(\t\022\024\n\014content_type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\"\350" +
+      "\001\n\016ForwardRequest\022\026\n\016to_incarnation\030\001 \001(" +
+      "\006\022\013\n\003key\030\002 \001(\t\022\016\n\006ticket\030\003 \001(\t\022\017\n\007servic" +
+      "e\030\004 \001(\t\022\020\n\010customer\030\005 \001(\t\022\026\n\016timeout_mil" +
+      "lis\030\006 \001(\004\022\013\n\003job\030\007 \001(\010\022&\n\005tasks\030\010 \003(\0132\027." +
+      "teaselhook.v1.TaskSpec\022\021\n\tjoin_only\030\t \001(" +
+      "\010\022\016\n\006cancel\030\n \001(\010\022\016\n\006digest\030\013 \001(\006\"\273\001\n\014Fo" +
+      "rwardReply\022.\n\007outcome\030\001 \001(\0162\035.teaselhook" +
+      ".v1.ForwardOutcome\022*\n\007answers\030\002 \003(\0132\031.te" +
+      "aselhook.v1.TaskAnswer\022\017\n\007problem\030\003 \001(\t\022" +
+      "\016\n\006detail\030\004 \001(\t\022\032\n\022retry_after_millis\030\005 " +
+      "\001(\004\022\022\n\nsubmission\030\006 \001(\t\"E\n\nTaskAnswer\022\023\n" +
+      "\013http_status\030\001 \001(\r\022\024\n\014content_type\030\002 \001(\t" +
+      "\022\014\n\004body\030\003 \001(\014*V\n\nTaskStatus\022\033\n\027TASK_STA" +
+      "TUS_UNSPECIFIED\020\000\022\014\n\010COMPLETE\020\001\022\020\n\014TARGE" +
+      "T_ERROR\020\002\022\013\n\007UNKNOWN\020\003*\204\002\n\rRefusalReason" +
+      "\022\036\n\032REFUSAL_REASON_UNSPECIFIED\020\000\022\020\n\014NO_F" +
+      "REE_SLOT\020\001\022\020\n\014ALREADY_SEEN\020\002\022\023\n\017START_BY" +
+      "_PASSED\020\003\022\014\n\010ZONE_OUT\020\004\022\013\n\007LEAVING\020\005\022\r\n\t" +
+      "NO_TARGET\020\006\022\017\n\013STALE_ENTRY\020\007\022\025\n\021WRONG_IN" +
+      "CARNATION\020\010\022\021\n\rNEVER_ARRIVED\020\t\022\r\n\tCANCEL" +
+      "LED\020\n\022\022\n\016CONNECT_FAILED\020\013\022\022\n\016CONFIG_UNKN" +
+      "OWN\020\014*v\n\016ForwardOutcome\022\037\n\033FORWARD_OUTCO" +
+      "ME_UNSPECIFIED\020\000\022\024\n\020FORWARD_COMPLETE\020\001\022\023" +
+      "\n\017FORWARD_NOT_RUN\020\002\022\030\n\024FORWARD_MAY_HAVE_" +
+      "RUN\020\0032\236\002\n\014EntryService\022C\n\007Session\022\031.teas" +
+      "elhook.v1.AgentFrame\032\031.teaselhook.v1.Ent" +
+      "ryFrame(\0010\001\022>\n\004Peer\022\030.teaselhook.v1.Peer" +
+      "Frame\032\030.teaselhook.v1.PeerFrame(\0010\001\022E\n\007F" +
+      "orward\022\035.teaselhook.v1.ForwardRequest\032\033." +
+      "teaselhook.v1.ForwardReply\022B\n\006Agents\022\034.t" +
+      "easelhook.v1.AgentsRequest\032\032.teaselhook." +
+      "v1.AgentsReplyB\027\n\023org.teaselhook.wireP\001b" +
+      "\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -249,7 +288,7 @@
     internal_static_teaselhook_v1_AgentFrame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_AgentFrame_descriptor,
-        new java.lang.String[] { "Hello", "Heartbeat", "Grant", "Result", "Refusal", "Reclaim", "Frame", });
+        new java.lang.String[] { "Hello", "Heartbeat", "Grant", "Result", "Refusal", "Reclaim", "Config", "Frame", });
     internal_static_teaselhook_v1_AgentHello_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_teaselhook_v1_AgentHello_fieldAccessorTable = new
@@ -297,7 +336,7 @@
     internal_static_teaselhook_v1_EntryFrame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_EntryFrame_descriptor,
-        new java.lang.String[] { "Hello", "Heartbeat", "Config", "Dispatch", "Cancel", "Ack", "GrantReturn", "Frame", });
+        new java.lang.String[] { "Hello", "Heartbeat", "Config", "Dispatch", "Cancel", "Ack", "GrantReturn", "ConfigRequest", "Frame", });
     internal_static_teaselhook_v1_EntryHello_descriptor =
       getDescriptor().getMessageType(9);
     internal_static_teaselhook_v1_EntryHello_fieldAccessorTable = new
@@ -310,68 +349,98 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_EntryHeartbeat_descriptor,
         new java.lang.String[] { "EchoAgentNanos", "ConfigVersion", "WantedSlots", "Entries", "Leaving", });
-    internal_static_teaselhook_v1_ConfigDocument_descriptor =
+    internal_static_teaselhook_v1_ConfigRequest_descriptor =
       getDescriptor().getMessageType(11);
+    internal_static_teaselhook_v1_ConfigRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_teaselhook_v1_ConfigRequest_descriptor,
+        new java.lang.String[] { });
+    internal_static_teaselhook_v1_ConfigDocument_descriptor =
+      getDescriptor().getMessageType(12);
     internal_static_teaselhook_v1_ConfigDocument_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_ConfigDocument_descriptor,
         new java.lang.String[] { "Version", "Text", "Operation", });
     internal_static_teaselhook_v1_Dispatch_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(13);
     internal_static_teaselhook_v1_Dispatch_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_Dispatch_descriptor,
         new java.lang.String[] { "Dispatch", "AgentIncarnation", "EchoAgentNanos", "StartByAgentNanos", "FinishByAgentNanos", "ConfigVersion", "Service", "Kind", "Customer", "Submission", "TaskIndex", "ContentType", "Body", "Granted", "Idempotent", });
     internal_static_teaselhook_v1_Cancel_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(14);
     internal_static_teaselhook_v1_Cancel_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_Cancel_descriptor,
         new java.lang.String[] { "Dispatch", });
     internal_static_teaselhook_v1_Ack_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(15);
     internal_static_teaselhook_v1_Ack_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_Ack_descriptor,
         new java.lang.String[] { "Dispatch", });
     internal_static_teaselhook_v1_GrantReturn_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(16);
     internal_static_teaselhook_v1_GrantReturn_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_GrantReturn_descriptor,
         new java.lang.String[] { "Slots", });
     internal_static_teaselhook_v1_PeerFrame_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(17);
     internal_static_teaselhook_v1_PeerFrame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_PeerFrame_descriptor,
         new java.lang.String[] { "Heartbeat", "Config", "Frame", });
     internal_static_teaselhook_v1_PeerHeartbeat_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(18);
     internal_static_teaselhook_v1_PeerHeartbeat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_PeerHeartbeat_descriptor,
-        new java.lang.String[] { "Name", "Incarnation", "Zone", "Address", "ConfigVersion", "Leaving", "Sequence", "EchoSequence", "TableReachable", });
+        new java.lang.String[] { "Name", "Incarnation", "Zone", "Address", "ConfigVersion", "Leaving", "Sequence", "EchoSequence", "TableReachable", "Confirmed", "ConfirmedAgeNanos", "LacksEntries", "KnownEntries", });
+    internal_static_teaselhook_v1_KnownEntry_descriptor =
+      getDescriptor().getMessageType(19);
+    internal_static_teaselhook_v1_KnownEntry_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_teaselhook_v1_KnownEntry_descriptor,
+        new java.lang.String[] { "Name", "Incarnation", });
+    internal_static_teaselhook_v1_AgentsRequest_descriptor =
+      getDescriptor().getMessageType(20);
+    internal_static_teaselhook_v1_AgentsRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_teaselhook_v1_AgentsRequest_descriptor,
+        new java.lang.String[] { });
+    internal_static_teaselhook_v1_AgentsReply_descriptor =
+      getDescriptor().getMessageType(21);
+    internal_static_teaselhook_v1_AgentsReply_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_teaselhook_v1_AgentsReply_descriptor,
+        new java.lang.String[] { "Agents", });
+    internal_static_teaselhook_v1_ConnectedAgent_descriptor =
+      getDescriptor().getMessageType(22);
+    internal_static_teaselhook_v1_ConnectedAgent_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_teaselhook_v1_ConnectedAgent_descriptor,
+        new java.lang.String[] { "Name", "Incarnation", "Zone", "ConfigVersion", "Leaving", "Slots", });
     internal_static_teaselhook_v1_TaskSpec_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(23);
     internal_static_teaselhook_v1_TaskSpec_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_TaskSpec_descriptor,
         new java.lang.String[] { "Kind", "ContentType", "Body", });
     internal_static_teaselhook_v1_ForwardRequest_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(24);
     internal_static_teaselhook_v1_ForwardRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_ForwardRequest_descriptor,
         new java.lang.String[] { "ToIncarnation", "Key", "Ticket", "Service", "Customer", "TimeoutMillis", "Job", "Tasks", "JoinOnly", "Cancel", "Digest", });
     internal_static_teaselhook_v1_ForwardReply_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(25);
     internal_static_teaselhook_v1_ForwardReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_ForwardReply_descriptor,
         new java.lang.String[] { "Outcome", "Answers", "Problem", "Detail", "RetryAfterMillis", "Submission", });
     internal_static_teaselhook_v1_TaskAnswer_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(26);
     internal_static_teaselhook_v1_TaskAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_TaskAnswer_descriptor,
