Compute what one central queue would reach in steady70

Cause: nobody knew whether p99 <= 1.5 of ideal can be reached at this mix and load, nor by which order of the queue.

--- a/bench/src/main/java/org/teaselhook/bench/load/LoadCommand.java
+++ b/bench/src/main/java/org/teaselhook/bench/load/LoadCommand.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.concurrent.Callable;
 
+import org.HdrHistogram.Histogram;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -22,6 +23,7 @@
 public final class LoadCommand implements Callable<Integer> {
 
     private static final String DECISIONS = "decisions";
+    private static final String BOUND = "bound";
 
     @Spec
     private CommandSpec spec;
@@ -56,6 +58,10 @@
             DecisionCost.report(seed, out);
             return 0;
         }
+        if (cases.contains(BOUND)) {
+            Arrays.stream(QueueOrder.values()).map(this::bound).forEach(out::println);
+            return 0;
+        }
         Path logs = Files.createTempDirectory("bench");
         out.println("logs=" + logs);
         for (LoadCase load : chosen()) {
@@ -70,6 +76,22 @@
         return 0;
     }
 
+    /** What one central queue over all slots would reach with the arrivals of {@code steady70}. */
+    private String bound(QueueOrder order) {
+        List<PlannedRequest> arrivals = Arrivals.draw(seed, LoadCase.STEADY70, seconds, LoadRun.ALL_SLOTS);
+        Histogram ratios = new IdealQueue(order, LoadRun.ALL_SLOTS).ratios(arrivals);
+        return String.format(
+                Locale.ROOT,
+                "case=bound load=steady70 order=%s seed=%d seconds=%d submissions=%d p50=%.3f p99=%.3f p99.9=%.3f",
+                order.label(),
+                seed,
+                seconds,
+                ratios.getTotalCount(),
+                LoadRecord.ratio(ratios, 50),
+                LoadRecord.ratio(ratios, 99),
+                LoadRecord.ratio(ratios, 99.9));
+    }
+
     private List<LoadCase> chosen() {
         return cases.isEmpty()
                 ? Arrays.asList(LoadCase.values())
--- a/bench/src/main/java/org/teaselhook/bench/load/LoadRecord.java
+++ b/bench/src/main/java/org/teaselhook/bench/load/LoadRecord.java
@@ -13,7 +13,7 @@
     private static final int DIGITS = 3;
 
     private final int seconds;
-    private final Histogram ratios = new ConcurrentHistogram(MOST_RATIO, DIGITS);
+    private final Histogram ratios = emptyRatios();
     private final double[] workDone;
     private final long[] submitted;
     private final long[] failed;
@@ -38,7 +38,7 @@
             return;
         }
         double took = sinceStartMillis - request.atNanos() / 1e6;
-        ratios.recordValue(Math.min(MOST_RATIO, Math.max(0, Math.round(took / ideal * RATIO_SCALE))));
+        add(ratios, took / ideal);
         if (sinceStartMillis < seconds * 1e3) {
             workDone[second(sinceStartMillis)] += request.workMillis();
         }
@@ -71,9 +71,25 @@
     }
 
     String ratio(double percentile) {
-        return String.format(Locale.ROOT, "%.3f", ratios.getValueAtPercentile(percentile) / RATIO_SCALE);
+        return String.format(Locale.ROOT, "%.3f", ratio(ratios, percentile));
     }
 
+    // -- histograms of ratios
+
+    static Histogram emptyRatios() {
+        return new ConcurrentHistogram(MOST_RATIO, DIGITS);
+    }
+
+    static void add(Histogram ratios, double ratio) {
+        ratios.recordValue(Math.min(MOST_RATIO, Math.max(0, Math.round(ratio * RATIO_SCALE))));
+    }
+
+    static double ratio(Histogram ratios, double percentile) {
+        return ratios.getValueAtPercentile(percentile) / RATIO_SCALE;
+    }
+
+    // -- work and failures
+
     /** Work finished in time, per second and slot, in a span of the run. */
     synchronized double goodput(double from, double to, double slots) {
         int first = (int) Math.ceil(from * seconds);
--- a/bench/src/main/java/org/teaselhook/bench/load/LoadRun.java
+++ b/bench/src/main/java/org/teaselhook/bench/load/LoadRun.java
@@ -23,6 +23,9 @@
     private static final int ENTRIES = 3;
     private static final int AGENTS = 11;
     private static final int SLOTS = 8;
+    /** The slots of all workers. */
+    static final int ALL_SLOTS = AGENTS * SLOTS;
+
     private static final int WARM_UP_SECONDS = 10;
     private static final String WARM_UP_SUFFIX = "-warm-up";
     private static final long POLL_MILLIS = 20;
@@ -60,7 +63,7 @@
         EntryCounts before = EntryCounts.read(site);
         starts.reset();
         LoadRecord record = new LoadRecord(seconds);
-        List<PlannedRequest> arrivals = Arrivals.draw(seed, load, seconds, AGENTS * SLOTS);
+        List<PlannedRequest> arrivals = Arrivals.draw(seed, load, seconds, ALL_SLOTS);
         try (LoadCallers callers = new LoadCallers(site, load, record, seconds, seed, "")) {
             callers.start(arrivals);
             for (LoadCase.Fault fault : load.faults()) {
@@ -79,7 +82,7 @@
         LoadCase steady = LoadCase.STEADY70;
         LoadRecord ignored = new LoadRecord(WARM_UP_SECONDS);
         try (LoadCallers callers = new LoadCallers(site, steady, ignored, WARM_UP_SECONDS, seed, WARM_UP_SUFFIX)) {
-            callers.start(Arrivals.draw(seed + 1, steady, WARM_UP_SECONDS, AGENTS * SLOTS));
+            callers.start(Arrivals.draw(seed + 1, steady, WARM_UP_SECONDS, ALL_SLOTS));
             TimeUnit.SECONDS.sleep(WARM_UP_SECONDS);
             awaitAnswers(callers);
         }
