Let callers read the answer to what cannot be read as a request

Cause: LocalSiteTest.shouldNameTheRemedyOfBadRequestAndGoOn failed once with a body of 4 MiB and a byte: "Broken pipe" in place of 413. The server closed the connection right after its reply, with most of the body unread, so the kernel reset it and the caller lost the reply. Reading on showed two more faults: 413 and 400 were written at once, so that they answered an earlier request of the same connection that was still in progress.

Ruled out: the client giving up too early (with a reset there is nothing left for it to read); a larger limit (any limit is exceeded by someone).

A request that is too large or malformed is answered in its place, after those before it.

--- a/net/src/main/java/org/teaselhook/net/http/ServerConnection.java
+++ b/net/src/main/java/org/teaselhook/net/http/ServerConnection.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -30,6 +29,8 @@
     private Optional<OpenCall> current = Optional.empty();
     private volatile ChannelHandlerContext context;
     private boolean closeAfterReply;
+    private Optional<HttpReply> refusal = Optional.empty();
+    private boolean lastReplyWritten;
     private long lastActiveNanos;
 
     ServerConnection(HttpHandler handler, OpenConnections connections, long idleTimeoutMillis) {
@@ -83,7 +84,7 @@
 
     private void closeIfIdle() {
         closeAfterReply = true;
-        if (current.isEmpty()) {
+        if (current.isEmpty() && !lastReplyWritten) {
             context.close();
         }
     }
@@ -108,6 +109,9 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext read, FullHttpRequest request) {
+        if (lastReplyWritten || refusal.isPresent()) {
+            return;
+        }
         lastActiveNanos = System.nanoTime();
         if (request.decoderResult().isFailure()) {
             refuseMalformed(request.decoderResult().cause().getMessage());
@@ -131,12 +135,32 @@
     }
 
     private void refuseMalformed(String reason) {
-        Problem problem = Problem.of(ProblemKind.BAD_REQUEST, "not HTTP/1.1: " + reason);
-        write(ProblemReply.notRun(problem), true);
+        refuse(Problem.of(ProblemKind.BAD_REQUEST, "not HTTP/1.1: " + reason));
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext read, Object event) throws Exception {
+        if (event instanceof Problem) {
+            refuse((Problem) event);
+        } else {
+            super.userEventTriggered(read, event);
+        }
+    }
+
+    /** Answers what cannot be read as a request, after all requests before it, and ends the connection. */
+    private void refuse(Problem problem) {
+        if (refusal.isEmpty()) {
+            refusal = Optional.of(ProblemReply.notRun(problem));
+            handleNext();
+        }
     }
 
     private void handleNext() {
-        if (current.isPresent() || waiting.isEmpty()) {
+        if (current.isPresent() || lastReplyWritten) {
+            return;
+        }
+        if (waiting.isEmpty()) {
+            refusal.ifPresent(reply -> write(reply, true));
             return;
         }
         OpenCall next = waiting.poll();
@@ -156,7 +180,7 @@
     private void finish(HttpReply reply, Throwable failure) {
         current = Optional.empty();
         lastActiveNanos = System.nanoTime();
-        boolean last = (closeAfterReply || connections.isStopping()) && waiting.isEmpty();
+        boolean last = (closeAfterReply || connections.isStopping()) && waiting.isEmpty() && refusal.isEmpty();
         write(failure == null ? reply : failed(failure), last);
         handleNext();
     }
@@ -168,7 +192,8 @@
     private void write(HttpReply reply, boolean close) {
         ChannelFuture written = context.writeAndFlush(NettyMessages.response(reply, close));
         if (close) {
-            written.addListener(ChannelFutureListener.CLOSE);
+            lastReplyWritten = true;
+            written.addListener(LingeringClose.INSTANCE);
         }
     }
 }
--- a/net/src/main/java/org/teaselhook/net/http/WholeRequests.java
+++ b/net/src/main/java/org/teaselhook/net/http/WholeRequests.java
@@ -1,6 +1,5 @@
 package org.teaselhook.net.http;
 
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
@@ -8,7 +7,7 @@
 import org.teaselhook.core.outcome.ProblemKind;
 
 /**
- * Joins the parts of a request and answers 413 to one whose body is too large.
+ * Joins the parts of a request. Drops one whose body is too large and passes the problem on in its place, as an event.
  */
 final class WholeRequests extends HttpObjectAggregator {
 
@@ -21,8 +20,7 @@
 
     @Override
     protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
-        Problem problem = Problem.of(ProblemKind.TOO_LARGE, "the body exceeds " + maxBodyBytes + " bytes");
-        context.writeAndFlush(NettyMessages.response(ProblemReply.notRun(problem), true))
-                .addListener(ChannelFutureListener.CLOSE);
+        context.fireUserEventTriggered(
+                Problem.of(ProblemKind.TOO_LARGE, "the body exceeds " + maxBodyBytes + " bytes"));
     }
 }
