Let no earlier copy start after a refusal

Cause: a refusal "not run" was given after the log showed no claim of the key, but another entry could have received an earlier copy of the same request and claim it afterwards. The same held of refusals after a claim or an admission of a ticket: the holder gave it up, and a copy that was on its way took it up. Ruled out: claiming each refused key (12 min of the ledger's memory for each, and "may have run" once the refusing entry ends); telling all entries of each refused name.

Change: entries count the copies that they received and that are undecided. The holder of a name remembers when it refused, and copies received before that share the refusal; the age of a copy travels with it. A copy whose caller has gone away is not started.

--- a/core/src/main/java/org/teaselhook/core/outcome/ProblemKind.java
+++ b/core/src/main/java/org/teaselhook/core/outcome/ProblemKind.java
@@ -32,6 +32,8 @@
     NEVER_FITS(422, "No known worker can hold the task", "Make the task smaller; the detail names the size.", 0),
     /** The table service cannot be reached, so the key cannot be claimed. */
     CLAIMS_UNAVAILABLE(503, "Keys cannot be claimed now", "Use a ticket, or try again after Retry-After.", 2_000),
+    /** A copy of the request was received and is not decided yet. */
+    UNDECIDED(503, "The request is being admitted", "Ask for the job by its key, or send it again.", 1_000),
     /** This entry has no recent configuration. */
     NOT_READY(503, "The entry is not ready", "Try again after Retry-After; the balancer will choose another.", 1_000),
     /** This entry is stopping. */
--- a/node/src/main/java/org/teaselhook/node/entry/Admissions.java
+++ b/node/src/main/java/org/teaselhook/node/entry/Admissions.java
@@ -38,6 +38,9 @@
     private final Claims claims;
     private final Tickets tickets;
     private final OtherEntries others;
+    private final EarlierWork earlierWork;
+    private final UndecidedCopies undecided;
+    private final RefusedNames refused;
     private final Supplier<Rules> rules;
     private final Supplier<Optional<Problem>> notReady;
     private long nextId = 1;
@@ -50,6 +53,9 @@
             Claims claims,
             Tickets tickets,
             OtherEntries others,
+            EarlierWork earlierWork,
+            UndecidedCopies undecided,
+            RefusedNames refused,
             Supplier<Rules> rules,
             Supplier<Optional<Problem>> notReady) {
         this.self = self;
@@ -59,6 +65,9 @@
         this.claims = claims;
         this.tickets = tickets;
         this.others = others;
+        this.earlierWork = earlierWork;
+        this.undecided = undecided;
+        this.refused = refused;
         this.rules = rules;
         this.notReady = notReady;
     }
@@ -135,14 +144,15 @@
         }
         Optional<Problem> refusal = refusal(arrival);
         if (refusal.isPresent()) {
-            return others.findElsewhere(nowNanos, name, arrival, refusal.get());
+            return earlierWork.findOrRefuse(name, arrival, refusal.get());
         }
-        Optional<Incarnation> home = arrival.forwarded()
+        undecided.add(name);
+        Optional<Incarnation> home = arrival.isPassedOn()
                 ? Optional.empty()
                 : others.home(name.text()).filter(entry -> !entry.equals(self));
         return home.map(entry -> others.forward(nowNanos, entry, name, arrival)
                         .thenComposeAsync(
-                                reply -> reply.map(Admissions::done)
+                                reply -> reply.map(outcome -> decided(name, outcome))
                                         .orElseGet(() -> claim(control.nowNanos(), name, arrival)),
                                 control))
                 .orElseGet(() -> claim(nowNanos, name, arrival));
@@ -154,16 +164,23 @@
                 .thenComposeAsync(result -> claimed(control.nowNanos(), name, arrival, result), control);
     }
 
+    /** A copy that another entry decided. */
+    private CompletionStage<Outcome> decided(SubmissionName name, Outcome outcome) {
+        undecided.remove(name);
+        return done(outcome);
+    }
+
     private CompletionStage<Outcome> claimed(long nowNanos, SubmissionName name, Arrival arrival, ClaimResult result) {
+        if (result instanceof ClaimResult.HeldBy held) {
+            return passOn(nowNanos, name, held.holder(), arrival).thenCompose(outcome -> decided(name, outcome));
+        }
+        undecided.remove(name);
         if (result instanceof ClaimResult.Won) {
             return startOrRefuse(nowNanos, name, arrival, Hold.CLAIM);
         }
         if (result instanceof ClaimResult.Mine) {
             return joinHeld(nowNanos, name, arrival).orElseGet(() -> done(Outcomes.answerNotKept()));
         }
-        if (result instanceof ClaimResult.HeldBy held) {
-            return passOn(nowNanos, name, held.holder(), arrival);
-        }
         if (result instanceof ClaimResult.OtherBody) {
             return done(Outcomes.otherBody());
         }
@@ -171,7 +188,7 @@
             return done(Outcome.notRun(Problem.of(ProblemKind.BAD_REQUEST, invalid.reason())));
         }
         Problem problem = Outcomes.claimsUnavailable(((ClaimResult.Unavailable) result).retryAfter());
-        return others.findElsewhere(nowNanos, name, arrival, problem);
+        return earlierWork.findOrRefuse(name, arrival, problem);
     }
 
     private CompletionStage<Outcome> passOn(long nowNanos, SubmissionName name, Incarnation holder, Arrival arrival) {
@@ -186,15 +203,24 @@
     }
 
     private CompletionStage<Outcome> startOrRefuse(long nowNanos, SubmissionName name, Arrival arrival, Hold hold) {
-        Optional<Problem> refusal = refusal(arrival);
+        if (arrival.isClosed()) {
+            abandon(name, hold);
+            return done(Outcomes.callerGone());
+        }
+        Optional<Problem> refusal = refusal(arrival).or(() -> earlierRefusal(nowNanos, name, arrival, hold));
         if (refusal.isPresent()) {
             logRefused(name, refusal.get());
-            abandon(name, hold);
+            giveUp(nowNanos, name, hold, refusal.get());
             return done(Outcome.notRun(refusal.get()));
         }
         return start(nowNanos, name, arrival, hold);
     }
 
+    /** A copy that was received before the caller was told "not run" shares that refusal. */
+    private Optional<Problem> earlierRefusal(long nowNanos, SubmissionName name, Arrival arrival, Hold hold) {
+        return hold == Hold.NONE ? Optional.empty() : refused.since(name, arrival.receivedNanos(), nowNanos);
+    }
+
     private CompletionStage<Outcome> start(long nowNanos, SubmissionName name, Arrival arrival, Hold hold) {
         String dispatchId = "s" + nextId++;
         RunningSubmission running = registry.add(name, arrival.digest(), dispatchId, hold);
@@ -217,13 +243,23 @@
     void answered(long nowNanos, String dispatchId, Outcome outcome) {
         Optional<RunningSubmission> running = registry.finish(dispatchId, outcome, nowNanos);
         running.ifPresent(finished -> {
-            if (outcome instanceof Outcome.NotRun) {
+            if (outcome instanceof Outcome.NotRun notRun && finished.isAwaited()) {
+                giveUp(nowNanos, finished.name(), finished.hold(), notRun.problem());
+            } else if (outcome instanceof Outcome.NotRun) {
                 abandon(finished.name(), finished.hold());
             }
             finished.outcome().complete(outcome);
         });
     }
 
+    /** Gives back what is held, now that the caller is told that nothing ran. */
+    private void giveUp(long nowNanos, SubmissionName name, Hold hold, Problem problem) {
+        if (hold != Hold.NONE) {
+            refused.add(name, problem, nowNanos);
+        }
+        abandon(name, hold);
+    }
+
     private void abandon(SubmissionName name, Hold hold) {
         switch (hold) {
             case CLAIM -> claims.abandon(name.text());
--- a/node/src/main/java/org/teaselhook/node/entry/CallerHandler.java
+++ b/node/src/main/java/org/teaselhook/node/entry/CallerHandler.java
@@ -88,7 +88,7 @@
             return done(ProblemReply.notRun(malformed.problem()));
         }
         SubmissionRequest request = ((ParseResult.Parsed) parsed).request();
-        Arrival arrival = Arrival.of(request, call.closed(), false);
+        Arrival arrival = Arrival.fromCaller(request, call.closed(), control.nowNanos());
         return onControl(() -> admissions.admit(control.nowNanos(), arrival))
                 .thenApply(named -> OutcomeWriter.write(named.name(), request.job(), named.outcome()));
     }
--- a/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
@@ -120,7 +120,10 @@
         this.sessions = new AgentSessions(
                 self, dispatcher, this::agentSawVersion, configuration::document, this::entryAddresses);
         output.connect(sessions);
-        OtherEntries others = new OtherEntries(self.incarnation(), control, peers, claims, configuration::rules);
+        OtherEntries others =
+                new OtherEntries(self.incarnation(), new GrpcPeerCalls(peers, control), configuration::rules);
+        UndecidedCopies undecided = new UndecidedCopies();
+        RefusedNames refused = new RefusedNames();
         Tickets tickets = Tickets.of(self.incarnation(), new SecureRandom(), TicketLimits.standard());
         this.admissions = new Admissions(
                 self.incarnation(),
@@ -130,12 +133,15 @@
                 claims,
                 tickets,
                 others,
+                new EarlierWork(self.incarnation(), control, claims, others, registry, undecided, refused),
+                undecided,
+                refused,
                 configuration::rules,
                 this::notReady);
         this.poller = ConfigPoller.of(table, configuration.holder(), configuration.freshness(), control, new Random());
         this.members = EntryRegistry.of(table, member(), this::membersChanged, control, new Random());
         this.status = currentStatus();
-        Forwards forwards = new Forwards(self.incarnation(), control, admissions, claims);
+        Forwards forwards = new Forwards(self.incarnation(), control, admissions, claims, undecided);
         this.grpc = EntryGrpcServer.start(
                 loops.group(),
                 settings.grpc(),
--- a/node/src/main/java/org/teaselhook/node/entry/ForwardMessages.java
+++ b/node/src/main/java/org/teaselhook/node/entry/ForwardMessages.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 
 import com.google.protobuf.UnsafeByteOperations;
@@ -30,9 +31,12 @@
 
     // -- requests
 
-    static ForwardRequest admit(Incarnation to, SubmissionName name, Arrival arrival, long timeoutMillis) {
+    static ForwardRequest admit(
+            Incarnation from, Incarnation to, SubmissionName name, Arrival arrival, long timeoutMillis, long nowNanos) {
         SubmissionRequest request = arrival.request();
         return named(to, name, timeoutMillis)
+                .setFromIncarnation(from.value())
+                .setAgeMillis(ageMillis(arrival, nowNanos))
                 .setDigest(arrival.digest())
                 .setService(request.service())
                 .setCustomer(request.customer())
@@ -48,6 +52,17 @@
                 .build();
     }
 
+    /** A question of an entry that is about to refuse a submission. */
+    static ForwardRequest beforeRefusal(
+            Incarnation from, Incarnation to, SubmissionName name, Arrival arrival, long timeoutMillis) {
+        return named(to, name, timeoutMillis)
+                .setJoinOnly(true)
+                .setDigest(arrival.digest())
+                .setFromIncarnation(from.value())
+                .setCopyIsYours(arrival.from().filter(to::equals).isPresent())
+                .build();
+    }
+
     static ForwardRequest cancel(Incarnation to, SubmissionName name, long timeoutMillis) {
         return named(to, name, timeoutMillis).setJoinOnly(true).setCancel(true).build();
     }
@@ -58,6 +73,10 @@
         return name.kind() == SubmissionName.Kind.KEY ? builder.setKey(name.text()) : builder.setTicket(name.text());
     }
 
+    private static long ageMillis(Arrival arrival, long nowNanos) {
+        return TimeUnit.NANOSECONDS.toMillis(nowNanos - arrival.receivedNanos()) + 1;
+    }
+
     private static TaskSpec spec(TaskBody task) {
         return TaskSpec.newBuilder()
                 .setKind(task.kind())
--- a/node/src/main/java/org/teaselhook/node/entry/Forwards.java
+++ b/node/src/main/java/org/teaselhook/node/entry/Forwards.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
 
 import org.teaselhook.core.claim.LookupResult;
 import org.teaselhook.core.id.Incarnation;
@@ -18,16 +19,21 @@
  */
 final class Forwards {
 
+    /** The longest time that a submission is on its way between two entries whose link is not silent. */
+    private static final long TRANSIT_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
     private final Incarnation self;
     private final ControlLoop control;
     private final Admissions admissions;
     private final Claims claims;
+    private final UndecidedCopies undecided;
 
-    Forwards(Incarnation self, ControlLoop control, Admissions admissions, Claims claims) {
+    Forwards(Incarnation self, ControlLoop control, Admissions admissions, Claims claims, UndecidedCopies undecided) {
         this.self = self;
         this.control = control;
         this.admissions = admissions;
         this.claims = claims;
+        this.undecided = undecided;
     }
 
     CompletionStage<ForwardReply> received(long nowNanos, ForwardRequest request, CompletionStage<Void> closed) {
@@ -38,28 +44,47 @@
             return join(nowNanos, request);
         }
         return admissions
-                .admit(nowNanos, Arrival.of(ForwardMessages.request(request), closed, true))
+                .admit(nowNanos, arrival(nowNanos, request, closed))
                 .thenApply(named -> ForwardMessages.reply(named.name(), named.outcome()));
     }
 
+    private static Arrival arrival(long nowNanos, ForwardRequest request, CompletionStage<Void> closed) {
+        long receivedNanos = nowNanos - TRANSIT_NANOS - TimeUnit.MILLISECONDS.toNanos(request.getAgeMillis());
+        Incarnation from = Incarnation.of(request.getFromIncarnation());
+        return Arrival.passedOn(ForwardMessages.request(request), closed, receivedNanos, from);
+    }
+
     private CompletionStage<ForwardReply> join(long nowNanos, ForwardRequest request) {
         SubmissionName name = ForwardMessages.name(request);
         if (request.getCancel()) {
             admissions.cancel(nowNanos, name);
         }
         Optional<CompletionStage<Outcome>> held = admissions.find(nowNanos, name, ForwardMessages.digest(request));
-        return held.orElseGet(() -> notHere(name)).thenApply(outcome -> ForwardMessages.reply(name.text(), outcome));
+        return held.orElseGet(() -> notHeld(name, request))
+                .thenApply(outcome -> ForwardMessages.reply(name.text(), outcome));
     }
 
-    private CompletionStage<Outcome> notHere(SubmissionName name) {
+    /** A copy that may still start counts, but not the one for which the asker itself is about to answer. */
+    private CompletionStage<Outcome> notHeld(SubmissionName name, ForwardRequest request) {
+        if (undecided.count(name) > (request.getCopyIsYours() ? 1 : 0)) {
+            return CompletableFuture.completedFuture(Outcomes.undecided());
+        }
         if (name.kind() != SubmissionName.Kind.KEY) {
-            return CompletableFuture.completedFuture(Outcome.notRun(SubmissionRegistry.unknownJob(name)));
+            return CompletableFuture.completedFuture(unknown(name));
         }
-        return claims.lookup(name.text())
-                .thenApplyAsync(
-                        found -> found instanceof LookupResult.Held held
-                                ? Outcomes.holderLost(held.holder())
-                                : Outcome.notRun(SubmissionRegistry.unknownJob(name)),
-                        control);
+        return claims.lookup(name.text()).thenApplyAsync(found -> afterLookup(name, request, found), control);
+    }
+
+    /** Under a claim of the asker itself only the asker can start, which it finds out by claiming the key again. */
+    private static Outcome afterLookup(SubmissionName name, ForwardRequest request, LookupResult found) {
+        if (!(found instanceof LookupResult.Held held)) {
+            return unknown(name);
+        }
+        boolean heldByAsker = held.holder().value() == request.getFromIncarnation();
+        return heldByAsker ? Outcomes.undecided() : Outcomes.holderLost(held.holder());
+    }
+
+    private static Outcome unknown(SubmissionName name) {
+        return Outcome.notRun(SubmissionRegistry.unknownJob(name));
     }
 }
--- a/node/src/main/java/org/teaselhook/node/entry/Outcomes.java
+++ b/node/src/main/java/org/teaselhook/node/entry/Outcomes.java
@@ -28,6 +28,14 @@
                 ProblemKind.HOLDER_LOST, "the request was taken before by an entry that does not answer: " + holder));
     }
 
+    static Outcome callerGone() {
+        return Outcome.notRun(Problem.of(ProblemKind.CANCELLED, "the caller has gone away"));
+    }
+
+    static Outcome undecided() {
+        return Outcome.mayHaveRun(Problem.of(ProblemKind.UNDECIDED, "a copy of the request was received here"));
+    }
+
     static Outcome timedOut() {
         return Outcome.mayHaveRun(
                 Problem.of(ProblemKind.TIMED_OUT, "the request is still in progress at the end of the caller's time"));
--- a/node/src/main/java/org/teaselhook/node/entry/RunningSubmission.java
+++ b/node/src/main/java/org/teaselhook/node/entry/RunningSubmission.java
@@ -46,6 +46,10 @@
         return outcome;
     }
 
+    boolean isAwaited() {
+        return waiting > 0;
+    }
+
     void join() {
         waiting++;
     }
--- /dev/null
+++ b/node/src/test/java/org/teaselhook/node/entry/TestEntry.java
@@ -0,0 +1,257 @@
+package org.teaselhook.node.entry;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+
+import org.teaselhook.core.claim.LedgerLimits;
+import org.teaselhook.core.claim.TicketLimits;
+import org.teaselhook.core.claim.Tickets;
+import org.teaselhook.core.dispatch.AgentInfo;
+import org.teaselhook.core.dispatch.AgentState;
+import org.teaselhook.core.dispatch.Decision;
+import org.teaselhook.core.dispatch.DispatchOrder;
+import org.teaselhook.core.dispatch.DispatchOutput;
+import org.teaselhook.core.dispatch.Dispatcher;
+import org.teaselhook.core.dispatch.DispatcherSettings;
+import org.teaselhook.core.dispatch.TaskStatus;
+import org.teaselhook.core.id.Incarnation;
+import org.teaselhook.core.outcome.Answer;
+import org.teaselhook.core.outcome.Outcome;
+import org.teaselhook.core.outcome.Problem;
+import org.teaselhook.core.outcome.ProblemKind;
+import org.teaselhook.core.placement.PlacementPolicy;
+import org.teaselhook.core.rules.KindRule;
+import org.teaselhook.core.rules.Rules;
+import org.teaselhook.core.table.TableService;
+import org.teaselhook.node.caller.SubmissionName;
+import org.teaselhook.node.caller.SubmissionRequest;
+import org.teaselhook.node.caller.TaskBody;
+import org.teaselhook.node.claim.ClaimListener;
+import org.teaselhook.node.claim.Claims;
+import org.teaselhook.node.control.ControlLoop;
+import org.teaselhook.wire.ForwardRequest;
+
+import static java.time.Duration.ofMillis;
+
+/** The admission of one entry, with a worker that answers at once and calls to other entries made by the test. */
+final class TestEntry implements DispatchOutput, PeerCalls, AutoCloseable {
+
+    static final Answer ANSWER = Answer.of(200, "text/plain", new byte[] {1});
+
+    private static final Incarnation AGENT = Incarnation.of(99);
+    private static final Rules RULES = Rules.of(
+            List.of(new KindRule("patchdesk", "booking", false, ofMillis(5_000), ofMillis(10))), List.of(), Set.of());
+    private static final LedgerLimits PATIENT = new LedgerLimits(600_000, 256, 2_048, 100_000, 30, 80, 20_000, 500);
+
+    final List<String> starts = new CopyOnWriteArrayList<>();
+    final Tickets tickets;
+    volatile boolean ready = true;
+    volatile boolean holdsCalls;
+    volatile boolean noneLost = true;
+    volatile Delays delays = Delays.NONE;
+
+    private final Incarnation self;
+    private final Map<Incarnation, TestEntry> site;
+    private final ControlLoop control;
+    private final Claims claims;
+    private final Dispatcher dispatcher;
+    private final SubmissionRegistry registry = new SubmissionRegistry(1 << 20, TimeUnit.MINUTES.toNanos(10));
+    private final Admissions admissions;
+    private final Forwards forwards;
+    private final List<HeldCall> heldCalls = new ArrayList<>();
+
+    /** Delays of calls and replies; a negative delay loses a reply. */
+    interface Delays {
+        Delays NONE = () -> 0;
+
+        long nextMillis();
+    }
+
+    private record HeldCall(TestEntry to, ForwardRequest request, CompletableFuture<Optional<Outcome>> result) {}
+
+    TestEntry(long number, Map<Incarnation, TestEntry> site, TableService table, TicketLimits ticketLimits) {
+        this.self = Incarnation.of(number);
+        this.site = site;
+        this.control = ControlLoop.start("entry-" + number, System::nanoTime, Throwable::printStackTrace);
+        this.claims = Claims.start(self, table, PATIENT, ClaimListener.none());
+        this.dispatcher = new Dispatcher(DispatcherSettings.of("zone", PlacementPolicy.GRANTS), this, new Random(1));
+        this.tickets = Tickets.of(self, new Random(number), ticketLimits);
+        OtherEntries others = new OtherEntries(self, this, () -> RULES);
+        UndecidedCopies undecided = new UndecidedCopies();
+        RefusedNames refused = new RefusedNames();
+        EarlierWork earlier = new EarlierWork(self, control, claims, others, registry, undecided, refused);
+        this.admissions = new Admissions(
+                self,
+                control,
+                dispatcher,
+                registry,
+                claims,
+                tickets,
+                others,
+                earlier,
+                undecided,
+                refused,
+                () -> RULES,
+                this::notReady);
+        this.forwards = new Forwards(self, control, admissions, claims, undecided);
+        site.put(self, this);
+        claims.warmUp().toCompletableFuture().join();
+        control.execute(this::begin);
+    }
+
+    private void begin() {
+        dispatcher.rules(control.nowNanos(), RULES, 1);
+        dispatcher.serving(control.nowNanos(), true);
+    }
+
+    private Optional<Problem> notReady() {
+        return ready ? Optional.empty() : Optional.of(Problem.of(ProblemKind.NOT_READY, "for this test"));
+    }
+
+    // -- operations
+
+    Incarnation self() {
+        return self;
+    }
+
+    void connectWorker() {
+        control.execute(() -> {
+            dispatcher.connected(control.nowNanos(), new AgentInfo(AGENT, "worker", "zone", "rack", 64));
+            dispatcher.updated(control.nowNanos(), AGENT, new AgentState(Set.of("patchdesk"), false, 1, 0));
+            dispatcher.granted(control.nowNanos(), AGENT, 64);
+        });
+    }
+
+    CompletableFuture<Outcome> submit(SubmissionName name) {
+        TaskBody body = new TaskBody("booking", "", name.text().getBytes());
+        SubmissionRequest request = new SubmissionRequest(
+                "patchdesk", "customer", List.of(body), Optional.of(name), OptionalLong.empty(), false);
+        Arrival arrival = Arrival.fromCaller(request, new CompletableFuture<>(), control.nowNanos());
+        CompletableFuture<Outcome> outcome = new CompletableFuture<>();
+        control.execute(() ->
+                admissions.admit(control.nowNanos(), arrival).thenAccept(named -> outcome.complete(named.outcome())));
+        return outcome;
+    }
+
+    @Override
+    public void close() {
+        control.close();
+        claims.close();
+    }
+
+    // -- calls to other entries
+
+    /** Lets the calls that were held back reach their entries, or fails them. */
+    void release(boolean reach) {
+        holdsCalls = false;
+        List<HeldCall> calls = drainHeld();
+        calls.forEach(call -> {
+            if (reach) {
+                deliver(call);
+            } else {
+                control.execute(() -> call.result().complete(Optional.empty()));
+            }
+        });
+    }
+
+    private List<HeldCall> drainHeld() {
+        return CompletableFuture.supplyAsync(
+                        () -> {
+                            List<HeldCall> calls = List.copyOf(heldCalls);
+                            heldCalls.clear();
+                            return calls;
+                        },
+                        control)
+                .join();
+    }
+
+    boolean hasHeldCall() {
+        return CompletableFuture.supplyAsync(() -> !heldCalls.isEmpty(), control)
+                .join();
+    }
+
+    @Override
+    public List<Incarnation> live() {
+        return site.keySet().stream().filter(run -> !run.equals(self)).toList();
+    }
+
+    @Override
+    public boolean noneLost() {
+        return noneLost;
+    }
+
+    @Override
+    public CompletionStage<Optional<Outcome>> send(
+            Incarnation to, ForwardRequest request, long timeoutMillis, CompletionStage<Void> closed) {
+        HeldCall call = new HeldCall(site.get(to), request, new CompletableFuture<>());
+        if (holdsCalls) {
+            heldCalls.add(call);
+        } else {
+            deliver(call);
+        }
+        return call.result();
+    }
+
+    private void deliver(HeldCall call) {
+        ControlLoop theirs = call.to().control;
+        after(Math.abs(delays.nextMillis()), theirs, () -> call.to()
+                .forwards
+                .received(theirs.nowNanos(), call.request(), new CompletableFuture<>())
+                .thenAccept(reply -> reply(call, ForwardMessages.outcome(reply))));
+    }
+
+    private void reply(HeldCall call, Optional<Outcome> outcome) {
+        long millis = delays.nextMillis();
+        Optional<Outcome> received = millis < 0 ? Optional.empty() : outcome;
+        after(Math.abs(millis), control, () -> call.result().complete(received));
+    }
+
+    private static void after(long millis, Executor loop, Runnable event) {
+        if (millis == 0) {
+            loop.execute(event);
+        } else {
+            CompletableFuture.delayedExecutor(millis, TimeUnit.MILLISECONDS).execute(() -> loop.execute(event));
+        }
+    }
+
+    // -- output of the dispatcher
+
+    @Override
+    public void dispatch(DispatchOrder order) {
+        starts.add(registry.nameOf(order.submissionId()));
+        control.execute(() -> {
+            dispatcher.result(control.nowNanos(), AGENT, order.number(), TaskStatus.COMPLETE, ANSWER, 1_000_000);
+            dispatcher.granted(control.nowNanos(), AGENT, 1);
+        });
+    }
+
+    @Override
+    public void answered(String submissionId, Outcome outcome) {
+        admissions.answered(control.nowNanos(), submissionId, outcome);
+    }
+
+    @Override
+    public void cancel(Incarnation agent, long number) {}
+
+    @Override
+    public void ack(Incarnation agent, long number) {}
+
+    @Override
+    public void returnGrants(Incarnation agent, int slots) {}
+
+    @Override
+    public void want(Incarnation agent, int slots) {}
+
+    @Override
+    public void decided(Decision decision) {}
+}
--- a/wire/src/main/java/org/teaselhook/wire/ForwardRequest.java
+++ b/wire/src/main/java/org/teaselhook/wire/ForwardRequest.java
@@ -336,6 +336,51 @@
     return digest_;
   }
 
+  public static final int FROM_INCARNATION_FIELD_NUMBER = 12;
+  private long fromIncarnation_ = 0L;
+  /**
+   * <pre>
+   * The entry that passes the submission on or is about to refuse it; 0 for callers' questions.
+   * </pre>
+   *
+   * <code>fixed64 from_incarnation = 12;</code>
+   * @return The fromIncarnation.
+   */
+  @java.lang.Override
+  public long getFromIncarnation() {
+    return fromIncarnation_;
+  }
+
+  public static final int AGE_MILLIS_FIELD_NUMBER = 13;
+  private long ageMillis_ = 0L;
+  /**
+   * <pre>
+   * How long ago the submission was received by the entry that passes it on, when the frame was made.
+   * </pre>
+   *
+   * <code>uint64 age_millis = 13;</code>
+   * @return The ageMillis.
+   */
+  @java.lang.Override
+  public long getAgeMillis() {
+    return ageMillis_;
+  }
+
+  public static final int COPY_IS_YOURS_FIELD_NUMBER = 14;
+  private boolean copyIsYours_ = false;
+  /**
+   * <pre>
+   * For join_only: the copy that the asker is about to refuse was passed on by the entry that is asked.
+   * </pre>
+   *
+   * <code>bool copy_is_yours = 14;</code>
+   * @return The copyIsYours.
+   */
+  @java.lang.Override
+  public boolean getCopyIsYours() {
+    return copyIsYours_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -383,6 +428,15 @@
     if (digest_ != 0L) {
       output.writeFixed64(11, digest_);
     }
+    if (fromIncarnation_ != 0L) {
+      output.writeFixed64(12, fromIncarnation_);
+    }
+    if (ageMillis_ != 0L) {
+      output.writeUInt64(13, ageMillis_);
+    }
+    if (copyIsYours_ != false) {
+      output.writeBool(14, copyIsYours_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -432,6 +486,18 @@
       size += com.google.protobuf.CodedOutputStream
         .computeFixed64Size(11, digest_);
     }
+    if (fromIncarnation_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeFixed64Size(12, fromIncarnation_);
+    }
+    if (ageMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(13, ageMillis_);
+    }
+    if (copyIsYours_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(14, copyIsYours_);
+    }
     return size;
   }
   @java.lang.Override
@@ -478,6 +544,12 @@
         != other.getCancel()) return false;
     if (getDigest()
         != other.getDigest()) return false;
+    if (getFromIncarnation()
+        != other.getFromIncarnation()) return false;
+    if (getAgeMillis()
+        != other.getAgeMillis()) return false;
+    if (getCopyIsYours()
+        != other.getCopyIsYours()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -519,6 +591,15 @@
     hash = (37 * hash) + DIGEST_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getDigest());
+    hash = (37 * hash) + FROM_INCARNATION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getFromIncarnation());
+    hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getAgeMillis());
+    hash = (37 * hash) + COPY_IS_YOURS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getCopyIsYours());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -667,6 +748,9 @@
       joinOnly_ = false;
       cancel_ = false;
       digest_ = 0L;
+      fromIncarnation_ = 0L;
+      ageMillis_ = 0L;
+      copyIsYours_ = false;
       return this;
     }
 
@@ -743,6 +827,15 @@
       if (((from_bitField0_ & 0x00000400) != 0)) {
         result.digest_ = digest_;
       }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.fromIncarnation_ = fromIncarnation_;
+      }
+      if (((from_bitField0_ & 0x00001000) != 0)) {
+        result.ageMillis_ = ageMillis_;
+      }
+      if (((from_bitField0_ & 0x00002000) != 0)) {
+        result.copyIsYours_ = copyIsYours_;
+      }
     }
 
     @java.lang.Override
@@ -821,6 +914,15 @@
       if (other.getDigest() != 0L) {
         setDigest(other.getDigest());
       }
+      if (other.getFromIncarnation() != 0L) {
+        setFromIncarnation(other.getFromIncarnation());
+      }
+      if (other.getAgeMillis() != 0L) {
+        setAgeMillis(other.getAgeMillis());
+      }
+      if (other.getCopyIsYours() != false) {
+        setCopyIsYours(other.getCopyIsYours());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -908,6 +1010,21 @@
               bitField0_ |= 0x00000400;
               break;
             } // case 89
+            case 97: {
+              fromIncarnation_ = input.readFixed64();
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 97
+            case 104: {
+              ageMillis_ = input.readUInt64();
+              bitField0_ |= 0x00001000;
+              break;
+            } // case 104
+            case 112: {
+              copyIsYours_ = input.readBool();
+              bitField0_ |= 0x00002000;
+              break;
+            } // case 112
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1695,6 +1812,138 @@
       return this;
     }
 
+    private long fromIncarnation_ ;
+    /**
+     * <pre>
+     * The entry that passes the submission on or is about to refuse it; 0 for callers' questions.
+     * </pre>
+     *
+     * <code>fixed64 from_incarnation = 12;</code>
+     * @return The fromIncarnation.
+     */
+    @java.lang.Override
+    public long getFromIncarnation() {
+      return fromIncarnation_;
+    }
+    /**
+     * <pre>
+     * The entry that passes the submission on or is about to refuse it; 0 for callers' questions.
+     * </pre>
+     *
+     * <code>fixed64 from_incarnation = 12;</code>
+     * @param value The fromIncarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFromIncarnation(long value) {
+
+      fromIncarnation_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The entry that passes the submission on or is about to refuse it; 0 for callers' questions.
+     * </pre>
+     *
+     * <code>fixed64 from_incarnation = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearFromIncarnation() {
+      bitField0_ = (bitField0_ & ~0x00000800);
+      fromIncarnation_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long ageMillis_ ;
+    /**
+     * <pre>
+     * How long ago the submission was received by the entry that passes it on, when the frame was made.
+     * </pre>
+     *
+     * <code>uint64 age_millis = 13;</code>
+     * @return The ageMillis.
+     */
+    @java.lang.Override
+    public long getAgeMillis() {
+      return ageMillis_;
+    }
+    /**
+     * <pre>
+     * How long ago the submission was received by the entry that passes it on, when the frame was made.
+     * </pre>
+     *
+     * <code>uint64 age_millis = 13;</code>
+     * @param value The ageMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAgeMillis(long value) {
+
+      ageMillis_ = value;
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * How long ago the submission was received by the entry that passes it on, when the frame was made.
+     * </pre>
+     *
+     * <code>uint64 age_millis = 13;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAgeMillis() {
+      bitField0_ = (bitField0_ & ~0x00001000);
+      ageMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private boolean copyIsYours_ ;
+    /**
+     * <pre>
+     * For join_only: the copy that the asker is about to refuse was passed on by the entry that is asked.
+     * </pre>
+     *
+     * <code>bool copy_is_yours = 14;</code>
+     * @return The copyIsYours.
+     */
+    @java.lang.Override
+    public boolean getCopyIsYours() {
+      return copyIsYours_;
+    }
+    /**
+     * <pre>
+     * For join_only: the copy that the asker is about to refuse was passed on by the entry that is asked.
+     * </pre>
+     *
+     * <code>bool copy_is_yours = 14;</code>
+     * @param value The copyIsYours to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCopyIsYours(boolean value) {
+
+      copyIsYours_ = value;
+      bitField0_ |= 0x00002000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * For join_only: the copy that the asker is about to refuse was passed on by the entry that is asked.
+     * </pre>
+     *
+     * <code>bool copy_is_yours = 14;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCopyIsYours() {
+      bitField0_ = (bitField0_ & ~0x00002000);
+      copyIsYours_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:teaselhook.v1.ForwardRequest)
   }
 
--- a/wire/src/main/java/org/teaselhook/wire/ForwardRequestOrBuilder.java
+++ b/wire/src/main/java/org/teaselhook/wire/ForwardRequestOrBuilder.java
@@ -137,4 +137,34 @@
    * @return The digest.
    */
   long getDigest();
+
+  /**
+   * <pre>
+   * The entry that passes the submission on or is about to refuse it; 0 for callers' questions.
+   * </pre>
+   *
+   * <code>fixed64 from_incarnation = 12;</code>
+   * @return The fromIncarnation.
+   */
+  long getFromIncarnation();
+
+  /**
+   * <pre>
+   * How long ago the submission was received by the entry that passes it on, when the frame was made.
+   * </pre>
+   *
+   * <code>uint64 age_millis = 13;</code>
+   * @return The ageMillis.
+   */
+  long getAgeMillis();
+
+  /**
+   * <pre>
+   * For join_only: the copy that the asker is about to refuse was passed on by the entry that is asked.
+   * </pre>
+   *
+   * <code>bool copy_is_yours = 14;</code>
+   * @return The copyIsYours.
+   */
+  boolean getCopyIsYours();
 }
--- a/wire/src/main/java/org/teaselhook/wire/Teaselhook.java
+++ b/wire/src/main/java/org/teaselhook/wire/Teaselhook.java
@@ -207,38 +207,39 @@
       "\017\n\007leaving\030\006 \001(\010\022\020\n\010sequence\030\007 \001(\004\022\025\n\rec" +
       "ho_sequence\030\010 \001(\004\022\027\n\017table_reachable\030\t \001" +
       "(\010\"<\n\010TaskSpec\022\014\n\004kind\030\001 \001(\t\022\024\n\014content_" +
-      "type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\"\350\001\n\016ForwardRequ" +
+      "type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\"\255\002\n\016ForwardRequ" +
       "est\022\026\n\016to_incarnation\030\001 \001(\006\022\013\n\003key\030\002 \001(\t" +
       "\022\016\n\006ticket\030\003 \001(\t\022\017\n\007service\030\004 \001(\t\022\020\n\010cus" +
       "tomer\030\005 \001(\t\022\026\n\016timeout_millis\030\006 \001(\004\022\013\n\003j" +
       "ob\030\007 \001(\010\022&\n\005tasks\030\010 \003(\0132\027.teaselhook.v1." +
       "TaskSpec\022\021\n\tjoin_only\030\t \001(\010\022\016\n\006cancel\030\n " +
-      "\001(\010\022\016\n\006digest\030\013 \001(\006\"\273\001\n\014ForwardReply\022.\n\007" +
-      "outcome\030\001 \001(\0162\035.teaselhook.v1.ForwardOut" +
-      "come\022*\n\007answers\030\002 \003(\0132\031.teaselhook.v1.Ta" +
-      "skAnswer\022\017\n\007problem\030\003 \001(\t\022\016\n\006detail\030\004 \001(" +
-      "\t\022\032\n\022retry_after_millis\030\005 \001(\004\022\022\n\nsubmiss" +
-      "ion\030\006 \001(\t\"E\n\nTaskAnswer\022\023\n\013http_status\030\001" +
-      " \001(\r\022\024\n\014content_type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014" +
-      "*V\n\nTaskStatus\022\033\n\027TASK_STATUS_UNSPECIFIE" +
-      "D\020\000\022\014\n\010COMPLETE\020\001\022\020\n\014TARGET_ERROR\020\002\022\013\n\007U" +
-      "NKNOWN\020\003*\204\002\n\rRefusalReason\022\036\n\032REFUSAL_RE" +
-      "ASON_UNSPECIFIED\020\000\022\020\n\014NO_FREE_SLOT\020\001\022\020\n\014" +
-      "ALREADY_SEEN\020\002\022\023\n\017START_BY_PASSED\020\003\022\014\n\010Z" +
-      "ONE_OUT\020\004\022\013\n\007LEAVING\020\005\022\r\n\tNO_TARGET\020\006\022\017\n" +
-      "\013STALE_ENTRY\020\007\022\025\n\021WRONG_INCARNATION\020\010\022\021\n" +
-      "\rNEVER_ARRIVED\020\t\022\r\n\tCANCELLED\020\n\022\022\n\016CONNE" +
-      "CT_FAILED\020\013\022\022\n\016CONFIG_UNKNOWN\020\014*v\n\016Forwa" +
-      "rdOutcome\022\037\n\033FORWARD_OUTCOME_UNSPECIFIED" +
-      "\020\000\022\024\n\020FORWARD_COMPLETE\020\001\022\023\n\017FORWARD_NOT_" +
-      "RUN\020\002\022\030\n\024FORWARD_MAY_HAVE_RUN\020\0032\332\001\n\014Entr" +
-      "yService\022C\n\007Session\022\031.teaselhook.v1.Agen" +
-      "tFrame\032\031.teaselhook.v1.EntryFrame(\0010\001\022>\n" +
-      "\004Peer\022\030.teaselhook.v1.PeerFrame\032\030.teasel" +
-      "hook.v1.PeerFrame(\0010\001\022E\n\007Forward\022\035.tease" +
-      "lhook.v1.ForwardRequest\032\033.teaselhook.v1." +
-      "ForwardReplyB\027\n\023org.teaselhook.wireP\001b\006p" +
-      "roto3"
+      "\001(\010\022\016\n\006digest\030\013 \001(\006\022\030\n\020from_incarnation\030" +
+      "\014 \001(\006\022\022\n\nage_millis\030\r \001(\004\022\025\n\rcopy_is_you" +
+      "rs\030\016 \001(\010\"\273\001\n\014ForwardReply\022.\n\007outcome\030\001 \001" +
+      "(\0162\035.teaselhook.v1.ForwardOutcome\022*\n\007ans" +
+      "wers\030\002 \003(\0132\031.teaselhook.v1.TaskAnswer\022\017\n" +
+      "\007problem\030\003 \001(\t\022\016\n\006detail\030\004 \001(\t\022\032\n\022retry_" +
+      "after_millis\030\005 \001(\004\022\022\n\nsubmission\030\006 \001(\t\"E" +
+      "\n\nTaskAnswer\022\023\n\013http_status\030\001 \001(\r\022\024\n\014con" +
+      "tent_type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014*V\n\nTaskSta" +
+      "tus\022\033\n\027TASK_STATUS_UNSPECIFIED\020\000\022\014\n\010COMP" +
+      "LETE\020\001\022\020\n\014TARGET_ERROR\020\002\022\013\n\007UNKNOWN\020\003*\204\002" +
+      "\n\rRefusalReason\022\036\n\032REFUSAL_REASON_UNSPEC" +
+      "IFIED\020\000\022\020\n\014NO_FREE_SLOT\020\001\022\020\n\014ALREADY_SEE" +
+      "N\020\002\022\023\n\017START_BY_PASSED\020\003\022\014\n\010ZONE_OUT\020\004\022\013" +
+      "\n\007LEAVING\020\005\022\r\n\tNO_TARGET\020\006\022\017\n\013STALE_ENTR" +
+      "Y\020\007\022\025\n\021WRONG_INCARNATION\020\010\022\021\n\rNEVER_ARRI" +
+      "VED\020\t\022\r\n\tCANCELLED\020\n\022\022\n\016CONNECT_FAILED\020\013" +
+      "\022\022\n\016CONFIG_UNKNOWN\020\014*v\n\016ForwardOutcome\022\037" +
+      "\n\033FORWARD_OUTCOME_UNSPECIFIED\020\000\022\024\n\020FORWA" +
+      "RD_COMPLETE\020\001\022\023\n\017FORWARD_NOT_RUN\020\002\022\030\n\024FO" +
+      "RWARD_MAY_HAVE_RUN\020\0032\332\001\n\014EntryService\022C\n" +
+      "\007Session\022\031.teaselhook.v1.AgentFrame\032\031.te" +
+      "aselhook.v1.EntryFrame(\0010\001\022>\n\004Peer\022\030.tea" +
+      "selhook.v1.PeerFrame\032\030.teaselhook.v1.Pee" +
+      "rFrame(\0010\001\022E\n\007Forward\022\035.teaselhook.v1.Fo" +
+      "rwardRequest\032\033.teaselhook.v1.ForwardRepl" +
+      "yB\027\n\023org.teaselhook.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -363,7 +364,7 @@
     internal_static_teaselhook_v1_ForwardRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_ForwardRequest_descriptor,
-        new java.lang.String[] { "ToIncarnation", "Key", "Ticket", "Service", "Customer", "TimeoutMillis", "Job", "Tasks", "JoinOnly", "Cancel", "Digest", });
+        new java.lang.String[] { "ToIncarnation", "Key", "Ticket", "Service", "Customer", "TimeoutMillis", "Job", "Tasks", "JoinOnly", "Cancel", "Digest", "FromIncarnation", "AgeMillis", "CopyIsYours", });
     internal_static_teaselhook_v1_ForwardReply_descriptor =
       getDescriptor().getMessageType(20);
     internal_static_teaselhook_v1_ForwardReply_fieldAccessorTable = new
