Probe the table service every second in an outage

Cause: keys fail mostly as claims-unavailable, also after the outage: the breaker probed at intervals of up to 4 s, and each probe of a silent service takes 1 s more. Callers are told to come back after 2 s. Ruled out: the way from the first good probe to the first claim, which takes two calls. Change: the interval is doubled once only, to 1 s. A probe is the same scan that each entry makes every second in ordinary times.

--- a/core/src/main/java/org/teaselhook/core/claim/Breaker.java
+++ b/core/src/main/java/org/teaselhook/core/claim/Breaker.java
@@ -10,7 +10,7 @@
 final class Breaker {
 
     private static final int FAILURES_TO_OPEN = 2;
-    private static final int MAX_INTERVAL_FACTOR = 8;
+    private static final int MAX_INTERVAL_FACTOR = 2;
     private static final Duration MIN_RETRY_AFTER = Duration.ofSeconds(1);
 
     private final long probeIntervalNanos;
--- a/core/src/test/java/org/teaselhook/core/claim/LedgerAvailabilityTest.java
+++ b/core/src/test/java/org/teaselhook/core/claim/LedgerAvailabilityTest.java
@@ -1,7 +1,10 @@
 package org.teaselhook.core.claim;
 
+import java.util.concurrent.TimeUnit;
+
 import org.teaselhook.core.claim.LedgerEvent.Kind;
 import org.teaselhook.core.id.Incarnation;
+import org.teaselhook.core.outcome.ProblemKind;
 import org.teaselhook.core.table.InMemoryTable;
 import org.teaselhook.core.table.Transaction;
 import org.testng.annotations.BeforeMethod;
@@ -83,6 +86,30 @@
         assertFalse(first.hasSeen(Kind.BREAKER_OPENED));
     }
 
+    @DataProvider
+    public Object[][] outages() {
+        return new Object[][] {{5, 10}, {60, 10}, {5, 1_000}, {60, 1_000}};
+    }
+
+    /** Claims are back within the Retry-After that a refusal tells, whether calls fail at once or by a timeout. */
+    @Test(dataProvider = "outages")
+    public void shouldClaimAgainSoonAfterOutage(int outageSeconds, int failMillis) {
+        for (long passed = 0; passed < TimeUnit.SECONDS.toMillis(outageSeconds); passed += failMillis) {
+            first.claim(KEY, DIGEST);
+            passInTicks(first, failMillis);
+            first.loseAll();
+        }
+        long waited = 0;
+        long claim = first.claim(OTHER_KEY, DIGEST);
+        while (!ClaimResult.won().equals(first.answer(claim))) {
+            claim = first.answer(claim) == null ? claim : first.claim(OTHER_KEY, DIGEST);
+            passInTicks(first, 10);
+            waited += 10;
+            first.settle();
+            assertTrue(waited <= ProblemKind.CLAIMS_UNAVAILABLE.retryAfter().toMillis(), "waited " + waited + " ms");
+        }
+    }
+
     private static void passInTicks(LedgerHarness ledger, long millis) {
         for (long passed = 0; passed < millis; passed += 10) {
             ledger.tick(10);
