--- a/wire/src/main/java/org/teaselhook/wire/Teaselhook.java
+++ b/wire/src/main/java/org/teaselhook/wire/Teaselhook.java
@@ -244,40 +244,41 @@
       "\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\014\n\004zone\030\003 \001(\t" +
       "\022\026\n\016config_version\030\004 \001(\004\022\017\n\007leaving\030\005 \001(" +
       "\010\022\r\n\005slots\030\006 \001(\r\"<\n\010TaskSpec\022\014\n\004kind\030\001 \001" +
-      "(\t\022\024\n\014content_type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\"\350" +
-      "\001\n\016ForwardRequest\022\026\n\016to_incarnation\030\001 \001(" +
+      "(\t\022\024\n\014content_type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\"\255" +
+      "\002\n\016ForwardRequest\022\026\n\016to_incarnation\030\001 \001(" +
       "\006\022\013\n\003key\030\002 \001(\t\022\016\n\006ticket\030\003 \001(\t\022\017\n\007servic" +
       "e\030\004 \001(\t\022\020\n\010customer\030\005 \001(\t\022\026\n\016timeout_mil" +
       "lis\030\006 \001(\004\022\013\n\003job\030\007 \001(\010\022&\n\005tasks\030\010 \003(\0132\027." +
       "teaselhook.v1.TaskSpec\022\021\n\tjoin_only\030\t \001(" +
-      "\010\022\016\n\006cancel\030\n \001(\010\022\016\n\006digest\030\013 \001(\006\"\273\001\n\014Fo" +
-      "rwardReply\022.\n\007outcome\030\001 \001(\0162\035.teaselhook" +
-      ".v1.ForwardOutcome\022*\n\007answers\030\002 \003(\0132\031.te" +
-      "aselhook.v1.TaskAnswer\022\017\n\007problem\030\003 \001(\t\022" +
-      "\016\n\006detail\030\004 \001(\t\022\032\n\022retry_after_millis\030\005 " +
-      "\001(\004\022\022\n\nsubmission\030\006 \001(\t\"E\n\nTaskAnswer\022\023\n" +
-      "\013http_status\030\001 \001(\r\022\024\n\014content_type\030\002 \001(\t" +
-      "\022\014\n\004body\030\003 \001(\014*V\n\nTaskStatus\022\033\n\027TASK_STA" +
-      "TUS_UNSPECIFIED\020\000\022\014\n\010COMPLETE\020\001\022\020\n\014TARGE" +
-      "T_ERROR\020\002\022\013\n\007UNKNOWN\020\003*\204\002\n\rRefusalReason" +
-      "\022\036\n\032REFUSAL_REASON_UNSPECIFIED\020\000\022\020\n\014NO_F" +
-      "REE_SLOT\020\001\022\020\n\014ALREADY_SEEN\020\002\022\023\n\017START_BY" +
-      "_PASSED\020\003\022\014\n\010ZONE_OUT\020\004\022\013\n\007LEAVING\020\005\022\r\n\t" +
-      "NO_TARGET\020\006\022\017\n\013STALE_ENTRY\020\007\022\025\n\021WRONG_IN" +
-      "CARNATION\020\010\022\021\n\rNEVER_ARRIVED\020\t\022\r\n\tCANCEL" +
-      "LED\020\n\022\022\n\016CONNECT_FAILED\020\013\022\022\n\016CONFIG_UNKN" +
-      "OWN\020\014*v\n\016ForwardOutcome\022\037\n\033FORWARD_OUTCO" +
-      "ME_UNSPECIFIED\020\000\022\024\n\020FORWARD_COMPLETE\020\001\022\023" +
-      "\n\017FORWARD_NOT_RUN\020\002\022\030\n\024FORWARD_MAY_HAVE_" +
-      "RUN\020\0032\236\002\n\014EntryService\022C\n\007Session\022\031.teas" +
-      "elhook.v1.AgentFrame\032\031.teaselhook.v1.Ent" +
-      "ryFrame(\0010\001\022>\n\004Peer\022\030.teaselhook.v1.Peer" +
-      "Frame\032\030.teaselhook.v1.PeerFrame(\0010\001\022E\n\007F" +
-      "orward\022\035.teaselhook.v1.ForwardRequest\032\033." +
-      "teaselhook.v1.ForwardReply\022B\n\006Agents\022\034.t" +
-      "easelhook.v1.AgentsRequest\032\032.teaselhook." +
-      "v1.AgentsReplyB\027\n\023org.teaselhook.wireP\001b" +
-      "\006proto3"
+      "\010\022\016\n\006cancel\030\n \001(\010\022\016\n\006digest\030\013 \001(\006\022\030\n\020fro" +
+      "m_incarnation\030\014 \001(\006\022\022\n\nage_millis\030\r \001(\004\022" +
+      "\025\n\rcopy_is_yours\030\016 \001(\010\"\273\001\n\014ForwardReply\022" +
+      ".\n\007outcome\030\001 \001(\0162\035.teaselhook.v1.Forward" +
+      "Outcome\022*\n\007answers\030\002 \003(\0132\031.teaselhook.v1" +
+      ".TaskAnswer\022\017\n\007problem\030\003 \001(\t\022\016\n\006detail\030\004" +
+      " \001(\t\022\032\n\022retry_after_millis\030\005 \001(\004\022\022\n\nsubm" +
+      "ission\030\006 \001(\t\"E\n\nTaskAnswer\022\023\n\013http_statu" +
+      "s\030\001 \001(\r\022\024\n\014content_type\030\002 \001(\t\022\014\n\004body\030\003 " +
+      "\001(\014*V\n\nTaskStatus\022\033\n\027TASK_STATUS_UNSPECI" +
+      "FIED\020\000\022\014\n\010COMPLETE\020\001\022\020\n\014TARGET_ERROR\020\002\022\013" +
+      "\n\007UNKNOWN\020\003*\204\002\n\rRefusalReason\022\036\n\032REFUSAL" +
+      "_REASON_UNSPECIFIED\020\000\022\020\n\014NO_FREE_SLOT\020\001\022" +
+      "\020\n\014ALREADY_SEEN\020\002\022\023\n\017START_BY_PASSED\020\003\022\014" +
+      "\n\010ZONE_OUT\020\004\022\013\n\007LEAVING\020\005\022\r\n\tNO_TARGET\020\006" +
+      "\022\017\n\013STALE_ENTRY\020\007\022\025\n\021WRONG_INCARNATION\020\010" +
+      "\022\021\n\rNEVER_ARRIVED\020\t\022\r\n\tCANCELLED\020\n\022\022\n\016CO" +
+      "NNECT_FAILED\020\013\022\022\n\016CONFIG_UNKNOWN\020\014*v\n\016Fo" +
+      "rwardOutcome\022\037\n\033FORWARD_OUTCOME_UNSPECIF" +
+      "IED\020\000\022\024\n\020FORWARD_COMPLETE\020\001\022\023\n\017FORWARD_N" +
+      "OT_RUN\020\002\022\030\n\024FORWARD_MAY_HAVE_RUN\020\0032\236\002\n\014E" +
+      "ntryService\022C\n\007Session\022\031.teaselhook.v1.A" +
+      "gentFrame\032\031.teaselhook.v1.EntryFrame(\0010\001" +
+      "\022>\n\004Peer\022\030.teaselhook.v1.PeerFrame\032\030.tea" +
+      "selhook.v1.PeerFrame(\0010\001\022E\n\007Forward\022\035.te" +
+      "aselhook.v1.ForwardRequest\032\033.teaselhook." +
+      "v1.ForwardReply\022B\n\006Agents\022\034.teaselhook.v" +
+      "1.AgentsRequest\032\032.teaselhook.v1.AgentsRe" +
+      "plyB\027\n\023org.teaselhook.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -432,7 +433,7 @@
     internal_static_teaselhook_v1_ForwardRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_ForwardRequest_descriptor,
-        new java.lang.String[] { "ToIncarnation", "Key", "Ticket", "Service", "Customer", "TimeoutMillis", "Job", "Tasks", "JoinOnly", "Cancel", "Digest", });
+        new java.lang.String[] { "ToIncarnation", "Key", "Ticket", "Service", "Customer", "TimeoutMillis", "Job", "Tasks", "JoinOnly", "Cancel", "Digest", "FromIncarnation", "AgeMillis", "CopyIsYours", });
     internal_static_teaselhook_v1_ForwardReply_descriptor =
       getDescriptor().getMessageType(25);
     internal_static_teaselhook_v1_ForwardReply_fieldAccessorTable = new
