--- a/core/src/main/java/org/teaselhook/core/dispatch/Attempt.java
+++ b/core/src/main/java/org/teaselhook/core/dispatch/Attempt.java
@@ -10,6 +10,7 @@
     private final Member member;
     private final long sentAt;
     private final AttemptCause cause;
+    private final boolean granted;
     private Timers.Timer slow;
     private boolean late;
     private boolean lost;
@@ -20,6 +21,7 @@
         this.member = member;
         this.sentAt = sentAt;
         this.cause = cause;
+        this.granted = member.pool().usesGrants() && member.worker().grants() > 0;
     }
 
     // -- accessors
@@ -44,6 +46,11 @@
         return cause;
     }
 
+    /** Tells whether it uses up a granted slot. */
+    boolean isGranted() {
+        return granted;
+    }
+
     /** Tells whether its lateness was noted in the worker's health. */
     boolean isLate() {
         return late;
--- a/core/src/main/java/org/teaselhook/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/teaselhook/core/dispatch/Dispatcher.java
@@ -137,6 +137,21 @@
         });
     }
 
+    /**
+     * Notes how many slots an agent could give to orders without a grant, as it says in the frame that is taken next;
+     * the grants that this entry holds there are part of them.
+     *
+     * @param nowNanos the present time
+     * @param agent the agent
+     * @param slots the number of slots
+     */
+    public void openSlots(long nowNanos, Incarnation agent, int slots) {
+        fleet.find(agent).ifPresent(worker -> {
+            worker.open(nowNanos, slots);
+            fleet.refresh(nowNanos, worker);
+        });
+    }
+
     /**
      * Adds granted slots. They are returned at once where the policy does not use them.
      *
--- a/core/src/main/java/org/teaselhook/core/dispatch/Member.java
+++ b/core/src/main/java/org/teaselhook/core/dispatch/Member.java
@@ -8,9 +8,13 @@
  */
 final class Member extends Candidate {
 
+    /** With a smaller part of the slots open another entry is too likely to be faster. */
+    private static final int LEAST_OPEN_PART = 2;
+
     private final Worker worker;
     private final ServicePool pool;
     private final WorkerHealth health;
+    private final OpenSlots openSlots = new OpenSlots(this);
     private int running;
     private int position;
 
@@ -57,6 +61,16 @@
         return hasSlot(nowNanos) && health.accepts(running);
     }
 
+    OpenSlots openSlots() {
+        return openSlots;
+    }
+
+    /** Tells whether an order without a grant would probably start now. */
+    boolean isOpen(long nowNanos) {
+        boolean open = worker.open() * LEAST_OPEN_PART >= worker.info().slots();
+        return open && pool.usesGrants() && worker.isUsable(nowNanos) && health.accepts(running);
+    }
+
     /** Returns its place in the pool's list of members. */
     int position() {
         return position;
--- a/core/src/main/java/org/teaselhook/core/dispatch/Results.java
+++ b/core/src/main/java/org/teaselhook/core/dispatch/Results.java
@@ -134,6 +134,9 @@
         if (reason.concernsAgent()) {
             block(nowNanos, member.worker());
         }
+        if (reason == RefusalReason.NO_FREE_SLOT && member.pool().usesGrants()) {
+            scheduler.refusedOpen(nowNanos, attempt);
+        }
         if (reason == RefusalReason.CONNECT_FAILED) {
             fleet.observe(nowNanos, member, () -> member.health().failed(nowNanos));
         }
--- a/core/src/main/java/org/teaselhook/core/dispatch/Scheduler.java
+++ b/core/src/main/java/org/teaselhook/core/dispatch/Scheduler.java
@@ -4,6 +4,7 @@
 
 import org.agrona.collections.Long2ObjectHashMap;
 import org.teaselhook.core.estimate.RunTimeEstimate;
+import org.teaselhook.core.placement.Candidate;
 import org.teaselhook.core.placement.CandidateSet;
 import org.teaselhook.core.queue.FairQueue;
 import org.teaselhook.core.retry.Budget;
@@ -13,8 +14,13 @@
  */
 final class Scheduler {
 
+    private static final long ROUND_NANOS = 5_000_000L;
+    private static final String OPEN_SLOT = "OPEN_SLOT";
     private static final double HEDGES_PER_TASK = 0.02;
     private static final double MOST_HEDGES_SAVED = 20;
+    private static final double OPEN_REFUSALS_PER_TASK = 0.005;
+    private static final double MOST_OPEN_REFUSALS_SAVED = 5;
+    private static final int MOST_REFUSALS = 2;
     private static final double LATE_RATIO = 1.5;
     private static final long LATE_MARGIN_NANOS = 30_000_000L;
     private static final long UNLEARNED_LATE_NANOS = 2_000_000_000L;
@@ -23,6 +29,7 @@
     private final Fleet fleet;
     private final Demand demand;
     private final Budget hedges = Budget.of(HEDGES_PER_TASK, MOST_HEDGES_SAVED);
+    private final Budget openRefusals = Budget.of(OPEN_REFUSALS_PER_TASK, MOST_OPEN_REFUSALS_SAVED);
     private final Long2ObjectHashMap<Attempt> attempts = new Long2ObjectHashMap<>();
     private final Expiry expiry;
     private long nextNumber;
@@ -77,6 +84,10 @@
             continue;
         }
         demand.announce(nowNanos, pool);
+        if (pool.usesGrants() && !pool.queue().isEmpty()) {
+            pool.nextRound(() -> control.timers().timer(now -> drain(now, pool)))
+                    .set(nowNanos + ROUND_NANOS);
+        }
     }
 
     private boolean startNext(long nowNanos, ServicePool pool) {
@@ -91,7 +102,7 @@
             return true;
         }
         Optional<Member> probed = task.isClaimed() ? Optional.empty() : pool.dueForProbe(nowNanos);
-        Optional<Member> member = probed.or(() -> choose(pool, task));
+        Optional<Member> member = probed.or(() -> choose(pool, task)).or(() -> chooseOpen(pool, task));
         member.ifPresent(chosen -> {
             task.dequeued().ifPresent(pool.queue()::take);
             send(nowNanos, task, chosen, probed.isPresent() ? AttemptCause.PROBE : AttemptCause.TURN);
@@ -99,16 +110,32 @@
         return member.isPresent();
     }
 
-    /** Chooses a ready worker; the one that the task avoids only if there is no other. */
     private Optional<Member> choose(ServicePool pool, ActiveTask task) {
-        CandidateSet<Member> ready = pool.ready();
-        if (ready.isEmpty()) {
+        return choose(pool.ready(), task.avoided());
+    }
+
+    /**
+     * Chooses a worker that would probably start the task although it has granted this entry no slot. A task that was
+     * refused repeatedly waits for a grant.
+     */
+    private Optional<Member> chooseOpen(ServicePool pool, ActiveTask task) {
+        if (task.refusals() >= MOST_REFUSALS || !openRefusals.isCovered()) {
             return Optional.empty();
         }
-        Optional<Member> avoided = task.avoided().filter(member -> ready.size() > 1 && ready.contains(member));
-        avoided.ifPresent(member -> ready.set(member, false));
-        Member chosen = control.settings().policy().choose(ready, control.random());
-        avoided.ifPresent(member -> ready.set(member, true));
+        return choose(pool.open(), task.avoided().map(Member::openSlots))
+                .map(OpenSlots::member)
+                .filter(member -> member.worker().openSince() - pool.refusedOpenAt() > 0);
+    }
+
+    /** Chooses a worker; the one that the task avoids only if there is no other. */
+    private <C extends Candidate> Optional<C> choose(CandidateSet<C> candidates, Optional<C> toAvoid) {
+        if (candidates.isEmpty()) {
+            return Optional.empty();
+        }
+        Optional<C> avoided = toAvoid.filter(c -> candidates.size() > 1 && candidates.contains(c));
+        avoided.ifPresent(candidate -> candidates.set(candidate, false));
+        C chosen = control.settings().policy().choose(candidates, control.random());
+        avoided.ifPresent(candidate -> candidates.set(candidate, true));
         return Optional.of(chosen);
     }
 
@@ -120,7 +147,12 @@
         count(task, cause);
         open(nowNanos, attempt);
         control.output().dispatch(orderOf(attempt));
-        control.decidedOnTask(cause.decision(), control.settings().policy().name(), attempt);
+        control.decidedOnTask(cause.decision(), reasonOf(attempt), attempt);
+    }
+
+    private String reasonOf(Attempt attempt) {
+        boolean open = attempt.member().pool().usesGrants() && !attempt.isGranted();
+        return open ? OPEN_SLOT : control.settings().policy().name();
     }
 
     private void check(ActiveTask task, Member member) {
@@ -138,13 +170,16 @@
         cause.count(control.counters());
         if (task.starts() == 0) {
             hedges.earn();
+            openRefusals.earn();
         }
     }
 
     private void open(long nowNanos, Attempt attempt) {
         Member member = attempt.member();
-        if (member.pool().usesGrants()) {
+        if (attempt.isGranted()) {
             member.worker().useGrant();
+        } else {
+            member.worker().useOpen();
         }
         if (attempt.cause() == AttemptCause.PROBE) {
             member.health().probeSent(nowNanos);
@@ -172,7 +207,7 @@
                 task.latestStart(),
                 submission.deadline(),
                 control.version(),
-                attempt.member().pool().usesGrants());
+                attempt.isGranted());
     }
 
     /** Forgets an order; {@code ran} tells whether the task may have started under it. */
@@ -185,6 +220,12 @@
         fleet.refresh(nowNanos, attempt.member().worker());
     }
 
+    /** Notes that an order without a grant found no slot. */
+    void refusedOpen(long nowNanos, Attempt attempt) {
+        openRefusals.charge();
+        attempt.member().pool().refusedOpen(nowNanos);
+    }
+
     /** Asks the agent to drop an order, whose end is still awaited. */
     void cancel(Attempt attempt) {
         attempt.unwatch();
--- a/core/src/main/java/org/teaselhook/core/dispatch/ServicePool.java
+++ b/core/src/main/java/org/teaselhook/core/dispatch/ServicePool.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 
 import org.teaselhook.core.estimate.RunTimeEstimate;
 import org.teaselhook.core.estimate.RunTimes;
@@ -27,13 +28,17 @@
     private final RunTimes runTimes = RunTimes.empty();
     private final PeerGroup peers = PeerGroup.empty();
     private final CandidateSet<Member> ready = CandidateSet.empty();
+    private final CandidateSet<OpenSlots> open = CandidateSet.empty();
     private final List<Member> members = new ArrayList<>();
     private final Set<Member> ejected = new LinkedHashSet<>();
+    private final Set<Worker> asked = new LinkedHashSet<>();
+    private Optional<Timers.Timer> nextRound = Optional.empty();
     private int running;
     private int slotsInService;
     private int membersInService;
     private double capacity;
     private long capacityAt;
+    private long refusedOpenAt = Long.MIN_VALUE / 2;
     private int nextAnnounced;
     private boolean announcing;
     private long announcedAt;
@@ -65,6 +70,11 @@
         return ready;
     }
 
+    /** Returns the workers that would probably start an order without a grant. */
+    CandidateSet<OpenSlots> open() {
+        return open;
+    }
+
     List<Member> members() {
         return members;
     }
@@ -95,6 +105,15 @@
         return Optional.empty();
     }
 
+    /** Returns when an order without a grant last found no slot: what was heard of open slots before is in doubt. */
+    long refusedOpenAt() {
+        return refusedOpenAt;
+    }
+
+    void refusedOpen(long nowNanos) {
+        refusedOpenAt = nowNanos;
+    }
+
     /** Returns the slots this wait could use at one more worker. */
     int wantedPerMember() {
         return membersInService == 0 ? 0 : (queue.size() + membersInService - 1) / membersInService;
@@ -136,12 +155,15 @@
             last.position(member.position());
         }
         ejected.remove(member);
+        asked.remove(member.worker());
         ready.set(member, false);
+        open.set(member.openSlots(), false);
         member.health().leave();
     }
 
     void refresh(long nowNanos, Member member) {
         ready.set(member, member.isReady(nowNanos));
+        open.set(member.openSlots(), member.isOpen(nowNanos));
         if (member.health().state() == HealthState.EJECTED) {
             ejected.add(member);
         } else {
@@ -174,6 +196,17 @@
         return due;
     }
 
+    /** Returns the workers that were asked for slots since tasks began to wait. */
+    Set<Worker> asked() {
+        return asked;
+    }
+
+    /** Returns the timer of the next look at the queue, made by the given function at first. */
+    Timers.Timer nextRound(Supplier<Timers.Timer> maker) {
+        nextRound = nextRound.or(() -> Optional.of(maker.get()));
+        return nextRound.get();
+    }
+
     /** Returns the next member in turn, to hear of the wanted slots. */
     Member nextToAnnounce() {
         nextAnnounced = (nextAnnounced + 1) % members.size();
--- a/core/src/main/java/org/teaselhook/core/dispatch/Worker.java
+++ b/core/src/main/java/org/teaselhook/core/dispatch/Worker.java
@@ -21,6 +21,8 @@
     private boolean zoneOut;
     private long blockedUntil = Long.MIN_VALUE;
     private int grants;
+    private int open;
+    private long openSince;
     private int announced;
     private long announcedAt = Long.MIN_VALUE;
 
@@ -55,6 +57,16 @@
         return grants;
     }
 
+    /** Returns the slots that an order without a grant would probably get. */
+    int open() {
+        return Math.max(0, open - grants);
+    }
+
+    /** Returns when the agent last told its open slots. */
+    long openSince() {
+        return openSince;
+    }
+
     boolean isZoneOut() {
         return zoneOut;
     }
@@ -77,6 +89,7 @@
     void connected() {
         silent = false;
         grants = 0;
+        open = 0;
         announced = 0;
         announcedAt = Long.MIN_VALUE;
     }
@@ -108,6 +121,16 @@
     void useGrant() {
         Invariant.GRANT_OVERDRAWN.check(grants > 0, info);
         grants--;
+        useOpen();
+    }
+
+    void open(long nowNanos, int slots) {
+        open = slots;
+        openSince = nowNanos;
+    }
+
+    void useOpen() {
+        open = Math.max(0, open - 1);
     }
 
     int giveBack(int slots) {
@@ -121,6 +144,21 @@
         return wanted > 0 && (announced == 0 || announcedAt < nowNanos - intervalNanos);
     }
 
+    /** Tells whether the agent was asked for slots that it has not granted. */
+    boolean isAsked() {
+        return announced > 0 && !silent;
+    }
+
+    /** Tells whether nothing waits for any of its services. */
+    boolean wantsNothing() {
+        return members.values().stream()
+                .allMatch(member -> member.pool().queue().isEmpty());
+    }
+
+    void withdrawn() {
+        announced = 0;
+    }
+
     void announced(long nowNanos, int wanted) {
         announced = wanted;
         announcedAt = nowNanos;
--- a/core/src/main/java/org/teaselhook/core/grant/EntryShare.java
+++ b/core/src/main/java/org/teaselhook/core/grant/EntryShare.java
@@ -13,6 +13,10 @@
     private int running;
     private int idle;
     private int wanted;
+    private int held;
+    private boolean demandIsNew;
+    private boolean demanded;
+    private long demandedAtNanos;
     private int reclaiming;
     private long reclaimedAtNanos;
     private long lastGrant;
@@ -52,7 +56,12 @@
     }
 
     boolean wantsMore() {
-        return connected && wanted > 0;
+        return connected && needed() > 0;
+    }
+
+    /** Whether the entry has no use for idle slots: it asked for none, or has left them unused for long. */
+    boolean needsNone() {
+        return connected && !wantsMore() && !demanded;
     }
 
     /** Whether idle slots may be spread to the entry while it wants none. */
@@ -60,8 +69,13 @@
         return connected && !declined;
     }
 
-    int wanted() {
-        return wanted;
+    /** Slots that the entry asked for, and those that its held dispatches wait for. */
+    int needed() {
+        return wanted + held;
+    }
+
+    int waiting() {
+        return held;
     }
 
     long lastGrant() {
@@ -84,6 +98,9 @@
         connected = false;
         idle = 0;
         wanted = 0;
+        held = 0;
+        demandIsNew = false;
+        demanded = false;
         reclaiming = 0;
         newlyGranted = 0;
         newlyReclaimed = 0;
@@ -91,9 +108,18 @@
 
     void want(int slots) {
         wanted = Math.max(0, slots);
+        demandIsNew = wanted > 0;
         declined &= wanted == 0;
     }
 
+    void hold() {
+        held++;
+    }
+
+    void release() {
+        held--;
+    }
+
     void decline() {
         declined = true;
     }
@@ -114,9 +140,28 @@
         running--;
     }
 
-    void grant(long sequence) {
+    /** Notes when demand was heard of, and takes it as over when idle slots are left unused for too long. */
+    void followDemand(long nowNanos, long unusedNanos) {
+        if (demandIsNew) {
+            demandIsNew = false;
+            demanded = true;
+            demandedAtNanos = nowNanos;
+        }
+        if (demanded && nowNanos - demandedAtNanos > unusedNanos) {
+            demanded = false;
+            wanted = spare() > 0 ? 0 : wanted;
+        }
+    }
+
+    void grant(long sequence, long nowNanos) {
         idle++;
-        wanted = Math.max(0, wanted - 1);
+        if (held > 0) {
+            held--;
+        } else if (wanted > 0) {
+            wanted--;
+            demanded = true;
+            demandedAtNanos = nowNanos;
+        }
         newlyGranted++;
         lastGrant = sequence;
     }
--- a/core/src/main/java/org/teaselhook/core/grant/GrantSharing.java
+++ b/core/src/main/java/org/teaselhook/core/grant/GrantSharing.java
@@ -26,6 +26,9 @@
     /** A request to give slots back that was not answered by then may be repeated. */
     public static final long RECLAIM_TIMEOUT_NANOS = 1_000_000_000L;
 
+    /** An entry that leaves a grant unused for longer has no demand left, whatever it said before. */
+    public static final long UNUSED_NANOS = 10_000_000L;
+
     private static final Comparator<EntryShare> LEAST_HELD =
             Comparator.comparingInt(EntryShare::held).thenComparingLong(EntryShare::lastGrant);
     private static final Comparator<EntryShare> LEAST_SPARE =
@@ -143,6 +146,25 @@
         shareOf(entry).giveBack(returned);
     }
 
+    /**
+     * Records that a dispatch without a grant waits here until a slot comes back. The next slot granted to the entry is
+     * meant for it.
+     *
+     * @param entry the run of the entry
+     */
+    public void hold(Incarnation entry) {
+        shareOf(entry).hold();
+    }
+
+    /**
+     * Records that a held dispatch waits no longer.
+     *
+     * @param entry the run of the entry
+     */
+    public void release(Incarnation entry) {
+        shareOf(entry).release();
+    }
+
     /**
      * Records that an entry needs no idle slots, because it is stopping.
      *
@@ -180,8 +202,9 @@
      */
     public List<GrantChange> share(long nowNanos) {
         shares.values().forEach(share -> share.expireReclaim(nowNanos, RECLAIM_TIMEOUT_NANOS));
+        shares.values().forEach(share -> share.followDemand(nowNanos, UNUSED_NANOS));
         if (open) {
-            grantFree();
+            grantFree(nowNanos);
             reclaimIdle(nowNanos);
         }
         checkInvariant();
@@ -214,6 +237,44 @@
         return idle > 0 ? idle : free();
     }
 
+    /**
+     * Tells whether a slot for one more dispatch without a grant may be had by asking for an idle grant back: one that
+     * another entry holds and has no use for.
+     *
+     * @param entry the run of the entry that sent the dispatch
+     * @return true if the dispatch is worth holding
+     */
+    public boolean canHold(Incarnation entry) {
+        int waiting = shares.values().stream().mapToInt(EntryShare::waiting).sum();
+        int unneeded = shares.values().stream()
+                .filter(share -> share.needsNone() && !share.entry().equals(entry))
+                .mapToInt(EntryShare::idle)
+                .sum();
+        return open && unneeded > waiting;
+    }
+
+    /**
+     * Tells whether entries were asked to give slots back and have not answered.
+     *
+     * @return true while an answer is awaited
+     */
+    public boolean isReclaiming() {
+        return reclaiming() > 0;
+    }
+
+    /**
+     * Counts the slots that a dispatch without a grant could be given: while an entry wants more than it holds, those
+     * granted to none; else those in which no task runs.
+     *
+     * @return the number of slots
+     */
+    public int openSlots() {
+        if (!open) {
+            return 0;
+        }
+        return wanting().findAny().isPresent() ? free() : slots - running();
+    }
+
     /**
      * Counts the slots in which tasks run.
      *
@@ -243,7 +304,7 @@
         return share == null ? 0 : share.idle();
     }
 
-    private void grantFree() {
+    private void grantFree(long nowNanos) {
         for (int free = free(); free > 0; free--) {
             Optional<EntryShare> next = wanting().min(LEAST_HELD).or(() -> shares.values().stream()
                     .filter(EntryShare::takesIdle)
@@ -252,18 +313,18 @@
                 return;
             }
             grants++;
-            next.get().grant(grants);
+            next.get().grant(grants, nowNanos);
         }
     }
 
     private void reclaimIdle(long nowNanos) {
-        int missing = wanting().mapToInt(EntryShare::wanted).sum() - reclaiming();
+        int missing = wanting().mapToInt(EntryShare::needed).sum() - reclaiming();
         for (; missing > 0; missing--) {
             Optional<EntryShare> poorest = wanting().min(LEAST_HELD);
             Optional<EntryShare> richest =
                     connected().filter(s -> s.spare() > 0).max(Comparator.comparingInt(EntryShare::held));
             Optional<EntryShare> unneeded =
-                    connected().filter(s -> s.spare() > 0 && !s.wantsMore()).max(LEAST_SPARE);
+                    connected().filter(s -> s.spare() > 0 && s.needsNone()).max(LEAST_SPARE);
             if (unneeded.isPresent()) {
                 unneeded.get().reclaim(nowNanos);
             } else if (poorest.isPresent()
--- a/core/src/main/java/org/teaselhook/core/retry/Budget.java
+++ b/core/src/main/java/org/teaselhook/core/retry/Budget.java
@@ -42,13 +42,27 @@
         balance = Math.min(limit, balance + earnedPerAttempt);
     }
 
+    /**
+     * Tells whether the budget would pay for a further attempt.
+     *
+     * @return true if it holds a unit or more
+     */
+    public boolean isCovered() {
+        return balance >= 1;
+    }
+
+    /** Pays for something that has happened; the budget may fall as far below zero as can be saved up. */
+    public void charge() {
+        balance = Math.max(-limit, balance - 1);
+    }
+
     /**
      * Pays for a further attempt.
      *
      * @return true if the budget allows it
      */
     public boolean spend() {
-        if (balance < 1) {
+        if (!isCovered()) {
             return false;
         }
         balance--;
--- a/core/src/test/java/org/teaselhook/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/teaselhook/core/dispatch/DispatcherTest.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.Set;
 
@@ -199,6 +200,108 @@
         assertEquals(output.orders.size(), 2);
     }
 
+    // -- open slots
+
+    @Test
+    public void shouldSendWithoutAGrantWhereSlotsAreOpen() {
+        Incarnation far = join(1, "kottayam", 1);
+        Incarnation open = join(2, "kottayam", 2);
+        dispatcher.reclaim(now, open, 2);
+        dispatcher.openSlots(now, open, 3);
+        submit("job", 4, true, 5 * SECOND);
+
+        assertEquals(output.orders.stream().map(DispatchOrder::agent).toList(), List.of(far, open, open));
+        assertEquals(output.orders.stream().map(DispatchOrder::granted).toList(), List.of(true, false, false));
+        assertEquals(dispatcher.stats().queued(), 1);
+    }
+
+    @Test
+    public void shouldWaitForAGrantAfterTwoRefusalsWithoutOne() {
+        Incarnation open = join(1, "kottayam", 4);
+        dispatcher.reclaim(now, open, 4);
+        dispatcher.openSlots(now, open, 4);
+        submit("s", 1, true, 5 * SECOND);
+        for (int i = 0; i < 3; i++) {
+            dispatcher.refused(now, open, output.lastOrder().number(), RefusalReason.NO_FREE_SLOT);
+            now += MILLI;
+            dispatcher.openSlots(now, open, 4);
+            dispatcher.updated(now, open, state(false));
+        }
+        assertEquals(output.orders.size(), 2);
+
+        dispatcher.granted(now, open, 1);
+        assertEquals(output.orders.stream().map(DispatchOrder::granted).toList(), List.of(false, false, true));
+    }
+
+    /** What was heard of other workers' slots before a refusal is out of date too. */
+    @Test
+    public void shouldDoubtOpenSlotsHeardOfBeforeARefusal() {
+        Incarnation first = join(1, "kottayam", 4);
+        Incarnation second = join(2, "kottayam", 4);
+        for (Incarnation agent : List.of(first, second)) {
+            dispatcher.reclaim(now, agent, 4);
+            dispatcher.openSlots(now, agent, 4);
+        }
+        submit("s", 1, true, 5 * SECOND);
+        now += MILLI;
+        dispatcher.refused(now, output.lastOrder().agent(), output.lastOrder().number(), RefusalReason.NO_FREE_SLOT);
+        assertEquals(output.orders.size(), 1);
+
+        now += MILLI;
+        dispatcher.openSlots(now, first, 4);
+        dispatcher.openSlots(now, second, 4);
+        dispatcher.updated(now, second, state(false));
+        assertEquals(output.orders.size(), 2);
+    }
+
+    /** Refusals of orders without a grant stay below a small share of the tasks, however wrong agents are. */
+    @Test
+    public void shouldStopSendingWithoutGrantsWhenRefusalsAreMany() {
+        Incarnation agent = join(1, "kottayam", 4);
+        dispatcher.reclaim(now, agent, 4);
+        int refused = 0;
+        for (int i = 0; i < 400; i++) {
+            now += MILLI;
+            dispatcher.openSlots(now, agent, 4);
+            submit("s" + i, 1, true, 60 * SECOND);
+            while (refused < output.orders.size()) {
+                long number = output.orders.get(refused++).number();
+                dispatcher.refused(now, agent, number, RefusalReason.NO_FREE_SLOT);
+            }
+        }
+        int savedUp = 5;
+        int onTheWay = 2;
+        assertTrue(refused >= 2 && refused <= savedUp + onTheWay + 0.005 * 400, "refused=" + refused);
+    }
+
+    @DataProvider
+    public Object[][] waits() {
+        return new Object[][] {{1, 2}, {3, 6}, {20, 8}};
+    }
+
+    /** What is asked of more workers than there are tasks is taken from other entries in vain. */
+    @Test(dataProvider = "waits")
+    public void shouldAskFewWorkersForEachTask(int tasks, int asked) {
+        for (int i = 1; i <= 8; i++) {
+            dispatcher.reclaim(now, join(i, "kottayam", 8), 8);
+        }
+        submit("s", tasks, true, 5 * SECOND);
+        assertEquals(output.wanted.size(), asked);
+    }
+
+    @Test
+    public void shouldTakeBackWhatItAskedForOnceNothingWaits() {
+        Incarnation first = join(1, "kottayam", 1);
+        Incarnation second = join(2, "kottayam", 1);
+        dispatcher.reclaim(now, first, 1);
+        dispatcher.reclaim(now, second, 1);
+        submit("s", 1, true, 5 * SECOND);
+        assertEquals(output.wanted, Map.of(first, 1, second, 1));
+
+        dispatcher.granted(now, first, 1);
+        assertEquals(output.wanted, Map.of(first, 1, second, 0));
+    }
+
     // -- reclaim, granted
 
     @Test
--- a/node/src/main/java/org/teaselhook/node/agent/AgentControl.java
+++ b/node/src/main/java/org/teaselhook/node/agent/AgentControl.java
@@ -39,6 +39,7 @@
     private final AgentMetrics metrics;
     private final Admission admission;
     private final GrantSharing sharing;
+    private final HeldDispatches held;
     private final GrantSender grants;
     private final TargetTable targets = new TargetTable();
     private final Map<Incarnation, EntryState> entries = new HashMap<>();
@@ -53,7 +54,8 @@
         this.metrics = metrics;
         this.admission = Admission.of(agent.incarnation());
         this.sharing = GrantSharing.of(agent.slots());
-        this.grants = new GrantSender(sharing, entries);
+        this.held = new HeldDispatches(sharing);
+        this.grants = new GrantSender(sharing, held, entries);
     }
 
     // -- accessors
@@ -67,7 +69,8 @@
                 .setAgentNanos(nowNanos)
                 .setConfigVersion(configuration.version())
                 .setLeaving(leaving)
-                .setFreeSlots(agent.slots() - sharing.running());
+                .setFreeSlots(agent.slots() - sharing.running())
+                .setOpenSlots(sharing.openSlots());
         for (Target target : targets.all()) {
             state.addTargets(TargetOffer.newBuilder()
                     .setTarget(target.name())
@@ -99,6 +102,7 @@
         older.ifPresent(streams::remove);
         entry.connect(stream);
         streams.put(stream, id);
+        held.forget(id);
         sharing.connect(id);
         LogLine.of("entry-connected")
                 .with("entry", hello.getName())
@@ -106,7 +110,7 @@
                 .with("in_progress", hello.getInProgressCount())
                 .with("kept", entry.kept().size())
                 .info();
-        entry.kept().forEach(result -> entry.send(AgentFrames.result(result, 0)));
+        entry.kept().forEach(result -> entry.send(AgentFrames.result(result, SlotNews.NONE)));
         hello.getInProgressList().forEach(dispatch -> settle(id, entry, dispatch));
         heard(id, hello.getState(), time);
         return older;
@@ -119,6 +123,7 @@
             return false;
         }
         entries.get(id).disconnect(nowNanos);
+        held.forget(id);
         sharing.disconnect(id);
         shareSlots(nowNanos);
         return true;
@@ -128,9 +133,9 @@
         Settlement settlement = admission.settle(id, dispatch);
         if (settlement == Settlement.NOT_STARTED) {
             refused(id, dispatch, RefusalReason.NEVER_ARRIVED);
-            entry.send(AgentFrames.refusal(dispatch, RefusalReason.NEVER_ARRIVED, 0));
+            entry.send(AgentFrames.refusal(dispatch, RefusalReason.NEVER_ARRIVED, SlotNews.NONE));
         } else if (settlement == Settlement.FORGOTTEN) {
-            entry.send(AgentFrames.result(AgentFrames.unknown(dispatch), 0));
+            entry.send(AgentFrames.result(AgentFrames.unknown(dispatch), SlotNews.NONE));
         }
     }
 
@@ -187,14 +192,27 @@
 
     private void cancelled(Incarnation id, long dispatch) {
         if (admission.cancel(id, dispatch)) {
+            held.remove(id, dispatch);
             refused(id, dispatch, RefusalReason.CANCELLED);
-            entries.get(id).send(AgentFrames.refusal(dispatch, RefusalReason.CANCELLED, 0));
+            entries.get(id).send(AgentFrames.refusal(dispatch, RefusalReason.CANCELLED, SlotNews.NONE));
         }
     }
 
     // -- tasks
 
     private void dispatched(Incarnation id, Dispatch task, AgentTime time) {
+        boolean waits = !task.getGranted() && sharing.free() == 0 && canStart() && sharing.canHold(id);
+        if (waits) {
+            held.hold(id, task, time);
+            events.wakeAfter(HeldDispatches.HOLD_NANOS);
+            shareSlots(time.nanos());
+        } else {
+            decide(id, task, task.getGranted(), time);
+        }
+    }
+
+    /** Decides on a dispatch at the instant of start; false if it was decided on before. */
+    private boolean decide(Incarnation id, Dispatch task, boolean granted, AgentTime time) {
         Optional<Target> target = targets.choose(task.getService());
         StartRequest request = new StartRequest(
                 id,
@@ -208,22 +226,24 @@
                 configuration.rules().isOut(agent.zone()),
                 leaving,
                 target.isPresent(),
-                sharing.available(id, task.getGranted()));
+                sharing.available(id, granted));
         Verdict verdict = admission.decide(request, conditions, time.nanos());
         if (verdict instanceof Verdict.Start start) {
+            sharing.start(id, granted);
             start(id, task, target.orElseThrow(), start.startByNanos(), time);
         } else if (verdict instanceof Verdict.Refuse refuse) {
-            refuse(id, task, refuse.reason(), time.nanos());
+            refuse(id, task, granted, refuse.reason(), time.nanos());
         } else {
             LogLine.of("duplicate")
                     .with("entry", id)
                     .with("dispatch", task.getDispatch())
                     .warn();
+            return false;
         }
+        return true;
     }
 
     private void start(Incarnation id, Dispatch task, Target target, long startByNanos, AgentTime time) {
-        sharing.start(id, task.getGranted());
         entries.get(id).begin();
         target.begin();
         metrics.started();
@@ -242,8 +262,8 @@
                 .thenAccept(result -> events.finished(running, result));
     }
 
-    private void refuse(Incarnation id, Dispatch task, RefusalReason reason, long nowNanos) {
-        if (task.getGranted()) {
+    private void refuse(Incarnation id, Dispatch task, boolean granted, RefusalReason reason, long nowNanos) {
+        if (granted) {
             sharing.refuse(id);
         }
         refused(id, task.getDispatch(), reason);
@@ -279,8 +299,8 @@
             running.target().suspect();
             announceState(nowNanos);
         }
-        int granted = shareSlots(nowNanos, running.entry());
-        entries.get(running.entry()).send(AgentFrames.refusal(running.dispatch(), reason, granted));
+        SlotNews slots = shareSlots(nowNanos, running.entry());
+        entries.get(running.entry()).send(AgentFrames.refusal(running.dispatch(), reason, slots));
     }
 
     private void complete(RunningTask running, TaskResult result, long nowNanos) {
@@ -366,11 +386,42 @@
     }
 
     private void shareSlots(long nowNanos) {
-        grants.share(canStart(), nowNanos);
+        do {
+            grants.share(canStart(), nowNanos);
+        } while (decideOnAdmitted(nowNanos));
+        decideOnHopeless(nowNanos);
+    }
+
+    private SlotNews shareSlots(long nowNanos, Incarnation along) {
+        int granted = 0;
+        do {
+            granted += grants.shareAlong(along, canStart(), nowNanos);
+        } while (decideOnAdmitted(nowNanos));
+        decideOnHopeless(nowNanos);
+        return new SlotNews(granted, sharing.openSlots());
     }
 
-    private int shareSlots(long nowNanos, Incarnation along) {
-        return grants.shareAlong(along, canStart(), nowNanos);
+    /** Decides on held dispatches for which a slot was set aside, and returns whether there were any. */
+    private boolean decideOnAdmitted(long nowNanos) {
+        boolean any = false;
+        for (HeldDispatch next : held.takeAdmitted()) {
+            any = true;
+            if (!decide(next.entry(), next.task(), true, next.arrival().at(nowNanos))) {
+                sharing.refuse(next.entry());
+            }
+        }
+        return any;
+    }
+
+    private void decideOnHopeless(long nowNanos) {
+        for (HeldDispatch next : held.takeHopeless(canStart(), nowNanos)) {
+            decide(next.entry(), next.task(), false, next.arrival().at(nowNanos));
+        }
+    }
+
+    /** Decides on dispatches that have waited long enough for a slot. */
+    void expireHeld(long nowNanos) {
+        shareSlots(nowNanos);
     }
 
     private boolean canStart() {
--- a/node/src/main/java/org/teaselhook/node/agent/AgentEvents.java
+++ b/node/src/main/java/org/teaselhook/node/agent/AgentEvents.java
@@ -3,11 +3,13 @@
 import org.teaselhook.net.http.HttpResult;
 
 /**
- * Takes events of running tasks. Called on traffic threads.
+ * Takes what {@link AgentControl} has to hear of later.
  */
-@FunctionalInterface
 interface AgentEvents {
 
-    /** Called once for each task that was sent. */
+    /** Called once for each task that was sent, on a traffic thread. */
     void finished(RunningTask task, HttpResult result);
+
+    /** Asks for a call of {@link AgentControl#expireHeld} after a time. */
+    void wakeAfter(long nanos);
 }
--- a/node/src/main/java/org/teaselhook/node/agent/AgentFrames.java
+++ b/node/src/main/java/org/teaselhook/node/agent/AgentFrames.java
@@ -34,9 +34,9 @@
         return AgentFrame.newBuilder().setHeartbeat(state).build();
     }
 
-    static AgentFrame grant(int slots) {
+    static AgentFrame grant(int slots, int openSlots) {
         return AgentFrame.newBuilder()
-                .setGrant(Grant.newBuilder().setSlots(slots))
+                .setGrant(Grant.newBuilder().setSlots(slots).setOpenSlots(openSlots))
                 .build();
     }
 
@@ -46,20 +46,24 @@
                 .build();
     }
 
-    static AgentFrame refusal(long dispatch, RefusalReason reason, int grantedSlots) {
+    static AgentFrame refusal(long dispatch, RefusalReason reason, SlotNews slots) {
         TaskRefusal refusal = TaskRefusal.newBuilder()
                 .setDispatch(dispatch)
                 .setReason(org.teaselhook.wire.RefusalReason.valueOf(reason.name()))
-                .setGrantedSlots(grantedSlots)
+                .setGrantedSlots(slots.granted())
+                .setOpenSlots(slots.open())
                 .build();
         return AgentFrame.newBuilder().setRefusal(refusal).build();
     }
 
-    static AgentFrame result(TaskResult result, int grantedSlots) {
-        TaskResult granted = grantedSlots == 0
+    static AgentFrame result(TaskResult result, SlotNews slots) {
+        TaskResult told = slots.equals(SlotNews.NONE)
                 ? result
-                : result.toBuilder().setGrantedSlots(grantedSlots).build();
-        return AgentFrame.newBuilder().setResult(granted).build();
+                : result.toBuilder()
+                        .setGrantedSlots(slots.granted())
+                        .setOpenSlots(slots.open())
+                        .build();
+        return AgentFrame.newBuilder().setResult(told).build();
     }
 
     /** Returns the result of a task whose record is gone: it may have run. */
--- a/node/src/main/java/org/teaselhook/node/agent/AgentNode.java
+++ b/node/src/main/java/org/teaselhook/node/agent/AgentNode.java
@@ -11,6 +11,7 @@
 import org.teaselhook.net.http.EventLoops;
 import org.teaselhook.net.http.HttpClient;
 import org.teaselhook.net.http.HttpLimits;
+import org.teaselhook.net.http.HttpResult;
 import org.teaselhook.net.http.HttpServer;
 import org.teaselhook.net.log.LogLine;
 import org.teaselhook.node.control.ControlLoop;
@@ -55,11 +56,7 @@
         AgentIdentity identity =
                 new AgentIdentity(settings.name(), incarnation, settings.zone(), settings.rack(), settings.slots());
         AgentMetrics metrics = new AgentMetrics(() -> status);
-        this.control = new AgentControl(
-                identity,
-                TaskRunner.http(client),
-                (task, result) -> loop.execute(() -> control().finished(task, result, clock.nanos())),
-                metrics);
+        this.control = new AgentControl(identity, TaskRunner.http(client), new LoopTaskEvents(), metrics);
         this.links =
                 new EntryLinks(new GrpcDialer(loops), new LoopEvents(), control, settings.entries(), clock.nanos());
         HealthPages pages = new HealthPages(metrics.registry(), () -> status.unready());
@@ -161,10 +158,6 @@
 
     // -- events on the control thread
 
-    private AgentControl control() {
-        return control;
-    }
-
     private void tick(long nowNanos) {
         control.tick(nowNanos);
         links.tick(nowNanos);
@@ -197,6 +190,21 @@
         LogLine.of("internal-error").with("failure", failure).warn();
     }
 
+    /** Hands the events of tasks to the control thread. */
+    private final class LoopTaskEvents implements AgentEvents {
+
+        @Override
+        public void finished(RunningTask task, HttpResult result) {
+            loop.execute(() -> control.finished(task, result, clock.nanos()));
+        }
+
+        @Override
+        public void wakeAfter(long nanos) {
+            CompletableFuture.delayedExecutor(nanos, TimeUnit.NANOSECONDS, loop)
+                    .execute(() -> control.expireHeld(clock.nanos()));
+        }
+    }
+
     /** Hands the events of streams to the control thread. */
     private final class LoopEvents implements StreamEvents {
 
--- a/node/src/main/java/org/teaselhook/node/agent/AgentTime.java
+++ b/node/src/main/java/org/teaselhook/node/agent/AgentTime.java
@@ -9,6 +9,11 @@
  */
 record AgentTime(long wallMillis, long nanos) {
 
+    /** Returns a later instant by the same reading of the wall clock, which is never ahead of a new reading. */
+    AgentTime at(long instantNanos) {
+        return new AgentTime(wallMillisOf(instantNanos), instantNanos);
+    }
+
     /** Returns the wall-clock time of a monotonic instant, rounded down. */
     long wallMillisOf(long instantNanos) {
         return wallMillis + Math.floorDiv(instantNanos - nanos, 1_000_000L);
--- a/node/src/main/java/org/teaselhook/node/agent/GrantSender.java
+++ b/node/src/main/java/org/teaselhook/node/agent/GrantSender.java
@@ -13,10 +13,12 @@
 final class GrantSender {
 
     private final GrantSharing sharing;
+    private final HeldDispatches held;
     private final Map<Incarnation, EntryState> entries;
 
-    GrantSender(GrantSharing sharing, Map<Incarnation, EntryState> entries) {
+    GrantSender(GrantSharing sharing, HeldDispatches held, Map<Incarnation, EntryState> entries) {
         this.sharing = sharing;
+        this.held = held;
         this.entries = entries;
     }
 
@@ -34,9 +36,10 @@
     }
 
     private void send(Map<Incarnation, Integer> granted) {
-        granted.forEach((id, slots) -> entries.get(id).send(AgentFrames.grant(slots)));
+        granted.forEach((id, slots) -> entries.get(id).send(AgentFrames.grant(slots, sharing.openSlots())));
     }
 
+    /** Asks for slots back, and returns what to grant beyond the needs of held dispatches. */
     private Map<Incarnation, Integer> changes(boolean canStart, long nowNanos) {
         sharing.open(canStart);
         Map<Incarnation, Integer> granted = new HashMap<>();
@@ -44,8 +47,9 @@
             if (change.reclaimed() > 0) {
                 entries.get(change.entry()).send(AgentFrames.reclaim(change.reclaimed()));
             }
-            if (change.granted() > 0) {
-                granted.put(change.entry(), change.granted());
+            int left = held.admit(change.entry(), change.granted());
+            if (left > 0) {
+                granted.put(change.entry(), left);
             }
         }
         return granted;
--- a/node/src/main/java/org/teaselhook/node/session/AgentSessions.java
+++ b/node/src/main/java/org/teaselhook/node/session/AgentSessions.java
@@ -86,7 +86,10 @@
         session.heard(nowNanos);
         switch (frame.getFrameCase()) {
             case HEARTBEAT -> heartbeat(nowNanos, session, frame);
-            case GRANT -> dispatcher.granted(nowNanos, agent, frame.getGrant().getSlots());
+            case GRANT -> {
+                dispatcher.openSlots(nowNanos, agent, frame.getGrant().getOpenSlots());
+                dispatcher.granted(nowNanos, agent, frame.getGrant().getSlots());
+            }
             case RECLAIM -> reclaim(nowNanos, session, frame.getReclaim().getSlots());
             case RESULT -> result(nowNanos, agent, frame.getResult());
             case REFUSAL -> refusal(nowNanos, agent, frame.getRefusal());
@@ -139,6 +142,7 @@
 
     private void heartbeat(long nowNanos, AgentSession session, AgentFrame frame) {
         var heartbeat = frame.getHeartbeat();
+        dispatcher.openSlots(nowNanos, session.info().incarnation(), heartbeat.getOpenSlots());
         update(nowNanos, session, heartbeat.getAgentNanos(), Frames.state(heartbeat));
     }
 
@@ -152,6 +156,7 @@
     }
 
     private void result(long nowNanos, Incarnation agent, TaskResult result) {
+        dispatcher.openSlots(nowNanos, agent, result.getOpenSlots());
         grantAlong(nowNanos, agent, result.getGrantedSlots());
         dispatcher.result(
                 nowNanos,
@@ -163,6 +168,7 @@
     }
 
     private void refusal(long nowNanos, Incarnation agent, TaskRefusal refusal) {
+        dispatcher.openSlots(nowNanos, agent, refusal.getOpenSlots());
         grantAlong(nowNanos, agent, refusal.getGrantedSlots());
         dispatcher.refused(nowNanos, agent, refusal.getDispatch(), Frames.reason(refusal.getReason()));
     }
--- a/wire/src/main/java/org/teaselhook/wire/AgentHeartbeat.java
+++ b/wire/src/main/java/org/teaselhook/wire/AgentHeartbeat.java
@@ -138,6 +138,21 @@
     return freeSlots_;
   }
 
+  public static final int OPEN_SLOTS_FIELD_NUMBER = 6;
+  private int openSlots_ = 0;
+  /**
+   * <pre>
+   * Slots that the agent could give to an order without a grant, those granted to the receiver and not used included.
+   * </pre>
+   *
+   * <code>uint32 open_slots = 6;</code>
+   * @return The openSlots.
+   */
+  @java.lang.Override
+  public int getOpenSlots() {
+    return openSlots_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -167,6 +182,9 @@
     if (freeSlots_ != 0) {
       output.writeUInt32(5, freeSlots_);
     }
+    if (openSlots_ != 0) {
+      output.writeUInt32(6, openSlots_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -196,6 +214,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(5, freeSlots_);
     }
+    if (openSlots_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(6, openSlots_);
+    }
     return size;
   }
   @java.lang.Override
@@ -230,6 +252,8 @@
         != other.getLeaving()) return false;
     if (getFreeSlots()
         != other.getFreeSlots()) return false;
+    if (getOpenSlots()
+        != other.getOpenSlots()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -256,6 +280,8 @@
         getLeaving());
     hash = (37 * hash) + FREE_SLOTS_FIELD_NUMBER;
     hash = (53 * hash) + getFreeSlots();
+    hash = (37 * hash) + OPEN_SLOTS_FIELD_NUMBER;
+    hash = (53 * hash) + getOpenSlots();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -398,6 +424,7 @@
       bitField0_ = (bitField0_ & ~0x00000004);
       leaving_ = false;
       freeSlots_ = 0;
+      openSlots_ = 0;
       return this;
     }
 
@@ -456,6 +483,9 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.freeSlots_ = freeSlots_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.openSlots_ = openSlots_;
+      }
     }
 
     @java.lang.Override
@@ -508,6 +538,9 @@
       if (other.getFreeSlots() != 0) {
         setFreeSlots(other.getFreeSlots());
       }
+      if (other.getOpenSlots() != 0) {
+        setOpenSlots(other.getOpenSlots());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -565,6 +598,11 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 40
+            case 48: {
+              openSlots_ = input.readUInt32();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -956,6 +994,50 @@
       return this;
     }
 
+    private int openSlots_ ;
+    /**
+     * <pre>
+     * Slots that the agent could give to an order without a grant, those granted to the receiver and not used included.
+     * </pre>
+     *
+     * <code>uint32 open_slots = 6;</code>
+     * @return The openSlots.
+     */
+    @java.lang.Override
+    public int getOpenSlots() {
+      return openSlots_;
+    }
+    /**
+     * <pre>
+     * Slots that the agent could give to an order without a grant, those granted to the receiver and not used included.
+     * </pre>
+     *
+     * <code>uint32 open_slots = 6;</code>
+     * @param value The openSlots to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOpenSlots(int value) {
+
+      openSlots_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Slots that the agent could give to an order without a grant, those granted to the receiver and not used included.
+     * </pre>
+     *
+     * <code>uint32 open_slots = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearOpenSlots() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      openSlots_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:teaselhook.v1.AgentHeartbeat)
   }
 
--- a/wire/src/main/java/org/teaselhook/wire/AgentHeartbeatOrBuilder.java
+++ b/wire/src/main/java/org/teaselhook/wire/AgentHeartbeatOrBuilder.java
@@ -61,4 +61,14 @@
    * @return The freeSlots.
    */
   int getFreeSlots();
+
+  /**
+   * <pre>
+   * Slots that the agent could give to an order without a grant, those granted to the receiver and not used included.
+   * </pre>
+   *
+   * <code>uint32 open_slots = 6;</code>
+   * @return The openSlots.
+   */
+  int getOpenSlots();
 }
--- a/wire/src/main/java/org/teaselhook/wire/Grant.java
+++ b/wire/src/main/java/org/teaselhook/wire/Grant.java
@@ -63,6 +63,21 @@
     return slots_;
   }
 
+  public static final int OPEN_SLOTS_FIELD_NUMBER = 2;
+  private int openSlots_ = 0;
+  /**
+   * <pre>
+   * Slots that the agent could give to an order without a grant, those granted to the receiver and not used included.
+   * </pre>
+   *
+   * <code>uint32 open_slots = 2;</code>
+   * @return The openSlots.
+   */
+  @java.lang.Override
+  public int getOpenSlots() {
+    return openSlots_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -80,6 +95,9 @@
     if (slots_ != 0) {
       output.writeUInt32(1, slots_);
     }
+    if (openSlots_ != 0) {
+      output.writeUInt32(2, openSlots_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -88,6 +106,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(1, slots_);
     }
+    if (openSlots_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(2, openSlots_);
+    }
     return size;
   }
   @java.lang.Override
@@ -114,6 +136,8 @@
 
     if (getSlots()
         != other.getSlots()) return false;
+    if (getOpenSlots()
+        != other.getOpenSlots()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -127,6 +151,8 @@
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + SLOTS_FIELD_NUMBER;
     hash = (53 * hash) + getSlots();
+    hash = (37 * hash) + OPEN_SLOTS_FIELD_NUMBER;
+    hash = (53 * hash) + getOpenSlots();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -263,6 +289,7 @@
       super.clear();
       bitField0_ = 0;
       slots_ = 0;
+      openSlots_ = 0;
       return this;
     }
 
@@ -299,6 +326,9 @@
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.slots_ = slots_;
       }
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.openSlots_ = openSlots_;
+      }
     }
 
     @java.lang.Override
@@ -316,6 +346,9 @@
       if (other.getSlots() != 0) {
         setSlots(other.getSlots());
       }
+      if (other.getOpenSlots() != 0) {
+        setOpenSlots(other.getOpenSlots());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -345,6 +378,11 @@
               bitField0_ |= 0x00000001;
               break;
             } // case 8
+            case 16: {
+              openSlots_ = input.readUInt32();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 16
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -394,6 +432,50 @@
       return this;
     }
 
+    private int openSlots_ ;
+    /**
+     * <pre>
+     * Slots that the agent could give to an order without a grant, those granted to the receiver and not used included.
+     * </pre>
+     *
+     * <code>uint32 open_slots = 2;</code>
+     * @return The openSlots.
+     */
+    @java.lang.Override
+    public int getOpenSlots() {
+      return openSlots_;
+    }
+    /**
+     * <pre>
+     * Slots that the agent could give to an order without a grant, those granted to the receiver and not used included.
+     * </pre>
+     *
+     * <code>uint32 open_slots = 2;</code>
+     * @param value The openSlots to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOpenSlots(int value) {
+
+      openSlots_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Slots that the agent could give to an order without a grant, those granted to the receiver and not used included.
+     * </pre>
+     *
+     * <code>uint32 open_slots = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearOpenSlots() {
+      bitField0_ = (bitField0_ & ~0x00000002);
+      openSlots_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:teaselhook.v1.Grant)
   }
 
--- a/wire/src/main/java/org/teaselhook/wire/GrantOrBuilder.java
+++ b/wire/src/main/java/org/teaselhook/wire/GrantOrBuilder.java
@@ -15,4 +15,14 @@
    * @return The slots.
    */
   int getSlots();
+
+  /**
+   * <pre>
+   * Slots that the agent could give to an order without a grant, those granted to the receiver and not used included.
+   * </pre>
+   *
+   * <code>uint32 open_slots = 2;</code>
+   * @return The openSlots.
+   */
+  int getOpenSlots();
 }
--- a/wire/src/main/java/org/teaselhook/wire/TaskRefusal.java
+++ b/wire/src/main/java/org/teaselhook/wire/TaskRefusal.java
@@ -93,6 +93,21 @@
     return grantedSlots_;
   }
 
+  public static final int OPEN_SLOTS_FIELD_NUMBER = 4;
+  private int openSlots_ = 0;
+  /**
+   * <pre>
+   * Slots that the agent could give to an order without a grant, those granted to the receiver and not used included.
+   * </pre>
+   *
+   * <code>uint32 open_slots = 4;</code>
+   * @return The openSlots.
+   */
+  @java.lang.Override
+  public int getOpenSlots() {
+    return openSlots_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -116,6 +131,9 @@
     if (grantedSlots_ != 0) {
       output.writeUInt32(3, grantedSlots_);
     }
+    if (openSlots_ != 0) {
+      output.writeUInt32(4, openSlots_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -132,6 +150,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(3, grantedSlots_);
     }
+    if (openSlots_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(4, openSlots_);
+    }
     return size;
   }
   @java.lang.Override
@@ -161,6 +183,8 @@
     if (reason_ != other.reason_) return false;
     if (getGrantedSlots()
         != other.getGrantedSlots()) return false;
+    if (getOpenSlots()
+        != other.getOpenSlots()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -179,6 +203,8 @@
     hash = (53 * hash) + reason_;
     hash = (37 * hash) + GRANTED_SLOTS_FIELD_NUMBER;
     hash = (53 * hash) + getGrantedSlots();
+    hash = (37 * hash) + OPEN_SLOTS_FIELD_NUMBER;
+    hash = (53 * hash) + getOpenSlots();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -317,6 +343,7 @@
       dispatch_ = 0L;
       reason_ = 0;
       grantedSlots_ = 0;
+      openSlots_ = 0;
       return this;
     }
 
@@ -359,6 +386,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.grantedSlots_ = grantedSlots_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.openSlots_ = openSlots_;
+      }
     }
 
     @java.lang.Override
@@ -382,6 +412,9 @@
       if (other.getGrantedSlots() != 0) {
         setGrantedSlots(other.getGrantedSlots());
       }
+      if (other.getOpenSlots() != 0) {
+        setOpenSlots(other.getOpenSlots());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -421,6 +454,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 32: {
+              openSlots_ = input.readUInt32();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -554,6 +592,50 @@
       return this;
     }
 
+    private int openSlots_ ;
+    /**
+     * <pre>
+     * Slots that the agent could give to an order without a grant, those granted to the receiver and not used included.
+     * </pre>
+     *
+     * <code>uint32 open_slots = 4;</code>
+     * @return The openSlots.
+     */
+    @java.lang.Override
+    public int getOpenSlots() {
+      return openSlots_;
+    }
+    /**
+     * <pre>
+     * Slots that the agent could give to an order without a grant, those granted to the receiver and not used included.
+     * </pre>
+     *
+     * <code>uint32 open_slots = 4;</code>
+     * @param value The openSlots to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOpenSlots(int value) {
+
+      openSlots_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Slots that the agent could give to an order without a grant, those granted to the receiver and not used included.
+     * </pre>
+     *
+     * <code>uint32 open_slots = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearOpenSlots() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      openSlots_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:teaselhook.v1.TaskRefusal)
   }
 
--- a/wire/src/main/java/org/teaselhook/wire/TaskRefusalOrBuilder.java
+++ b/wire/src/main/java/org/teaselhook/wire/TaskRefusalOrBuilder.java
@@ -32,4 +32,14 @@
    * @return The grantedSlots.
    */
   int getGrantedSlots();
+
+  /**
+   * <pre>
+   * Slots that the agent could give to an order without a grant, those granted to the receiver and not used included.
+   * </pre>
+   *
+   * <code>uint32 open_slots = 4;</code>
+   * @return The openSlots.
+   */
+  int getOpenSlots();
 }
--- a/wire/src/main/java/org/teaselhook/wire/TaskResult.java
+++ b/wire/src/main/java/org/teaselhook/wire/TaskResult.java
@@ -215,6 +215,21 @@
     }
   }
 
+  public static final int OPEN_SLOTS_FIELD_NUMBER = 9;
+  private int openSlots_ = 0;
+  /**
+   * <pre>
+   * Slots that the agent could give to an order without a grant, those granted to the receiver and not used included.
+   * </pre>
+   *
+   * <code>uint32 open_slots = 9;</code>
+   * @return The openSlots.
+   */
+  @java.lang.Override
+  public int getOpenSlots() {
+    return openSlots_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -253,6 +268,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(target_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 8, target_);
     }
+    if (openSlots_ != 0) {
+      output.writeUInt32(9, openSlots_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -287,6 +305,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(target_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(8, target_);
     }
+    if (openSlots_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(9, openSlots_);
+    }
     return size;
   }
   @java.lang.Override
@@ -326,6 +348,8 @@
         != other.getGrantedSlots()) return false;
     if (!getTarget()
         .equals(other.getTarget())) return false;
+    if (getOpenSlots()
+        != other.getOpenSlots()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -355,6 +379,8 @@
     hash = (53 * hash) + getGrantedSlots();
     hash = (37 * hash) + TARGET_FIELD_NUMBER;
     hash = (53 * hash) + getTarget().hashCode();
+    hash = (37 * hash) + OPEN_SLOTS_FIELD_NUMBER;
+    hash = (53 * hash) + getOpenSlots();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -494,6 +520,7 @@
       runNanos_ = 0L;
       grantedSlots_ = 0;
       target_ = "";
+      openSlots_ = 0;
       return this;
     }
 
@@ -551,6 +578,9 @@
       if (((from_bitField0_ & 0x00000080) != 0)) {
         result.target_ = target_;
       }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.openSlots_ = openSlots_;
+      }
     }
 
     @java.lang.Override
@@ -593,6 +623,9 @@
         bitField0_ |= 0x00000080;
         onChanged();
       }
+      if (other.getOpenSlots() != 0) {
+        setOpenSlots(other.getOpenSlots());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -657,6 +690,11 @@
               bitField0_ |= 0x00000080;
               break;
             } // case 66
+            case 72: {
+              openSlots_ = input.readUInt32();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 72
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1066,6 +1104,50 @@
       return this;
     }
 
+    private int openSlots_ ;
+    /**
+     * <pre>
+     * Slots that the agent could give to an order without a grant, those granted to the receiver and not used included.
+     * </pre>
+     *
+     * <code>uint32 open_slots = 9;</code>
+     * @return The openSlots.
+     */
+    @java.lang.Override
+    public int getOpenSlots() {
+      return openSlots_;
+    }
+    /**
+     * <pre>
+     * Slots that the agent could give to an order without a grant, those granted to the receiver and not used included.
+     * </pre>
+     *
+     * <code>uint32 open_slots = 9;</code>
+     * @param value The openSlots to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOpenSlots(int value) {
+
+      openSlots_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Slots that the agent could give to an order without a grant, those granted to the receiver and not used included.
+     * </pre>
+     *
+     * <code>uint32 open_slots = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearOpenSlots() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      openSlots_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:teaselhook.v1.TaskResult)
   }
 
--- a/wire/src/main/java/org/teaselhook/wire/TaskResultOrBuilder.java
+++ b/wire/src/main/java/org/teaselhook/wire/TaskResultOrBuilder.java
@@ -86,4 +86,14 @@
    */
   com.google.protobuf.ByteString
       getTargetBytes();
+
+  /**
+   * <pre>
+   * Slots that the agent could give to an order without a grant, those granted to the receiver and not used included.
+   * </pre>
+   *
+   * <code>uint32 open_slots = 9;</code>
+   * @return The openSlots.
+   */
+  int getOpenSlots();
 }
--- a/wire/src/main/java/org/teaselhook/wire/Teaselhook.java
+++ b/wire/src/main/java/org/teaselhook/wire/Teaselhook.java
@@ -157,21 +157,23 @@
       "\t\022\023\n\013incarnation\030\002 \001(\006\022\014\n\004zone\030\003 \001(\t\022\014\n\004" +
       "rack\030\004 \001(\t\022\r\n\005slots\030\005 \001(\r\022\022\n\nconnection\030" +
       "\006 \001(\004\022,\n\005state\030\007 \001(\0132\035.teaselhook.v1.Age" +
-      "ntHeartbeat\"\217\001\n\016AgentHeartbeat\022\023\n\013agent_" +
+      "ntHeartbeat\"\243\001\n\016AgentHeartbeat\022\023\n\013agent_" +
       "nanos\030\001 \001(\006\022\026\n\016config_version\030\002 \001(\004\022+\n\007t" +
       "argets\030\003 \003(\0132\032.teaselhook.v1.TargetOffer" +
-      "\022\017\n\007leaving\030\004 \001(\010\022\022\n\nfree_slots\030\005 \001(\r\"?\n" +
-      "\013TargetOffer\022\016\n\006target\030\001 \001(\t\022\017\n\007service\030" +
-      "\002 \001(\t\022\017\n\007leaving\030\003 \001(\010\"\026\n\005Grant\022\r\n\005slots" +
-      "\030\001 \001(\r\"\035\n\014GrantReclaim\022\r\n\005slots\030\001 \001(\r\"\274\001" +
+      "\022\017\n\007leaving\030\004 \001(\010\022\022\n\nfree_slots\030\005 \001(\r\022\022\n" +
+      "\nopen_slots\030\006 \001(\r\"?\n\013TargetOffer\022\016\n\006targ" +
+      "et\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007leaving\030\003 \001" +
+      "(\010\"*\n\005Grant\022\r\n\005slots\030\001 \001(\r\022\022\n\nopen_slots" +
+      "\030\002 \001(\r\"\035\n\014GrantReclaim\022\r\n\005slots\030\001 \001(\r\"\320\001" +
       "\n\nTaskResult\022\020\n\010dispatch\030\001 \001(\004\022)\n\006status" +
       "\030\002 \001(\0162\031.teaselhook.v1.TaskStatus\022\023\n\013htt" +
       "p_status\030\003 \001(\r\022\024\n\014content_type\030\004 \001(\t\022\014\n\004" +
       "body\030\005 \001(\014\022\021\n\trun_nanos\030\006 \001(\004\022\025\n\rgranted" +
-      "_slots\030\007 \001(\r\022\016\n\006target\030\010 \001(\t\"d\n\013TaskRefu" +
-      "sal\022\020\n\010dispatch\030\001 \001(\004\022,\n\006reason\030\002 \001(\0162\034." +
-      "teaselhook.v1.RefusalReason\022\025\n\rgranted_s" +
-      "lots\030\003 \001(\r\"\323\002\n\nEntryFrame\022*\n\005hello\030\001 \001(\013" +
+      "_slots\030\007 \001(\r\022\016\n\006target\030\010 \001(\t\022\022\n\nopen_slo" +
+      "ts\030\t \001(\r\"x\n\013TaskRefusal\022\020\n\010dispatch\030\001 \001(" +
+      "\004\022,\n\006reason\030\002 \001(\0162\034.teaselhook.v1.Refusa" +
+      "lReason\022\025\n\rgranted_slots\030\003 \001(\r\022\022\n\nopen_s" +
+      "lots\030\004 \001(\r\"\323\002\n\nEntryFrame\022*\n\005hello\030\001 \001(\013" +
       "2\031.teaselhook.v1.EntryHelloH\000\0222\n\theartbe" +
       "at\030\002 \001(\0132\035.teaselhook.v1.EntryHeartbeatH" +
       "\000\022/\n\006config\030\003 \001(\0132\035.teaselhook.v1.Config" +
@@ -261,7 +263,7 @@
     internal_static_teaselhook_v1_AgentHeartbeat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_AgentHeartbeat_descriptor,
-        new java.lang.String[] { "AgentNanos", "ConfigVersion", "Targets", "Leaving", "FreeSlots", });
+        new java.lang.String[] { "AgentNanos", "ConfigVersion", "Targets", "Leaving", "FreeSlots", "OpenSlots", });
     internal_static_teaselhook_v1_TargetOffer_descriptor =
       getDescriptor().getMessageType(3);
     internal_static_teaselhook_v1_TargetOffer_fieldAccessorTable = new
@@ -273,7 +275,7 @@
     internal_static_teaselhook_v1_Grant_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_Grant_descriptor,
-        new java.lang.String[] { "Slots", });
+        new java.lang.String[] { "Slots", "OpenSlots", });
     internal_static_teaselhook_v1_GrantReclaim_descriptor =
       getDescriptor().getMessageType(5);
     internal_static_teaselhook_v1_GrantReclaim_fieldAccessorTable = new
@@ -285,13 +287,13 @@
     internal_static_teaselhook_v1_TaskResult_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_TaskResult_descriptor,
-        new java.lang.String[] { "Dispatch", "Status", "HttpStatus", "ContentType", "Body", "RunNanos", "GrantedSlots", "Target", });
+        new java.lang.String[] { "Dispatch", "Status", "HttpStatus", "ContentType", "Body", "RunNanos", "GrantedSlots", "Target", "OpenSlots", });
     internal_static_teaselhook_v1_TaskRefusal_descriptor =
       getDescriptor().getMessageType(7);
     internal_static_teaselhook_v1_TaskRefusal_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_TaskRefusal_descriptor,
-        new java.lang.String[] { "Dispatch", "Reason", "GrantedSlots", });
+        new java.lang.String[] { "Dispatch", "Reason", "GrantedSlots", "OpenSlots", });
     internal_static_teaselhook_v1_EntryFrame_descriptor =
       getDescriptor().getMessageType(8);
     internal_static_teaselhook_v1_EntryFrame_fieldAccessorTable = new
