Answer a change when another entry has confirmed it

Cause: an entry answered "accepted" before its push had left. Killed in that moment, with the table service out right after, it took the change with it: ConfigOutageTest ended with "entry 0 holds version 2 expected"; the log of the other entry shows version 1 only.

Ruled out: the order of log and push on the control thread; both come after the answer's thread may already have answered.

Change: the answer waits until another entry names the version, at most 1 s, and not at all while no other entry is live.

--- a/app/src/test/java/org/teaselhook/app/ctl/CtlCommandTest.java
+++ b/app/src/test/java/org/teaselhook/app/ctl/CtlCommandTest.java
@@ -225,9 +225,10 @@
         }
 
         @Override
-        public void push(ConfigVersion version, String text, String operation) {
+        public CompletionStage<Void> push(ConfigVersion version, String text, String operation) {
             Rules rules = RulesParser.parse(text).fold(r -> r, faults -> Rules.empty());
             held = new HeldConfig(version, text, operation, rules.zonesOut(), true);
+            return CompletableFuture.completedStage(null);
         }
     }
 
--- a/node/src/main/java/org/teaselhook/node/admin/AdminHandler.java
+++ b/node/src/main/java/org/teaselhook/node/admin/AdminHandler.java
@@ -170,15 +170,20 @@
                     "send the name of the operator, 1 to 64 printable ASCII characters without colon"));
         }
         Operation operation = new Operation(id.get(), author.get());
-        return applying.start(operation).thenApply(result -> finish(operation, result));
+        return applying.start(operation)
+                .thenCompose(result -> spread(result).thenApply(spread -> finish(operation, result)));
     }
 
-    private HttpReply finish(Operation operation, ApplyResult result) {
+    private CompletionStage<Void> spread(ApplyResult result) {
         if (result instanceof ApplyResult.Applied applied
                 && !applied.record().text().isEmpty()) {
             ConfigRecord record = applied.record();
-            cluster.push(record.version(), record.text(), record.operation());
+            return cluster.push(record.version(), record.text(), record.operation());
         }
+        return CompletableFuture.completedStage(null);
+    }
+
+    private static HttpReply finish(Operation operation, ApplyResult result) {
         HttpReply reply = AdminReplies.applied(result);
         LogLine.of("config-change")
                 .with("operation", operation.id())
--- a/node/src/main/java/org/teaselhook/node/admin/Cluster.java
+++ b/node/src/main/java/org/teaselhook/node/admin/Cluster.java
@@ -32,6 +32,7 @@
      * @param version the version
      * @param text the whole text
      * @param operation the operation that applied it
+     * @return completes when another entry has confirmed the version, or when none has for a second
      */
-    void push(ConfigVersion version, String text, String operation);
+    CompletionStage<Void> push(ConfigVersion version, String text, String operation);
 }
--- a/node/src/main/java/org/teaselhook/node/entry/EntryCluster.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryCluster.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
 import org.teaselhook.core.config.ConfigVersion;
@@ -23,6 +24,8 @@
  */
 final class EntryCluster implements Cluster {
 
+    private static final long CONFIRM_WAIT_MILLIS = 1_000;
+
     private final EntryIdentity self;
     private final ControlLoop control;
     private final EntryConfiguration configuration;
@@ -85,8 +88,18 @@
                 () -> HeldConfig.of(configuration.current(), tableReachable.getAsBoolean()), control);
     }
 
+    /** A change is not answered before it would outlast the death of this entry, unless no other entry answers. */
     @Override
-    public void push(ConfigVersion version, String text, String operation) {
-        control.execute(() -> configuration.offer(version.value(), text, operation));
+    public CompletionStage<Void> push(ConfigVersion version, String text, String operation) {
+        return CompletableFuture.supplyAsync(() -> pushNow(version, text, operation), control)
+                .thenCompose(confirmed -> confirmed)
+                .completeOnTimeout(null, CONFIRM_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private CompletionStage<Void> pushNow(ConfigVersion version, String text, String operation) {
+        configuration.offer(version.value(), text, operation);
+        return peers.live().isEmpty()
+                ? CompletableFuture.completedStage(null)
+                : configuration.confirmations().of(version);
     }
 }
--- a/node/src/main/java/org/teaselhook/node/entry/EntryConfiguration.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryConfiguration.java
@@ -30,6 +30,7 @@
     private final EntryIdentity self;
     private final ConfigHolder holder;
     private final Freshness freshness;
+    private final Confirmations confirmations = new Confirmations();
     private final Consumer<VersionedRules> onChange;
     private ConfigDocument document = ConfigDocument.getDefaultInstance();
 
@@ -55,6 +56,7 @@
     public void peerSpoke(PeerWord word, List<KnownEntry> known, long asOfNanos, long nowNanos) {
         freshness.entriesInherited(known, nowNanos);
         freshness.peerHeard(holder.state(), word, asOfNanos, nowNanos);
+        confirmations.confirmed(word.version());
     }
 
     @Override
@@ -87,6 +89,10 @@
         return holder;
     }
 
+    Confirmations confirmations() {
+        return confirmations;
+    }
+
     Freshness freshness() {
         return freshness;
     }
--- a/node/src/test/java/org/teaselhook/node/admin/AdminHandlerTest.java
+++ b/node/src/test/java/org/teaselhook/node/admin/AdminHandlerTest.java
@@ -14,10 +14,12 @@
 import org.teaselhook.net.http.HttpCall;
 import org.teaselhook.net.http.HttpReply;
 import org.teaselhook.node.config.ConfigStore;
+import org.teaselhook.node.config.DirectTable;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 public class AdminHandlerTest {
@@ -79,6 +81,21 @@
         assertEquals(reply.header(AdminHeaders.SOURCE).orElse(""), "entry");
     }
 
+    @Test
+    public void shouldAnswerChangeOnlyWhenAnotherEntryHasConfirmedIt() {
+        StubCluster cluster = new StubCluster();
+        CompletableFuture<Void> confirmed = new CompletableFuture<>();
+        cluster.pushed = confirmed;
+        AdminHandler working = AdminHandler.of(ConfigStore.of(new DirectTable(), () -> 0), cluster);
+        CompletableFuture<HttpReply> reply = working.handle(
+                        HttpCall.of("POST", AdminHandler.PREFIX + "zones/a/out", OPERATION, new byte[0]))
+                .toCompletableFuture();
+
+        assertFalse(reply.isDone());
+        confirmed.complete(null);
+        assertEquals(reply.join().status(), 200);
+    }
+
     private HttpReply send(String method, String path, Map<String, String> headers, String body) {
         byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
         return handler.handle(HttpCall.of(method, AdminHandler.PREFIX + path, headers, bytes))
@@ -87,6 +104,8 @@
     }
 
     private static final class StubCluster implements Cluster {
+        private CompletionStage<Void> pushed =
+                CompletableFuture.failedStage(new AssertionError("nothing was accepted"));
 
         @Override
         public CompletionStage<List<ProcessStatus>> processes() {
@@ -100,8 +119,8 @@
         }
 
         @Override
-        public void push(ConfigVersion version, String text, String operation) {
-            throw new AssertionError("nothing was accepted");
+        public CompletionStage<Void> push(ConfigVersion version, String text, String operation) {
+            return pushed;
         }
     }
 
