Let agents send a newer configuration up to an entry

Change: an agent keeps the document; an entry that is behind asks one agent at a time, at most every 200 ms, so that thousands of agents do not answer at once.

--- /dev/null
+++ b/bench/src/test/java/org/teaselhook/bench/failure/EntryCutTest.java
@@ -0,0 +1,93 @@
+package org.teaselhook.bench.failure;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+import org.teaselhook.bench.history.HistoryRecorder;
+import org.teaselhook.bench.process.ChangeResult;
+import org.teaselhook.bench.process.Operators;
+import org.teaselhook.bench.process.Readiness;
+import org.teaselhook.bench.process.Site;
+import org.teaselhook.bench.process.SitePlan;
+import org.teaselhook.standin.target.TaskListener;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertTrue;
+
+/** Cuts two of three entries off from the table service and from the third, while agents reach all three. */
+public class EntryCutTest {
+
+    private static final Duration READY_WAIT = Duration.ofSeconds(60);
+    private static final long STOP_MILLIS = 6_000;
+    private static final long CARRY_MILLIS = 5_000;
+    private static final long HEAL_MILLIS = 20_000;
+    private static final long POLL_MILLIS = 50;
+    private static final List<String> CUT = List.of("entry-1", "entry-2");
+    private static final List<String> LINKS =
+            List.of("entry-1>entry-3", "entry-3>entry-1", "entry-2>entry-3", "entry-3>entry-2");
+
+    private Site site;
+    private FaultActions actions;
+
+    @BeforeMethod
+    public void start() throws IOException, InterruptedException {
+        SitePlan plan = SitePlan.standard().withProcesses(3, 2);
+        site = Site.start(plan, TaskListener.none(), Files.createTempDirectory("entry-cut-test"));
+        site.awaitReady(READY_WAIT);
+        actions = new FaultActions(site, HistoryRecorder.of(System::nanoTime), new Downtimes());
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+        if (site != null) {
+            site.close();
+        }
+    }
+
+    @Test
+    public void shouldStopEntriesCutOffTogetherAndCarryChangeOverByAgents() throws InterruptedException {
+        await("every entry holds the rules", READY_WAIT.toMillis(), () -> holds(0, 1) && holds(1, 1) && holds(2, 1));
+        CUT.forEach(entry -> actions.cutTable(fault(FaultKind.CUT_TABLE_LINK, entry)));
+        LINKS.forEach(link -> actions.cutLink(fault(FaultKind.CUT_PEER_LINK, link)));
+        ChangeResult out = operators(2).changeZone("ernakulam", true, "cut-1");
+        long version = out.version().orElseThrow(() -> new AssertionError(out.detail()));
+
+        await("agents carry the version over", CARRY_MILLIS, () -> holds(0, version) && holds(1, version));
+        await("the entries cut off start nothing", STOP_MILLIS, () -> !isReady(0) && !isReady(1));
+        assertTrue(isReady(2), "the entry that reaches the table service is not ready");
+
+        CUT.forEach(entry -> actions.healTable(fault(FaultKind.CUT_TABLE_LINK, entry)));
+        LINKS.forEach(link -> actions.healLink(fault(FaultKind.CUT_PEER_LINK, link)));
+        await("the entries start work again", HEAL_MILLIS, () -> isReady(0) && isReady(1));
+    }
+
+    private boolean holds(int entry, long version) {
+        return operators(entry).version().orElse(-1) >= version;
+    }
+
+    private boolean isReady(int entry) {
+        return Readiness.of(site.client()).isReady(site.entries().get(entry).http());
+    }
+
+    private Operators operators(int entry) {
+        return Operators.of(site.client(), site.entries().get(entry).http());
+    }
+
+    private static PlannedFault fault(FaultKind kind, String subject) {
+        return new PlannedFault(kind, List.of(subject), 0, 0, 0);
+    }
+
+    private static void await(String what, long millis, BooleanSupplier condition) throws InterruptedException {
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+        while (!condition.getAsBoolean()) {
+            assertTrue(endNanos - System.nanoTime() > 0, "not in time: " + what);
+            TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+        }
+    }
+}
--- a/node/src/main/java/org/teaselhook/node/agent/AgentControl.java
+++ b/node/src/main/java/org/teaselhook/node/agent/AgentControl.java
@@ -146,6 +146,7 @@
             case ACK -> frame.getAck().getDispatchList().forEach(dispatch -> acknowledged(id, dispatch));
             case HEARTBEAT -> heard(id, frame.getHeartbeat(), time);
             case CONFIG -> configured(frame.getConfig(), time.nanos());
+            case CONFIG_REQUEST -> entries.get(id).send(AgentFrames.config(configuration.document()));
             case CANCEL -> cancelled(id, frame.getCancel().getDispatch());
             case GRANT_RETURN -> {
                 sharing.giveBack(id, frame.getGrantReturn().getSlots());
@@ -173,7 +174,7 @@
     }
 
     private void configured(ConfigDocument document, long nowNanos) {
-        Optional<Configuration> newer = configuration.newer(document.getVersion(), document.getText());
+        Optional<Configuration> newer = configuration.newer(document);
         if (newer.isEmpty()) {
             return;
         }
--- a/node/src/main/java/org/teaselhook/node/agent/AgentFrames.java
+++ b/node/src/main/java/org/teaselhook/node/agent/AgentFrames.java
@@ -4,6 +4,7 @@
 import org.teaselhook.wire.AgentFrame;
 import org.teaselhook.wire.AgentHeartbeat;
 import org.teaselhook.wire.AgentHello;
+import org.teaselhook.wire.ConfigDocument;
 import org.teaselhook.wire.Grant;
 import org.teaselhook.wire.GrantReclaim;
 import org.teaselhook.wire.TaskRefusal;
@@ -34,6 +35,10 @@
         return AgentFrame.newBuilder().setHeartbeat(state).build();
     }
 
+    static AgentFrame config(ConfigDocument held) {
+        return AgentFrame.newBuilder().setConfig(held).build();
+    }
+
     static AgentFrame grant(int slots) {
         return AgentFrame.newBuilder()
                 .setGrant(Grant.newBuilder().setSlots(slots))
--- a/node/src/main/java/org/teaselhook/node/entry/EntryConfiguration.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryConfiguration.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import org.teaselhook.core.config.ConfigState;
@@ -11,27 +12,34 @@
 import org.teaselhook.core.config.KnownEntry;
 import org.teaselhook.core.config.PeerWord;
 import org.teaselhook.core.config.VersionedRules;
+import org.teaselhook.core.dispatch.AgentInfo;
 import org.teaselhook.core.member.Member;
 import org.teaselhook.core.outcome.Problem;
 import org.teaselhook.core.outcome.ProblemKind;
 import org.teaselhook.core.rules.Rules;
+import org.teaselhook.net.log.LogLine;
 import org.teaselhook.node.config.ConfigHolder;
 import org.teaselhook.node.peer.PeerEvents;
 import org.teaselhook.node.peer.PeerKnowledge;
 import org.teaselhook.node.session.EntryIdentity;
+import org.teaselhook.node.session.SessionEvents;
 import org.teaselhook.wire.ConfigDocument;
 
 /**
  * The configuration that this entry holds, and whether it is recent enough to start work. Confined to the control
  * thread.
  */
-final class EntryConfiguration implements PeerEvents, PeerKnowledge {
+final class EntryConfiguration implements PeerEvents, PeerKnowledge, SessionEvents {
+
+    private static final long ASK_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
     private final EntryIdentity self;
     private final ConfigHolder holder;
     private final Freshness freshness;
     private final Confirmations confirmations = new Confirmations();
     private final Consumer<VersionedRules> onChange;
+    private boolean asked;
+    private long askedNanos;
     private ConfigDocument document = ConfigDocument.getDefaultInstance();
 
     EntryConfiguration(EntryIdentity self, long nowNanos, Consumer<VersionedRules> onChange) {
@@ -72,9 +80,21 @@
         freshness.entriesListed(entries, sentNanos);
     }
 
-    /** An agent has seen a version; if it is newer than the one held, this entry is behind. */
-    void agentSaw(long version) {
+    /** If an agent has seen a newer version than the one held, this entry is behind, and asks one agent at a time. */
+    @Override
+    public boolean agentSawVersion(long nowNanos, AgentInfo agent, long version) {
         holder.state().heard(ConfigVersion.of(version));
+        boolean newer = version > current().version().value();
+        if (!newer || asked && nowNanos - askedNanos < ASK_INTERVAL_NANOS) {
+            return false;
+        }
+        asked = true;
+        askedNanos = nowNanos;
+        LogLine.of("config-asked")
+                .with("agent", agent.name())
+                .with("version", version)
+                .info();
+        return true;
     }
 
     void offer(long version, String text, String operation) {
--- a/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
@@ -16,7 +16,6 @@
 import org.teaselhook.core.claim.TicketLimits;
 import org.teaselhook.core.claim.Tickets;
 import org.teaselhook.core.config.VersionedRules;
-import org.teaselhook.core.dispatch.AgentInfo;
 import org.teaselhook.core.dispatch.Dispatcher;
 import org.teaselhook.core.dispatch.DispatcherSettings;
 import org.teaselhook.core.id.Incarnation;
@@ -118,8 +117,8 @@
                 control::nowNanos,
                 configuration,
                 configuration);
-        this.sessions = new AgentSessions(
-                self, dispatcher, this::agentSawVersion, configuration::document, this::entryAddresses);
+        this.sessions =
+                new AgentSessions(self, dispatcher, configuration, configuration::document, this::entryAddresses);
         output.connect(sessions);
         OtherEntries others = new OtherEntries(self.incarnation(), control, peers, claims, configuration::rules);
         Tickets tickets = Tickets.of(self.incarnation(), new SecureRandom(), TicketLimits.standard());
@@ -251,10 +250,6 @@
         dispatcher.rules(control.nowNanos(), next.rules(), next.version().value());
     }
 
-    private void agentSawVersion(AgentInfo agent, long version) {
-        configuration.agentSaw(version);
-    }
-
     private List<String> entryAddresses() {
         List<String> result = new ArrayList<>();
         result.add(self.address());
--- a/node/src/main/java/org/teaselhook/node/session/AgentSessions.java
+++ b/node/src/main/java/org/teaselhook/node/session/AgentSessions.java
@@ -90,6 +90,7 @@
             case RECLAIM -> reclaim(nowNanos, session, frame.getReclaim().getSlots());
             case RESULT -> result(nowNanos, agent, frame.getResult());
             case REFUSAL -> refusal(nowNanos, agent, frame.getRefusal());
+            case CONFIG -> events.configReceived(frame.getConfig());
             default -> unexpected(session, frame);
         }
     }
@@ -144,7 +145,9 @@
 
     private void update(long nowNanos, AgentSession session, long agentNanos, AgentState state) {
         session.heartbeat(agentNanos, state, nowNanos);
-        events.agentSawVersion(session.info(), state.configVersion());
+        if (events.agentSawVersion(nowNanos, session.info(), state.configVersion())) {
+            session.send(Frames.configRequest());
+        }
         dispatcher.updated(nowNanos, session.info().incarnation(), state);
         if (state.configVersion() < config.get().getVersion()) {
             session.send(configFrame());
--- a/node/src/main/java/org/teaselhook/node/session/Frames.java
+++ b/node/src/main/java/org/teaselhook/node/session/Frames.java
@@ -15,6 +15,7 @@
 import org.teaselhook.wire.AgentHeartbeat;
 import org.teaselhook.wire.AgentHello;
 import org.teaselhook.wire.Cancel;
+import org.teaselhook.wire.ConfigRequest;
 import org.teaselhook.wire.Dispatch;
 import org.teaselhook.wire.EntryFrame;
 import org.teaselhook.wire.GrantReturn;
@@ -112,6 +113,12 @@
                 .build();
     }
 
+    static EntryFrame configRequest() {
+        return EntryFrame.newBuilder()
+                .setConfigRequest(ConfigRequest.getDefaultInstance())
+                .build();
+    }
+
     static EntryFrame grantReturn(int slots) {
         return EntryFrame.newBuilder()
                 .setGrantReturn(GrantReturn.newBuilder().setSlots(slots))
--- a/node/src/test/java/org/teaselhook/node/agent/AgentControlTest.java
+++ b/node/src/test/java/org/teaselhook/node/agent/AgentControlTest.java
@@ -5,7 +5,10 @@
 import org.teaselhook.core.id.Incarnation;
 import org.teaselhook.net.http.HttpReply;
 import org.teaselhook.net.http.HttpResult;
+import org.teaselhook.wire.AgentFrame;
 import org.teaselhook.wire.Cancel;
+import org.teaselhook.wire.ConfigDocument;
+import org.teaselhook.wire.ConfigRequest;
 import org.teaselhook.wire.EntryFrame;
 import org.teaselhook.wire.RefusalReason;
 import org.teaselhook.wire.TaskRefusal;
@@ -81,6 +84,26 @@
 
     // -- configuration
 
+    @Test
+    public void shouldSendConfigurationHeldToEntryThatAsks() {
+        AgentFixture agent = new AgentFixture();
+        FakeStream stream = agent.ready();
+        agent.configure(stream, 3, "zone thrissur out # Anil: power work\n");
+        agent.receive(
+                stream,
+                EntryFrame.newBuilder()
+                        .setConfigRequest(ConfigRequest.getDefaultInstance())
+                        .build());
+
+        List<ConfigDocument> sent = stream.frames()
+                .filter(AgentFrame::hasConfig)
+                .map(AgentFrame::getConfig)
+                .toList();
+        assertEquals(sent.size(), 1);
+        assertEquals(sent.get(0).getVersion(), 3);
+        assertEquals(sent.get(0).getText(), "zone thrissur out # Anil: power work\n");
+    }
+
     @Test
     public void shouldStartNothingBeforeConfigurationIsKnownNorGoBackToAnOlderOne() {
         AgentFixture agent = new AgentFixture();
--- a/node/src/test/java/org/teaselhook/node/session/AgentSessionsTest.java
+++ b/node/src/test/java/org/teaselhook/node/session/AgentSessionsTest.java
@@ -5,6 +5,7 @@
 import java.util.Random;
 
 import io.grpc.stub.StreamObserver;
+import org.teaselhook.core.dispatch.AgentInfo;
 import org.teaselhook.core.dispatch.Decision;
 import org.teaselhook.core.dispatch.DispatchOrder;
 import org.teaselhook.core.dispatch.DispatchOutput;
@@ -31,6 +32,7 @@
 
     private final List<EntryFrame> sent = new ArrayList<>();
     private final StreamObserver<EntryFrame> stream = new RecordingStream();
+    private final List<ConfigDocument> received = new ArrayList<>();
     private AgentSessions sessions;
 
     @BeforeMethod
@@ -40,11 +42,7 @@
         Dispatcher dispatcher = new Dispatcher(DispatcherSettings.of("z"), output, new Random(1));
         EntryIdentity self = new EntryIdentity("entry-1", Incarnation.of(1), "z", "127.0.0.1:1");
         sessions = new AgentSessions(
-                self,
-                dispatcher,
-                (agent, version) -> {},
-                ConfigDocument::getDefaultInstance,
-                () -> List.of("127.0.0.1:1"));
+                self, dispatcher, new Events(), ConfigDocument::getDefaultInstance, () -> List.of("127.0.0.1:1"));
         output.sessions = sessions;
         sessions.connected(0, stream, hello());
     }
@@ -69,8 +67,32 @@
         assertEquals(returns, List.of(Math.min(granted, asked)));
     }
 
+    // -- configuration
+
+    @Test
+    public void shouldAskAgentForTextThatIsNewerAndTakeIt() {
+        receive(AgentFrame.newBuilder().setHeartbeat(AgentHeartbeat.newBuilder().setConfigVersion(3)));
+        assertEquals(sent.stream().filter(EntryFrame::hasConfigRequest).count(), 1);
+
+        ConfigDocument document = ConfigDocument.newBuilder().setVersion(3).build();
+        receive(AgentFrame.newBuilder().setConfig(document));
+        assertEquals(received, List.of(document));
+    }
+
     // -- helpers
 
+    private final class Events implements SessionEvents {
+        @Override
+        public boolean agentSawVersion(long nowNanos, AgentInfo agent, long version) {
+            return version > 0;
+        }
+
+        @Override
+        public void configReceived(ConfigDocument document) {
+            received.add(document);
+        }
+    }
+
     private void receive(AgentFrame.Builder frame) {
         sessions.received(1, AGENT, stream, frame.build());
     }
