Merge what all entries see into the status, give ctl one home for tables

Cause: the status counted only agents connected to the entry that was asked, and an entry that died or was cut off vanished from it at once, so "in force" could be said while nobody had heard of it.

Change: the asked entry asks the others for their agents and keeps the newest version for each run; an entry that fell silent is listed, and unconfirmed if its last version is older, until the table service no longer lists it.

--- a/app/src/main/java/org/teaselhook/app/ctl/Changes.java
+++ b/app/src/main/java/org/teaselhook/app/ctl/Changes.java
@@ -1,6 +1,5 @@
 package org.teaselhook.app.ctl;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -122,16 +121,7 @@
         if (!(result instanceof EntryReply.Replied replied) || replied.reply().status() != OK) {
             return List.of("every process: no entry answers for its status");
         }
-        JsonNode status = Output.tree(replied.reply());
-        List<String> names = new ArrayList<>();
-        for (JsonNode process : status.path("processes")) {
-            if (process.path("version").asLong() < version) {
-                names.add(process.path("kind").asText() + " "
-                        + process.path("name").asText() + " (version "
-                        + process.path("version").asLong() + ")");
-            }
-        }
-        return names;
+        return StatusDocument.of(replied.reply()).unconfirmed(version);
     }
 
     private static void pause() {
--- a/app/src/main/java/org/teaselhook/app/ctl/RulesApplyCommand.java
+++ b/app/src/main/java/org/teaselhook/app/ctl/RulesApplyCommand.java
@@ -3,7 +3,6 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.Callable;
 
 import org.teaselhook.node.admin.AdminHeaders;
@@ -42,18 +41,12 @@
 
     @Override
     public Integer call() {
-        RulesFile file = new RulesFile(path, output);
-        Optional<String> text = file.read();
-        if (text.isEmpty()) {
-            return ExitCode.FAILED.code();
-        }
-        if (!file.isSound(text.get())) {
-            return ExitCode.BAD_RULES.code();
-        }
+        return new RulesFile(path, output).ifSound(this::apply).code();
+    }
+
+    private ExitCode apply(String text) {
         Map<String, String> headers = Map.of(AdminHeaders.EXPECTED_VERSION, Long.toString(expected));
-        byte[] body = text.get().getBytes(StandardCharsets.UTF_8);
-        return new Changes(entries, change, output)
-                .make("PUT", "/v1/admin/rules", headers, body)
-                .code();
+        byte[] body = text.getBytes(StandardCharsets.UTF_8);
+        return new Changes(entries, change, output).make("PUT", "/v1/admin/rules", headers, body);
     }
 }
--- a/app/src/main/java/org/teaselhook/app/ctl/RulesCheckCommand.java
+++ b/app/src/main/java/org/teaselhook/app/ctl/RulesCheckCommand.java
@@ -1,7 +1,6 @@
 package org.teaselhook.app.ctl;
 
 import java.nio.file.Path;
-import java.util.Optional;
 import java.util.concurrent.Callable;
 
 import picocli.CommandLine.Command;
@@ -25,19 +24,15 @@
 
     @Override
     public Integer call() {
-        RulesFile file = new RulesFile(path, output);
-        Optional<String> text = file.read();
-        if (text.isEmpty()) {
-            return ExitCode.FAILED.code();
-        }
-        if (!file.isSound(text.get())) {
-            return ExitCode.BAD_RULES.code();
-        }
+        return new RulesFile(path, output).ifSound(text -> sound()).code();
+    }
+
+    private ExitCode sound() {
         if (output.isJson()) {
             output.print(Output.object().put("outcome", ExitCode.DONE.name()));
         } else {
             output.out().println(path + ": every line is sound");
         }
-        return ExitCode.DONE.code();
+        return ExitCode.DONE;
     }
 }
--- a/app/src/main/java/org/teaselhook/app/ctl/RulesFile.java
+++ b/app/src/main/java/org/teaselhook/app/ctl/RulesFile.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Function;
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -24,8 +25,16 @@
         this.output = output;
     }
 
-    /** Reads the file; prints why it cannot be read and returns empty if so. */
-    Optional<String> read() {
+    /** Hands the text on if it can be read and every line is sound; prints why if not. */
+    ExitCode ifSound(Function<String, ExitCode> next) {
+        Optional<String> text = read();
+        if (text.isEmpty()) {
+            return ExitCode.FAILED;
+        }
+        return isSound(text.get()) ? next.apply(text.get()) : ExitCode.BAD_RULES;
+    }
+
+    private Optional<String> read() {
         try {
             return Optional.of(Files.readString(path));
         } catch (IOException e) {
@@ -35,8 +44,7 @@
         }
     }
 
-    /** Prints every bad line of the text; returns false if there is any. */
-    boolean isSound(String text) {
+    private boolean isSound(String text) {
         List<RuleFault> faults = RulesParser.parse(text).fold(rules -> List.of(), found -> found);
         if (faults.isEmpty()) {
             return true;
--- a/app/src/main/java/org/teaselhook/app/ctl/RulesShowCommand.java
+++ b/app/src/main/java/org/teaselhook/app/ctl/RulesShowCommand.java
@@ -1,12 +1,8 @@
 package org.teaselhook.app.ctl;
 
-import java.util.concurrent.Callable;
-
-import org.teaselhook.net.http.HttpCall;
 import org.teaselhook.net.http.HttpReply;
 import org.teaselhook.node.admin.AdminHeaders;
 import picocli.CommandLine.Command;
-import picocli.CommandLine.Mixin;
 
 /**
  * Shows the current rules file: its text on standard output, its version on standard error.
@@ -15,38 +11,34 @@
         name = "show",
         description = "Prints the current rules file; its version goes to standard error.",
         mixinStandardHelpOptions = true)
-final class RulesShowCommand implements Callable<Integer> {
+final class RulesShowCommand extends QueryCommand {
 
-    @Mixin
-    private EntryOptions entries;
+    RulesShowCommand() {
+        super("/v1/admin/rules");
+    }
 
-    @Mixin
-    private Output output;
+    @Override
+    void printJson(HttpReply reply) {
+        output().print(Output.object()
+                .put("version", Long.parseLong(version(reply)))
+                .put("operation", reply.header(AdminHeaders.OPERATION).orElse(""))
+                .put("source", source(reply))
+                .put("text", reply.text()));
+    }
 
     @Override
-    public Integer call() {
-        return new Query(entries, output)
-                .ask(HttpCall.of("GET", "/v1/admin/rules"), this::print)
-                .code();
+    void printText(HttpReply reply) {
+        output().out().print(reply.text());
+        output().out().flush();
+        String held = source(reply).equals("entry") ? " as held by the entry; the table service was not reached" : "";
+        output().err().println("version " + version(reply) + held);
+    }
+
+    private static String version(HttpReply reply) {
+        return reply.header(AdminHeaders.VERSION).orElse("0");
     }
 
-    private void print(HttpReply reply) {
-        String version = reply.header(AdminHeaders.VERSION).orElse("0");
-        String source = reply.header(AdminHeaders.SOURCE).orElse("");
-        if (output.isJson()) {
-            output.print(Output.object()
-                    .put("version", Long.parseLong(version))
-                    .put("operation", reply.header(AdminHeaders.OPERATION).orElse(""))
-                    .put("source", source)
-                    .put("text", reply.text()));
-            return;
-        }
-        output.out().print(reply.text());
-        output.out().flush();
-        output.err()
-                .println("version " + version
-                        + (source.equals("entry")
-                                ? " as held by the entry; the table" + " service was not reached"
-                                : ""));
+    private static String source(HttpReply reply) {
+        return reply.header(AdminHeaders.SOURCE).orElse("");
     }
 }
--- a/app/src/main/java/org/teaselhook/app/ctl/ZoneNameCheck.java
+++ b/app/src/main/java/org/teaselhook/app/ctl/ZoneNameCheck.java
@@ -40,8 +40,10 @@
 
     private static SortedSet<String> zonesInUse(HttpReply status) {
         SortedSet<String> zones = new TreeSet<>();
-        for (JsonNode process : Output.tree(status).path("processes")) {
-            zones.add(process.path("zone").asText());
+        for (JsonNode process : StatusDocument.of(status).processes()) {
+            if (!StatusDocument.isSilent(process)) {
+                zones.add(process.path("zone").asText());
+            }
         }
         return zones;
     }
--- a/app/src/test/java/org/teaselhook/app/ctl/CtlCommandTest.java
+++ b/app/src/test/java/org/teaselhook/app/ctl/CtlCommandTest.java
@@ -25,6 +25,7 @@
 import org.teaselhook.node.admin.AdminHandler;
 import org.teaselhook.node.admin.Cluster;
 import org.teaselhook.node.admin.HeldConfig;
+import org.teaselhook.node.admin.ProcessCondition;
 import org.teaselhook.node.admin.ProcessKind;
 import org.teaselhook.node.admin.ProcessStatus;
 import org.teaselhook.node.config.ConfigStore;
@@ -157,6 +158,18 @@
         assertTrue(out.toString().contains("zone thrissur is out"), out.toString());
     }
 
+    @Test
+    public void shouldNameEntryThatIsSilentAndHasNotConfirmed() {
+        ask("zone", "out", "thrissur");
+        cluster.processes = List.of(
+                process("agent-1", 1),
+                new ProcessStatus(ProcessKind.ENTRY, "entry-2", "", ConfigVersion.NONE, ProcessCondition.SILENT, 0));
+
+        assertEquals(ask("status"), ExitCode.DONE.code());
+        assertTrue(out.toString().contains("version 1, not in force everywhere"), out.toString());
+        assertTrue(out.toString().contains("not confirmed: entry entry-2 (version 0, silent)"), out.toString());
+    }
+
     // -- usage
 
     @DataProvider
@@ -207,7 +220,8 @@
     }
 
     private static ProcessStatus process(String name, long version) {
-        return new ProcessStatus(ProcessKind.AGENT, name, "thrissur", ConfigVersion.of(version), false, 8);
+        return new ProcessStatus(
+                ProcessKind.AGENT, name, "thrissur", ConfigVersion.of(version), ProcessCondition.LIVE, 8);
     }
 
     private static final class StubCluster implements Cluster {
--- a/bench/src/test/java/org/teaselhook/bench/failure/EntryCutTest.java
+++ b/bench/src/test/java/org/teaselhook/bench/failure/EntryCutTest.java
@@ -4,9 +4,12 @@
 import java.nio.file.Files;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
 import org.teaselhook.bench.history.HistoryRecorder;
 import org.teaselhook.bench.process.ChangeResult;
 import org.teaselhook.bench.process.Operators;
@@ -26,6 +29,7 @@
     private static final Duration READY_WAIT = Duration.ofSeconds(60);
     private static final long STOP_MILLIS = 6_000;
     private static final long CARRY_MILLIS = 5_000;
+    private static final long SILENT_MILLIS = 4_000;
     private static final long HEAL_MILLIS = 20_000;
     private static final long POLL_MILLIS = 50;
     private static final List<String> CUT = List.of("entry-1", "entry-2");
@@ -67,6 +71,26 @@
         await("the entries start work again", HEAL_MILLIS, () -> isReady(0) && isReady(1));
     }
 
+    @Test
+    public void shouldShowAgentsOfOtherEntriesAndEntriesThatFellSilent() throws InterruptedException {
+        await("every agent confirmed", READY_WAIT.toMillis(), () -> status().path("inForce")
+                .asBoolean());
+        actions.cutLink(fault(FaultKind.CUT_AGENT_LINK, "agent-1>entry-1"));
+        TimeUnit.MILLISECONDS.sleep(SILENT_MILLIS);
+        assertTrue(status().toString().contains("\"agent-1\""), status().toString());
+
+        actions.kill(fault(FaultKind.KILL_ENTRY, "entry-2"));
+        operators(0).changeZone("ernakulam", true, "cut-2");
+        await("the entry that fell silent is named", SILENT_MILLIS, () -> status().path("unconfirmed")
+                .toString()
+                .equals("[\"entry entry-2\"]"));
+        await("it is forgotten", HEAL_MILLIS, () -> status().path("inForce").asBoolean());
+    }
+
+    private JsonNode status() {
+        return operators(0).read("/v1/admin/status", Map.of()).orElseGet(MissingNode::getInstance);
+    }
+
     private boolean holds(int entry, long version) {
         return operators(entry).version().orElse(-1) >= version;
     }
--- a/core/src/main/java/org/teaselhook/core/config/EntryGroup.java
+++ b/core/src/main/java/org/teaselhook/core/config/EntryGroup.java
@@ -159,10 +159,10 @@
         return result;
     }
 
-    /** Returns the names of entries that were known and have not spoken for {@link Freshness#FRESH_NANOS}. */
+    /** Returns the names of entries that did not leave and have not spoken for {@link Freshness#FRESH_NANOS}. */
     List<String> missing(long nowNanos) {
         return others.entrySet().stream()
-                .filter(other -> !isPresent(other.getValue(), nowNanos))
+                .filter(other -> !other.getValue().leaving() && !isPresent(other.getValue(), nowNanos))
                 .map(Map.Entry::getKey)
                 .sorted()
                 .toList();
--- a/node/src/main/java/org/teaselhook/node/admin/AdminReplies.java
+++ b/node/src/main/java/org/teaselhook/node/admin/AdminReplies.java
@@ -153,7 +153,8 @@
                 .put("name", process.name())
                 .put("zone", process.zone())
                 .put("version", process.version().value())
-                .put("leaving", process.leaving())
+                .put("leaving", process.condition() == ProcessCondition.LEAVING)
+                .put("condition", process.condition().word())
                 .put("slots", process.slots());
     }
 
--- a/node/src/main/java/org/teaselhook/node/admin/Cluster.java
+++ b/node/src/main/java/org/teaselhook/node/admin/Cluster.java
@@ -12,8 +12,9 @@
 public interface Cluster {
 
     /**
-     * Returns the live processes as this entry sees them, itself among them: every live entry and every connected
-     * agent, each with the newest configuration version that it has confirmed.
+     * Returns the processes as all entries that answer see them: every live entry, every entry that has fallen silent
+     * and may still be live, and every agent connected to any of them, each with the newest configuration version that
+     * it has confirmed.
      *
      * @return the processes, later
      */
--- a/node/src/main/java/org/teaselhook/node/admin/ProcessStatus.java
+++ b/node/src/main/java/org/teaselhook/node/admin/ProcessStatus.java
@@ -11,11 +11,11 @@
  * @param name the process's name
  * @param zone its availability zone
  * @param version the newest configuration version that it has confirmed; version 0 if none
- * @param leaving whether it is stopping
+ * @param condition how it does
  * @param slots the number of slots, 0 for an entry
  */
 public record ProcessStatus(
-        ProcessKind kind, String name, String zone, ConfigVersion version, boolean leaving, int slots) {
+        ProcessKind kind, String name, String zone, ConfigVersion version, ProcessCondition condition, int slots) {
 
     /** Checks that nothing is null. */
     public ProcessStatus {
@@ -23,6 +23,7 @@
         Objects.requireNonNull(name, "name is null");
         Objects.requireNonNull(zone, "zone is null");
         Objects.requireNonNull(version, "version is null");
+        Objects.requireNonNull(condition, "condition is null");
     }
 
     /**
--- a/node/src/main/java/org/teaselhook/node/entry/EntryCluster.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryCluster.java
@@ -1,15 +1,22 @@
 package org.teaselhook.node.entry;
 
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
 import org.teaselhook.core.config.ConfigVersion;
+import org.teaselhook.core.id.Incarnation;
 import org.teaselhook.node.admin.Cluster;
 import org.teaselhook.node.admin.HeldConfig;
+import org.teaselhook.node.admin.ProcessCondition;
 import org.teaselhook.node.admin.ProcessKind;
 import org.teaselhook.node.admin.ProcessStatus;
 import org.teaselhook.node.control.ControlLoop;
@@ -48,28 +55,69 @@
         this.tableReachable = tableReachable;
     }
 
+    // -- processes
+
     @Override
     public CompletionStage<List<ProcessStatus>> processes() {
-        return CompletableFuture.supplyAsync(this::currentProcesses, control);
+        return CompletableFuture.supplyAsync(this::askPeers, control).thenCompose(processes -> processes);
+    }
+
+    /** An agent may be connected to some of the entries only. */
+    private CompletionStage<List<ProcessStatus>> askPeers() {
+        List<ProcessStatus> entries = entries();
+        CompletionStage<Map<Incarnation, ConnectedAgent>> agents =
+                CompletableFuture.completedStage(newest(Map.of(), sessions.connectedAgents()));
+        for (PeerInfo peer : peers.live()) {
+            CompletionStage<List<ConnectedAgent>> there = peers.calls(peer.incarnation())
+                    .map(PeerAgents::of)
+                    .orElseGet(() -> CompletableFuture.completedStage(List.of()));
+            agents = agents.thenCombine(there, EntryCluster::newest);
+        }
+        return agents.thenApply(found -> joined(entries, found.values()));
+    }
+
+    private static Map<Incarnation, ConnectedAgent> newest(
+            Map<Incarnation, ConnectedAgent> known, Collection<ConnectedAgent> more) {
+        Map<Incarnation, ConnectedAgent> result = new HashMap<>(known);
+        more.forEach(agent -> result.merge(agent.info().incarnation(), agent, EntryCluster::newer));
+        return result;
+    }
+
+    private static ConnectedAgent newer(ConnectedAgent one, ConnectedAgent other) {
+        return one.state().configVersion() >= other.state().configVersion() ? one : other;
+    }
+
+    private static List<ProcessStatus> joined(List<ProcessStatus> entries, Collection<ConnectedAgent> agents) {
+        List<ProcessStatus> result = new ArrayList<>(entries);
+        agents.forEach(agent -> result.add(status(agent)));
+        return result;
     }
 
-    private List<ProcessStatus> currentProcesses() {
+    private List<ProcessStatus> entries() {
         List<ProcessStatus> result = new ArrayList<>();
-        result.add(new ProcessStatus(
-                ProcessKind.ENTRY,
-                self.name(),
-                self.zone(),
-                configuration.current().version(),
-                false,
-                0));
-        peers.live().forEach(peer -> result.add(status(peer)));
-        sessions.connectedAgents().forEach(agent -> result.add(status(agent)));
+        ConfigVersion held = configuration.current().version();
+        result.add(new ProcessStatus(ProcessKind.ENTRY, self.name(), self.zone(), held, ProcessCondition.LIVE, 0));
+        Set<String> live = new HashSet<>();
+        for (PeerInfo peer : peers.live()) {
+            live.add(peer.name());
+            result.add(status(peer, ProcessCondition.answering(peer.leaving())));
+        }
+        configuration.freshness().missingEntries(control.nowNanos()).stream()
+                .filter(name -> !live.contains(name))
+                .forEach(name -> result.add(silent(name)));
         return result;
     }
 
-    private static ProcessStatus status(PeerInfo peer) {
+    private ProcessStatus silent(String name) {
+        return peers.lastHeard(name)
+                .map(peer -> status(peer, ProcessCondition.SILENT))
+                .orElseGet(() ->
+                        new ProcessStatus(ProcessKind.ENTRY, name, "", ConfigVersion.NONE, ProcessCondition.SILENT, 0));
+    }
+
+    private static ProcessStatus status(PeerInfo peer, ProcessCondition condition) {
         return new ProcessStatus(
-                ProcessKind.ENTRY, peer.name(), peer.zone(), ConfigVersion.of(peer.configVersion()), peer.leaving(), 0);
+                ProcessKind.ENTRY, peer.name(), peer.zone(), ConfigVersion.of(peer.configVersion()), condition, 0);
     }
 
     private static ProcessStatus status(ConnectedAgent agent) {
@@ -78,10 +126,12 @@
                 agent.info().name(),
                 agent.info().zone(),
                 ConfigVersion.of(agent.state().configVersion()),
-                agent.state().leaving(),
+                ProcessCondition.answering(agent.state().leaving()),
                 agent.info().slots());
     }
 
+    // -- configuration
+
     @Override
     public CompletionStage<HeldConfig> held() {
         return CompletableFuture.supplyAsync(
--- a/node/src/main/java/org/teaselhook/node/entry/EntryGrpcService.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryGrpcService.java
@@ -11,6 +11,8 @@
 import org.teaselhook.node.session.AgentSessions;
 import org.teaselhook.node.session.SessionStreams;
 import org.teaselhook.wire.AgentFrame;
+import org.teaselhook.wire.AgentsReply;
+import org.teaselhook.wire.AgentsRequest;
 import org.teaselhook.wire.EntryFrame;
 import org.teaselhook.wire.EntryServiceGrpc;
 import org.teaselhook.wire.ForwardReply;
@@ -102,6 +104,11 @@
         };
     }
 
+    @Override
+    public void agents(AgentsRequest request, StreamObserver<AgentsReply> reply) {
+        control.execute(() -> respond(reply, PeerAgents.reply(sessions.connectedAgents())));
+    }
+
     @Override
     public void forward(ForwardRequest request, StreamObserver<ForwardReply> reply) {
         CompletableFuture<Void> closed = new CompletableFuture<>();
@@ -110,7 +117,7 @@
                 .thenAccept(answer -> control.execute(() -> respond(reply, answer))));
     }
 
-    private static void respond(StreamObserver<ForwardReply> reply, ForwardReply answer) {
+    private static <T> void respond(StreamObserver<T> reply, T answer) {
         if (SessionStreams.send(reply, answer)) {
             reply.onCompleted();
         }
--- a/node/src/main/java/org/teaselhook/node/peer/Peers.java
+++ b/node/src/main/java/org/teaselhook/node/peer/Peers.java
@@ -212,6 +212,19 @@
         return result;
     }
 
+    /**
+     * Returns what an entry said last, however long ago.
+     *
+     * @param name the entry's name
+     * @return what it said, or empty if it never spoke or is forgotten
+     */
+    public Optional<PeerInfo> lastHeard(String name) {
+        return links.values().stream()
+                .flatMap(link -> link.peer().stream())
+                .filter(peer -> peer.name().equals(name))
+                .findFirst();
+    }
+
     /**
      * Tells whether every run of an entry that may hold claims that this entry has not read answers now.
      *
