--- a/node/src/main/java/org/teaselhook/node/admin/Cluster.java
+++ b/node/src/main/java/org/teaselhook/node/admin/Cluster.java
@@ -12,8 +12,9 @@
 public interface Cluster {
 
     /**
-     * Returns the live processes as this entry sees them, itself among them: every live entry and every connected
-     * agent, each with the newest configuration version that it has confirmed.
+     * Returns the processes as all entries that answer see them: every live entry, every entry that has fallen silent
+     * and may still be live, and every agent connected to any of them, each with the newest configuration version that
+     * it has confirmed.
      *
      * @return the processes, later
      */
@@ -32,6 +33,7 @@
      * @param version the version
      * @param text the whole text
      * @param operation the operation that applied it
+     * @return completes when another entry has confirmed the version, or when none has for a second
      */
-    void push(ConfigVersion version, String text, String operation);
+    CompletionStage<Void> push(ConfigVersion version, String text, String operation);
 }
