Keep the complete answer that comes after "may have run"

Cause: when a submission's time was over, or its connection silent for too long, the answer "may have run" was kept for 600 s even if all results came a moment later; they were counted and dropped, and whoever asked again was told "may have run". Ruled out: waiting for them before answering, which would hold back the final answer.

Change: the dispatcher notes results after the answer and tells when the last one is there; the registry then keeps the complete answer in place of "may have run", within the bounds of all kept answers, unless the name has been submitted anew. Names that wait take at most 1 MiB.

Work that runs longer than its caller waits still leaves no answer: the agent ends the target call with the caller's time.

--- a/core/src/main/java/org/teaselhook/core/dispatch/ActiveSubmission.java
+++ b/core/src/main/java/org/teaselhook/core/dispatch/ActiveSubmission.java
@@ -79,6 +79,16 @@
         unfinished--;
     }
 
+    /** Takes an answer after the submission was answered; true if it is the last one that was missing. */
+    boolean completeLate(ActiveTask task, Answer answer) {
+        if (!answered || answers[task.index()] != null) {
+            return false;
+        }
+        answers[task.index()] = answer;
+        unfinished--;
+        return unfinished == 0;
+    }
+
     void answered() {
         Invariant.ANSWERED_TWICE.check(!answered, submission.id());
         answered = true;
--- a/core/src/main/java/org/teaselhook/core/dispatch/DispatchOutput.java
+++ b/core/src/main/java/org/teaselhook/core/dispatch/DispatchOutput.java
@@ -40,6 +40,15 @@
      */
     void answered(String submissionId, Outcome outcome);
 
+    /**
+     * Tells that all tasks of a submission are complete after all, which was answered as possibly run before. Ignored
+     * unless overridden.
+     *
+     * @param submissionId the submission
+     * @param outcome the complete outcome
+     */
+    default void completedLate(String submissionId, Outcome outcome) {}
+
     /**
      * Gives unused granted slots back.
      *
--- a/core/src/main/java/org/teaselhook/core/dispatch/Results.java
+++ b/core/src/main/java/org/teaselhook/core/dispatch/Results.java
@@ -46,6 +46,7 @@
         learn(nowNanos, attempt, status, runNanos);
         if (task.isDone()) {
             countLate(attempt);
+            settlement.completeLate(task, status, answer);
         } else if (status == TaskStatus.COMPLETE) {
             complete(nowNanos, task, answer);
         } else {
--- a/core/src/main/java/org/teaselhook/core/dispatch/Settlement.java
+++ b/core/src/main/java/org/teaselhook/core/dispatch/Settlement.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.teaselhook.core.outcome.Answer;
 import org.teaselhook.core.outcome.Outcome;
 import org.teaselhook.core.outcome.Problem;
 import org.teaselhook.core.outcome.ProblemKind;
@@ -73,6 +74,14 @@
         control.output().answered(active.submission().id(), Outcome.complete(active.answers()));
     }
 
+    /** Takes a result that came after its submission was given up. */
+    void completeLate(ActiveTask task, TaskStatus status, Answer answer) {
+        ActiveSubmission given = task.submission();
+        if (status == TaskStatus.COMPLETE && given.completeLate(task, answer)) {
+            control.output().completedLate(given.submission().id(), Outcome.complete(given.answers()));
+        }
+    }
+
     /** Gives a submission up: what waits is dropped, what is in progress is cancelled, and the caller is answered. */
     void fail(long nowNanos, ActiveSubmission active, DecisionKind kind, Problem problem) {
         if (active.isAnswered()) {
--- a/core/src/test/java/org/teaselhook/core/dispatch/RecordingOutput.java
+++ b/core/src/test/java/org/teaselhook/core/dispatch/RecordingOutput.java
@@ -16,6 +16,7 @@
     final List<Long> cancelled = new ArrayList<>();
     final List<Long> acked = new ArrayList<>();
     final Map<String, Outcome> outcomes = new LinkedHashMap<>();
+    final Map<String, Outcome> lateOutcomes = new LinkedHashMap<>();
     final Map<Incarnation, Integer> returned = new LinkedHashMap<>();
     final Map<Incarnation, Integer> wanted = new LinkedHashMap<>();
     final List<Decision> decisions = new ArrayList<>();
@@ -42,6 +43,13 @@
         }
     }
 
+    @Override
+    public void completedLate(String submissionId, Outcome outcome) {
+        if (lateOutcomes.put(submissionId, outcome) != null) {
+            throw new AssertionError("completed late twice: " + submissionId);
+        }
+    }
+
     @Override
     public void returnGrants(Incarnation agent, int slots) {
         returned.merge(agent, slots, Integer::sum);
--- a/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
@@ -106,9 +106,7 @@
         this.registry = new SubmissionRegistry(
                 settings.limits().keptAnswersBytes(),
                 settings.limits().keptAnswersTime().toNanos());
-        EntryOutput output = new EntryOutput(
-                registry, control::nowNanos, configuration.freshness()::freshUntilNanos, (id, outcome) -> admissions()
-                        .answered(control.nowNanos(), id, outcome));
+        EntryOutput output = output();
         this.dispatcher = new Dispatcher(dispatcherSettings(settings), output, new Random());
         this.peers = new Peers(
                 self,
@@ -153,6 +151,15 @@
 
     // -- construction
 
+    private EntryOutput output() {
+        return new EntryOutput(
+                registry,
+                control::nowNanos,
+                configuration.freshness()::freshUntilNanos,
+                (id, outcome) -> admissions().answered(control.nowNanos(), id, outcome),
+                (id, outcome) -> registry.completedLate(id, outcome, control.nowNanos()));
+    }
+
     private EntryHttp handler(TableService table, OtherEntries others, Tickets tickets) {
         HealthPages health = new HealthPages(
                 metrics.registry(), () -> Optional.of(status.unreadyReason()).filter(reason -> !reason.isEmpty()));
--- a/node/src/main/java/org/teaselhook/node/entry/EntryOutput.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryOutput.java
@@ -21,17 +21,20 @@
     private final LongSupplier clock;
     private final LongSupplier freshUntil;
     private final BiConsumer<String, Outcome> answered;
+    private final BiConsumer<String, Outcome> completedLate;
     private AgentSessions sessions;
 
     EntryOutput(
             SubmissionRegistry registry,
             LongSupplier clock,
             LongSupplier freshUntil,
-            BiConsumer<String, Outcome> answered) {
+            BiConsumer<String, Outcome> answered,
+            BiConsumer<String, Outcome> completedLate) {
         this.registry = registry;
         this.clock = clock;
         this.freshUntil = freshUntil;
         this.answered = answered;
+        this.completedLate = completedLate;
     }
 
     /** Sets the sessions, which themselves need the dispatcher; called once before any event. */
@@ -60,6 +63,11 @@
         answered.accept(submissionId, outcome);
     }
 
+    @Override
+    public void completedLate(String submissionId, Outcome outcome) {
+        completedLate.accept(submissionId, outcome);
+    }
+
     @Override
     public void returnGrants(Incarnation agent, int slots) {
         sessions.returnGrants(agent, slots);
--- a/node/src/main/java/org/teaselhook/node/entry/SubmissionRegistry.java
+++ b/node/src/main/java/org/teaselhook/node/entry/SubmissionRegistry.java
@@ -12,6 +12,7 @@
 import org.teaselhook.core.outcome.Outcome;
 import org.teaselhook.core.outcome.Problem;
 import org.teaselhook.core.outcome.ProblemKind;
+import org.teaselhook.net.log.LogLine;
 import org.teaselhook.node.caller.SubmissionName;
 
 /**
@@ -21,15 +22,22 @@
 final class SubmissionRegistry {
 
     private static final long PROBLEM_BYTES = 256;
+    private static final long MAX_UNFINISHED_BYTES = 1 << 20;
 
     private final KeptAnswers<KeptOutcome> kept;
     private final Map<SubmissionName, RunningSubmission> byName = new HashMap<>();
     private final Map<String, RunningSubmission> byDispatchId = new HashMap<>();
 
+    private final KeptAnswers<Unfinished> unfinished;
+
     private record KeptOutcome(long digest, Outcome outcome) {}
 
+    /** A submission that was answered as possibly run, whose missing results may still come. */
+    private record Unfinished(SubmissionName name, long digest) {}
+
     SubmissionRegistry(long keptBytes, long keptNanos) {
         this.kept = KeptAnswers.of(keptBytes, keptNanos);
+        this.unfinished = KeptAnswers.of(MAX_UNFINISHED_BYTES, keptNanos);
     }
 
     // -- running submissions
@@ -59,11 +67,32 @@
         }
         byName.remove(running.name());
         if (!(outcome instanceof Outcome.NotRun)) {
-            kept.put(key(running.name()), new KeptOutcome(running.digest(), outcome), bytes(outcome), nowNanos);
+            keep(running.name(), running.digest(), outcome, nowNanos);
+        }
+        if (outcome instanceof Outcome.MayHaveRun) {
+            Unfinished given = new Unfinished(running.name(), running.digest());
+            unfinished.put(dispatchId, given, running.name().text().length(), nowNanos);
         }
         return Optional.of(running);
     }
 
+    /** Keeps a complete outcome that came after "may have run" in its place, unless the name was submitted anew. */
+    void completedLate(String dispatchId, Outcome outcome, long nowNanos) {
+        unfinished
+                .find(dispatchId, nowNanos)
+                .filter(given -> !byName.containsKey(given.name()))
+                .ifPresent(given -> {
+                    keep(given.name(), given.digest(), outcome, nowNanos);
+                    LogLine.of("completed-late")
+                            .with("submission", given.name().text())
+                            .info();
+                });
+    }
+
+    private void keep(SubmissionName name, long digest, Outcome outcome, long nowNanos) {
+        kept.put(key(name), new KeptOutcome(digest, outcome), bytes(outcome), nowNanos);
+    }
+
     // -- joining
 
     /** Joins a running submission or returns its kept answer; empty if neither is held here. */
--- a/node/src/test/java/org/teaselhook/node/entry/AdmissionsTest.java
+++ b/node/src/test/java/org/teaselhook/node/entry/AdmissionsTest.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
@@ -147,6 +148,21 @@
         assertTrue(System.nanoTime() - before < TimeUnit.SECONDS.toNanos(2));
     }
 
+    // -- results after the answer
+
+    @Test(dataProvider = "names")
+    public void shouldReturnLateResultToResubmission(SubmissionName.Kind kind) throws Exception {
+        connectWorkers();
+        SubmissionName name = kind == SubmissionName.Kind.KEY ? keyAtHome(first, 0) : ticketOf(first);
+        first.holdsResults = true;
+        assertEquals(kind(first.submit(name, OptionalLong.of(300))), "may-have-run TIMED_OUT");
+        assertEquals(kind(second.submit(name)), "may-have-run TIMED_OUT");
+        first.releaseResults();
+        assertEquals(kind(second.submit(name)), "complete");
+        assertEquals(kind(first.submit(name)), "complete");
+        assertEquals(starts(name), 1);
+    }
+
     // -- tickets
 
     @Test
--- a/node/src/test/java/org/teaselhook/node/entry/TestEntry.java
+++ b/node/src/test/java/org/teaselhook/node/entry/TestEntry.java
@@ -57,6 +57,7 @@
     final Tickets tickets;
     volatile boolean ready = true;
     volatile boolean holdsCalls;
+    volatile boolean holdsResults;
     volatile boolean noneLost = true;
     volatile Delays delays = Delays.NONE;
 
@@ -69,6 +70,7 @@
     private final Admissions admissions;
     private final Forwards forwards;
     private final List<HeldCall> heldCalls = new ArrayList<>();
+    private final List<DispatchOrder> heldResults = new ArrayList<>();
 
     /** Delays of calls and replies; a negative delay loses a reply. */
     interface Delays {
@@ -107,6 +109,7 @@
         site.put(self, this);
         claims.warmUp().toCompletableFuture().join();
         control.execute(this::begin);
+        control.every(10, dispatcher::tick);
     }
 
     private void begin() {
@@ -133,9 +136,13 @@
     }
 
     CompletableFuture<Outcome> submit(SubmissionName name) {
+        return submit(name, OptionalLong.empty());
+    }
+
+    CompletableFuture<Outcome> submit(SubmissionName name, OptionalLong timeoutMillis) {
         TaskBody body = new TaskBody("booking", "", name.text().getBytes());
-        SubmissionRequest request = new SubmissionRequest(
-                "patchdesk", "customer", List.of(body), Optional.of(name), OptionalLong.empty(), false);
+        SubmissionRequest request =
+                new SubmissionRequest("patchdesk", "customer", List.of(body), Optional.of(name), timeoutMillis, false);
         Arrival arrival = Arrival.fromCaller(request, new CompletableFuture<>(), control.nowNanos());
         CompletableFuture<Outcome> outcome = new CompletableFuture<>();
         control.execute(() ->
@@ -229,10 +236,27 @@
     @Override
     public void dispatch(DispatchOrder order) {
         starts.add(registry.nameOf(order.submissionId()));
-        control.execute(() -> {
-            dispatcher.result(control.nowNanos(), AGENT, order.number(), TaskStatus.COMPLETE, ANSWER, 1_000_000);
-            dispatcher.granted(control.nowNanos(), AGENT, 1);
-        });
+        if (holdsResults) {
+            heldResults.add(order);
+        } else {
+            control.execute(() -> result(order));
+        }
+    }
+
+    private void result(DispatchOrder order) {
+        dispatcher.result(control.nowNanos(), AGENT, order.number(), TaskStatus.COMPLETE, ANSWER, 1_000_000);
+        dispatcher.granted(control.nowNanos(), AGENT, 1);
+    }
+
+    /** Lets the results that were held back reach the entry. */
+    void releaseResults() {
+        holdsResults = false;
+        control.execute(() -> heldResults.forEach(this::result));
+    }
+
+    @Override
+    public void completedLate(String submissionId, Outcome outcome) {
+        registry.completedLate(submissionId, outcome, control.nowNanos());
     }
 
     @Override
