Sleep until the next timer is due instead of waking every 5 and 10 ms

Cause: an idle entry woke its two control threads about 330 times a second, 200 times for the ledger's tick of 5 ms and 100 times for the dispatcher's of 10 ms, almost always with nothing due. By threads (/proc, eight idle entries, load average 13.5): claims 2.2 % of a core, control 1.4 %, the two traffic threads 2.2 %, the compiler about 1.5 % (15 s after the start).

Ruled out: a longer fixed tick, which starts hedges and timeouts late; a timer wheel, as the dispatcher's heap knows its next time already (`Dispatcher.nextTickAt`).

Change: `ControlLoop.when` runs an action at a deadline that is asked for again after each event, so an event that sets an earlier timer shortens the sleep. The dispatcher's timers run that way, at their time instead of up to 10 ms later. The ledger ticks each 5 ms only while a claim, a lookup or a call is open or an event was less than 100 ms ago, else each 50 ms. A pause of the process is noticed by both the timers and the slow tick, before either acts.

--- a/node/src/main/java/org/teaselhook/node/claim/Claims.java
+++ b/node/src/main/java/org/teaselhook/node/claim/Claims.java
@@ -26,7 +26,6 @@
  */
 public final class Claims implements AutoCloseable {
 
-    private static final long TICK_MILLIS = 5;
     private static final long LOOKUP_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
     private final ControlLoop control;
@@ -55,7 +54,7 @@
         Objects.requireNonNull(listener, "listener is null");
         ControlLoop control = ControlLoop.start("claims", System::nanoTime, Claims::logFault);
         LedgerLoop loop = new LedgerLoop(self, limits, new SecureRandom(), table, listener, control);
-        control.every(TICK_MILLIS, nowNanos -> loop.tick());
+        control.when(loop::nextTickNanos, nowNanos -> loop.tick());
         return new Claims(control, loop);
     }
 
--- a/node/src/main/java/org/teaselhook/node/claim/LedgerLoop.java
+++ b/node/src/main/java/org/teaselhook/node/claim/LedgerLoop.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
 import org.agrona.collections.Long2ObjectHashMap;
@@ -25,6 +26,10 @@
  */
 final class LedgerLoop implements LedgerOutput {
 
+    private static final long BUSY_TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
+    private static final long IDLE_TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+    private static final long BUSY_AFTER_EVENT_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
     private final Ledger ledger;
     private final TableService table;
     private final ClaimListener listener;
@@ -34,6 +39,9 @@
     private final CompletableFuture<Void> warm = new CompletableFuture<>();
     private volatile boolean current;
     private long lastId;
+    private int openCalls;
+    private long lastTickNanos;
+    private long lastEventNanos;
 
     LedgerLoop(
             Incarnation self,
@@ -42,7 +50,9 @@
             TableService table,
             ClaimListener listener,
             Executor control) {
-        this.ledger = Ledger.of(self, limits, random, this, System.nanoTime());
+        this.lastTickNanos = System.nanoTime();
+        this.lastEventNanos = lastTickNanos;
+        this.ledger = Ledger.of(self, limits, random, this, lastTickNanos);
         this.table = table;
         this.listener = listener;
         this.control = control;
@@ -55,18 +65,21 @@
     }
 
     void claim(CompletableFuture<ClaimResult> result, String key, long bodyDigest, long deadlineNanos) {
+        noteEvent();
         lastId++;
         claims.put(lastId, result);
         ledger.claim(lastId, key, bodyDigest, deadlineNanos, now());
     }
 
     void lookup(CompletableFuture<LookupResult> result, String key, long deadlineNanos) {
+        noteEvent();
         lastId++;
         lookups.put(lastId, result);
         ledger.lookup(lastId, key, deadlineNanos, now());
     }
 
     void abandon(String key) {
+        noteEvent();
         ledger.abandon(key);
     }
 
@@ -75,9 +88,25 @@
         return current;
     }
 
+    /** Returns when to tick next: soon while something is under way, else rarely. */
+    long nextTickNanos() {
+        return lastTickNanos + (isBusy() ? BUSY_TICK_NANOS : IDLE_TICK_NANOS);
+    }
+
+    private boolean isBusy() {
+        boolean open = openCalls > 0 || !claims.isEmpty() || !lookups.isEmpty();
+        return open || lastTickNanos - lastEventNanos < BUSY_AFTER_EVENT_NANOS;
+    }
+
+    private void noteEvent() {
+        lastEventNanos = System.nanoTime();
+    }
+
     void tick() {
-        ledger.tick(now());
-        current = ledger.isCurrent(now().nanos());
+        ClockReading now = now();
+        lastTickNanos = now.nanos();
+        ledger.tick(now);
+        current = ledger.isCurrent(now.nanos());
         if (ledger.isWarm()) {
             warm.complete(null);
         }
@@ -91,13 +120,19 @@
 
     @Override
     public void call(int slot, TableCall call) {
+        openCalls++;
         call.makeOn(table).whenComplete((result, failure) -> {
             TableResult known =
                     Optional.ofNullable(result).orElseGet(() -> new TableResult.Unavailable(String.valueOf(failure)));
-            control.execute(() -> ledger.completed(slot, known, now()));
+            control.execute(() -> completed(slot, known));
         });
     }
 
+    private void completed(int slot, TableResult result) {
+        openCalls--;
+        ledger.completed(slot, result, now());
+    }
+
     @Override
     public void answer(long claimId, ClaimResult result) {
         claims.remove(claimId).complete(result);
--- a/node/src/main/java/org/teaselhook/node/control/ControlLoop.java
+++ b/node/src/main/java/org/teaselhook/node/control/ControlLoop.java
@@ -13,18 +13,20 @@
 import org.agrona.concurrent.ManyToOneConcurrentLinkedQueue;
 
 /**
- * Runs events and periodic ticks one after another on one thread. Events may come from any thread.
+ * Runs events, periodic ticks and deadlines one after another on one thread, which sleeps until the next is due. Events
+ * may come from any thread.
  *
  * <pre>{@code
  * ControlLoop loop = ControlLoop.start("entry", System::nanoTime, failure -> log(failure));
- * loop.every(10, state::tick);
+ * loop.every(100, state::slowTick);
+ * loop.when(state::nextDeadline, state::expire);
  * loop.execute(() -> state.granted(loop.nowNanos(), agent, 1));
  * }</pre>
  */
 public final class ControlLoop implements Executor, AutoCloseable {
 
     private static final int MAX_EVENTS_PER_TURN = 256;
-    private static final long MAX_PARK_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+    private static final long MAX_PARK_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
     private final ManyToOneConcurrentLinkedQueue<Runnable> events = new ManyToOneConcurrentLinkedQueue<>();
     private final TickSchedule ticks = new TickSchedule();
@@ -88,6 +90,20 @@
         execute(() -> ticks.add(clock.getAsLong(), intervalNanos, tick));
     }
 
+    /**
+     * Runs an action whenever a deadline has come. The deadline is asked for again after each event and tick, so it may
+     * move either way; an action that leaves it in the past is run again at once.
+     *
+     * @param deadlineNanos the next deadline on the loop's clock, {@link Long#MAX_VALUE} while there is none; asked on
+     *     the loop's thread
+     * @param action the action, given the time in nanoseconds
+     */
+    public void when(LongSupplier deadlineNanos, Consumer<Long> action) {
+        Objects.requireNonNull(deadlineNanos, "deadlineNanos is null");
+        Objects.requireNonNull(action, "action is null");
+        execute(() -> ticks.add(deadlineNanos, action));
+    }
+
     /**
      * Returns the present time.
      *
--- a/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
@@ -59,7 +59,6 @@
     private static final int TABLE_CONNECTIONS = 32;
     private static final long CONNECT_TIMEOUT_MILLIS = 500;
     private static final long TABLE_TIMEOUT_MILLIS = 1_000;
-    private static final long TICK_MILLIS = 10;
     private static final long SLOW_TICK_MILLIS = 100;
     private static final long HEARTBEAT_MILLIS = 500;
     private static final long PAUSE_NANOS = TimeUnit.SECONDS.toNanos(1);
@@ -166,7 +165,7 @@
     private void begin() {
         settings.peers().forEach(peer -> control.execute(() -> peers.add(control.nowNanos(), text(peer))));
         control.execute(() -> lastTickNanos = control.nowNanos());
-        control.every(TICK_MILLIS, this::tick);
+        control.when(dispatcher::nextTickAt, this::timersDue);
         control.every(SLOW_TICK_MILLIS, this::slowTick);
         control.every(HEARTBEAT_MILLIS, this::heartbeat);
         LogLine.of("entry-started")
@@ -276,12 +275,16 @@
         return configuration.notReady(control.nowNanos());
     }
 
-    private void tick(long nowNanos) {
+    private void timersDue(long nowNanos) {
+        noticePause(nowNanos);
+        dispatcher.tick(nowNanos);
+    }
+
+    private void noticePause(long nowNanos) {
         if (nowNanos - lastTickNanos > PAUSE_NANOS) {
             resumedAfterPause(nowNanos);
         }
         lastTickNanos = nowNanos;
-        dispatcher.tick(nowNanos);
     }
 
     /** This process did not run for a while: others are not silent, their frames are still to be read. */
@@ -295,6 +298,7 @@
     }
 
     private void slowTick(long nowNanos) {
+        noticePause(nowNanos);
         poller.tick(nowNanos);
         peers.observe(nowNanos, knowsAllClaims(nowNanos));
         members.tick(nowNanos);
--- a/node/src/test/java/org/teaselhook/node/control/ControlLoopTest.java
+++ b/node/src/test/java/org/teaselhook/node/control/ControlLoopTest.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 
 import org.testng.annotations.Test;
@@ -14,6 +16,7 @@
 public class ControlLoopTest {
 
     private static final long TIMEOUT_SECONDS = 10;
+    private static final long ASLEEP_MILLIS = 100;
 
     // -- execute
 
@@ -57,4 +60,59 @@
             assertTrue(three.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
         }
     }
+
+    // -- when
+
+    @Test
+    public void shouldWakeForDeadlineThatAnEventSetsWhileTheLoopSleeps() throws Exception {
+        AtomicLong deadline = new AtomicLong(Long.MAX_VALUE);
+        AtomicLong ran = new AtomicLong();
+        CountDownLatch done = new CountDownLatch(1);
+        try (ControlLoop loop = ControlLoop.start("test", System::nanoTime, failure -> {})) {
+            loop.when(deadline::get, now -> {
+                deadline.set(Long.MAX_VALUE);
+                ran.set(now);
+                done.countDown();
+            });
+            Thread.sleep(ASLEEP_MILLIS);
+            long due = loop.nowNanos() + TimeUnit.MILLISECONDS.toNanos(20);
+            loop.execute(() -> deadline.set(due));
+            assertTrue(done.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+            assertTrue(ran.get() >= due);
+            assertTrue(ran.get() - due < TimeUnit.MILLISECONDS.toNanos(200), "late by ns: " + (ran.get() - due));
+        }
+    }
+
+    @Test
+    public void shouldRunEveryDeadlineWhileEventsKeepTheLoopBusy() throws Exception {
+        CountDownLatch hundred = new CountDownLatch(100);
+        AtomicLong deadline = new AtomicLong(System.nanoTime());
+        try (ControlLoop loop = ControlLoop.start("test", System::nanoTime, failure -> {})) {
+            loop.when(deadline::get, now -> {
+                deadline.set(now + TimeUnit.MILLISECONDS.toNanos(1));
+                hundred.countDown();
+            });
+            Runnable[] again = new Runnable[1];
+            again[0] = () -> loop.execute(again[0]);
+            loop.execute(again[0]);
+            assertTrue(hundred.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+        }
+    }
+
+    @Test
+    public void shouldSleepWhileNothingIsDue() throws Exception {
+        AtomicInteger asked = new AtomicInteger();
+        try (ControlLoop loop = ControlLoop.start("test", System::nanoTime, failure -> {})) {
+            loop.when(
+                    () -> {
+                        asked.incrementAndGet();
+                        return Long.MAX_VALUE;
+                    },
+                    now -> {});
+            Thread.sleep(ASLEEP_MILLIS);
+            int before = asked.get();
+            Thread.sleep(1_000);
+            assertTrue(asked.get() - before <= 20, "looked at its deadlines: " + (asked.get() - before));
+        }
+    }
 }
