--- a/bench/src/main/java/org/teaselhook/bench/agentcost/AgentCostCommand.java
+++ b/bench/src/main/java/org/teaselhook/bench/agentcost/AgentCostCommand.java
@@ -7,11 +7,13 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 import org.teaselhook.bench.process.FreePorts;
 import org.teaselhook.bench.process.Readiness;
 import org.teaselhook.bench.process.Site;
 import org.teaselhook.bench.process.SitePlan;
+import org.teaselhook.node.settings.SocketAddresses;
 import org.teaselhook.standin.target.RunTime;
 import org.teaselhook.standin.target.TargetBehaviour;
 import org.teaselhook.standin.target.TargetServer;
@@ -23,15 +25,16 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Spec;
 
-/** The command {@code agent-cost}: memory, processor time and traffic of an idle agent. */
+/** The command {@code agent-cost}: memory, processor time and traffic of an idle agent, or of an idle entry. */
 @Command(
         name = "agent-cost",
         mixinStandardHelpOptions = true,
-        description = "Measures what an idle agent with one target uses, one line for each number of entries.")
+        description = "Measures what an idle agent with one target uses, or an idle entry with one agent;"
+                + " one line for each number of entries that it is connected to.")
 public final class AgentCostCommand implements Callable<Integer> {
 
     private static final Duration READY_TIMEOUT = Duration.ofSeconds(60);
-    private static final long SETTLE_SECONDS = 10;
+    private static final String ZONE = "ernakulam";
 
     @Spec
     private CommandSpec spec;
@@ -42,6 +45,15 @@
     @Option(names = "--seconds", defaultValue = "20", description = "Length of each measurement (${DEFAULT-VALUE}).")
     private int seconds;
 
+    @Option(
+            names = "--settle",
+            defaultValue = "10",
+            description = "Seconds before each measurement, in which code is still compiled (${DEFAULT-VALUE}).")
+    private int settleSeconds;
+
+    @Option(names = "--entry", description = "Measures a further entry in place of the agent.")
+    private boolean entry;
+
     private AgentCostCommand() {}
 
     /**
@@ -61,31 +73,76 @@
         return 0;
     }
 
-    private AgentCost measure(int count) throws Exception {
+    private DaemonCost measure(int count) throws Exception {
         Path directory = Files.createTempDirectory("agent-cost");
-        InetSocketAddress http = FreePorts.draw(1).get(0);
+        List<InetSocketAddress> own = FreePorts.draw(3);
+        InetSocketAddress http = own.get(0);
         SitePlan plan = SitePlan.standard().withProcesses(count, 0).withoutRelays();
-        TargetSettings settings = TargetSettings.of("target-1", SitePlan.SERVICE, "ernakulam", http);
-        try (Site site = Site.start(plan, TaskListener.none(), directory)) {
-            List<InetSocketAddress> addresses =
-                    site.entries().stream().map(entry -> entry.grpc().address()).toList();
-            try (AgentProcess agent = AgentProcess.start(directory, http, addresses);
-                    TargetServer target =
-                            TargetServer.start(settings, TargetBehaviour.of(RunTime.fixed(50)), TaskListener.none())) {
-                site.awaitReady(READY_TIMEOUT);
-                if (!Readiness.of(site.client()).await(http, READY_TIMEOUT)) {
-                    throw new IllegalStateException("the agent is not ready; see " + directory);
-                }
-                TimeUnit.SECONDS.sleep(SETTLE_SECONDS);
-                return measure(count, agent);
+        TargetSettings offer = TargetSettings.of("target-1", SitePlan.SERVICE, ZONE, http);
+        TargetBehaviour behaviour = TargetBehaviour.of(RunTime.fixed(50));
+        try (Site site = Site.start(plan, TaskListener.none(), directory);
+                DaemonProcess agent = DaemonProcess.start("agent", agentSettings(site, http), directory);
+                TargetServer target = TargetServer.start(offer, behaviour, TaskListener.none())) {
+            site.awaitReady(READY_TIMEOUT);
+            awaitReady(site, http);
+            if (!entry) {
+                return measure("agent", count, agent);
+            }
+            String settings = entrySettings(site, own.get(1), own.get(2));
+            try (DaemonProcess measured = DaemonProcess.start("entry", settings, directory)) {
+                awaitReady(site, own.get(1));
+                return measure("entry", count, measured);
             }
         }
     }
 
-    private AgentCost measure(int count, AgentProcess agent) throws Exception {
-        AgentUsage first = AgentUsage.of(agent.pid());
+    private static void awaitReady(Site site, InetSocketAddress http) throws InterruptedException {
+        if (!Readiness.of(site.client()).await(http, READY_TIMEOUT)) {
+            throw new IllegalStateException("the measured process is not ready; see " + site.directory());
+        }
+    }
+
+    private DaemonCost measure(String role, int count, DaemonProcess daemon) throws Exception {
+        TimeUnit.SECONDS.sleep(settleSeconds);
+        DaemonUsage first = DaemonUsage.of(daemon.pid());
         TimeUnit.SECONDS.sleep(seconds);
-        AgentUsage last = AgentUsage.of(agent.pid());
-        return new AgentCost(count, first, last, agent.liveHeapBytes());
+        DaemonUsage last = DaemonUsage.of(daemon.pid());
+        return new DaemonCost(role, count, first, last, daemon.liveHeapBytes());
+    }
+
+    // -- settings
+
+    private static String agentSettings(Site site, InetSocketAddress http) {
+        return """
+                name: agent-1
+                zone: %s
+                rack: rack-1
+                http: %s
+                entries: [%s]
+                """
+                .formatted(ZONE, SocketAddresses.format(http), grpcAddresses(site));
+    }
+
+    private static String entrySettings(Site site, InetSocketAddress http, InetSocketAddress grpc) {
+        return """
+                name: entry-measured
+                zone: %s
+                http: %s
+                grpc: %s
+                table: [%s]
+                peers: [%s]
+                """
+                .formatted(
+                        ZONE,
+                        SocketAddresses.format(http),
+                        SocketAddresses.format(grpc),
+                        SocketAddresses.format(site.tableLink().address()),
+                        grpcAddresses(site));
+    }
+
+    private static String grpcAddresses(Site site) {
+        return site.entries().stream()
+                .map(each -> SocketAddresses.format(each.grpc().address()))
+                .collect(Collectors.joining(", "));
     }
 }
--- a/bench/src/main/java/org/teaselhook/bench/agentcost/AgentCost.java
+++ b/bench/src/main/java/org/teaselhook/bench/agentcost/DaemonCost.java
@@ -3,14 +3,15 @@
 import java.util.Locale;
 
 /**
- * What an idle agent used over a while.
+ * What an idle daemon used over a while.
  *
- * @param entries the number of connected entries
+ * @param role the daemon's role, as on the command line
+ * @param entries the number of entries that it is connected to
  * @param first the usage at the begin
  * @param last the usage at the end
  * @param heapBytes the live heap at the end, after a garbage collection
  */
-record AgentCost(int entries, AgentUsage first, AgentUsage last, long heapBytes) {
+record DaemonCost(String role, int entries, DaemonUsage first, DaemonUsage last, long heapBytes) {
 
     private static final double MEBIBYTE = 1 << 20;
     private static final double SECOND_NANOS = 1e9;
@@ -20,8 +21,9 @@
         double nanos = last.atNanos() - first.atNanos();
         return String.format(
                 Locale.ROOT,
-                "case=idle-agent entries=%d seconds=%.0f resident_mib=%.1f private_mib=%.1f heap_live_mib=%.1f"
+                "case=idle-%s entries=%d seconds=%.0f resident_mib=%.1f private_mib=%.1f heap_live_mib=%.1f"
                         + " cpu_percent_of_core=%.2f bytes_per_s=%.0f",
+                role,
                 entries,
                 nanos / SECOND_NANOS,
                 last.residentBytes() / MEBIBYTE,
--- a/bench/src/main/java/org/teaselhook/bench/agentcost/AgentProcess.java
+++ b/bench/src/main/java/org/teaselhook/bench/agentcost/DaemonProcess.java
@@ -1,19 +1,14 @@
 package org.teaselhook.bench.agentcost;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import java.util.stream.Collectors;
 
-import org.teaselhook.node.settings.SocketAddresses;
-
-/** An agent started by {@code bin/teaselhook} with the options of {@code bin/agent.jvm}. */
-final class AgentProcess implements AutoCloseable {
+/** A daemon started by {@code bin/teaselhook}, with the options of its role. */
+final class DaemonProcess implements AutoCloseable {
 
     private static final Pattern USED = Pattern.compile("total \\d+K, used (\\d+)K");
     private static final long EXIT_WAIT_SECONDS = 10;
@@ -21,30 +16,18 @@
 
     private final Process process;
 
-    private AgentProcess(Process process) {
+    private DaemonProcess(Process process) {
         this.process = process;
     }
 
-    static AgentProcess start(Path directory, InetSocketAddress http, List<InetSocketAddress> entries)
-            throws IOException {
-        String addresses = entries.stream().map(SocketAddresses::format).collect(Collectors.joining(", "));
-        Path settings = directory.resolve("agent.yaml");
-        Files.writeString(
-                settings,
-                """
-                name: agent-1
-                zone: ernakulam
-                rack: rack-1
-                http: %s
-                entries: [%s]
-                """
-                        .formatted(SocketAddresses.format(http), addresses));
-        ProcessBuilder builder = new ProcessBuilder("bin/teaselhook", "agent", "--settings", settings.toString())
+    /** Starts a daemon from the text of its settings. */
+    static DaemonProcess start(String role, String settings, Path directory) throws IOException {
+        Path file = Files.writeString(directory.resolve(role + "-measured.yaml"), settings);
+        ProcessBuilder builder = new ProcessBuilder("bin/teaselhook", role, "--settings", file.toString())
                 .redirectErrorStream(true)
-                .redirectOutput(directory.resolve("agent.log").toFile());
-        builder.environment().put("TEASELHOOK_JAVA_OPTS", "@bin/agent.jvm");
-        builder.environment().put("MALLOC_ARENA_MAX", "1");
-        return new AgentProcess(builder.start());
+                .redirectOutput(directory.resolve(role + "-measured.log").toFile());
+        builder.environment().remove("TEASELHOOK_JAVA_OPTS");
+        return new DaemonProcess(builder.start());
     }
 
     long pid() {
--- a/bench/src/main/java/org/teaselhook/bench/agentcost/AgentUsage.java
+++ b/bench/src/main/java/org/teaselhook/bench/agentcost/DaemonUsage.java
@@ -17,13 +17,13 @@
  * @param privateBytes the part of it that is no mapped file
  * @param transferredBytes bytes read and written by system calls since the process started: sockets and the log
  */
-record AgentUsage(long atNanos, long cpuNanos, long residentBytes, long privateBytes, long transferredBytes) {
+record DaemonUsage(long atNanos, long cpuNanos, long residentBytes, long privateBytes, long transferredBytes) {
 
     private static final long KIBIBYTE = 1_024;
 
-    static AgentUsage of(long pid) {
+    static DaemonUsage of(long pid) {
         ProcessUsage usage = ProcessUsage.of(pid);
-        return new AgentUsage(
+        return new DaemonUsage(
                 System.nanoTime(),
                 usage.cpuNanos(),
                 usage.residentBytes(),
