Connect each agent to a few entries, and name entries only when they change

Cause: every agent held a connection to every entry, and each heartbeat list of entries came again every eighth time.

Ruled out: a ring with virtual nodes (less even, a fallen entry's share goes to its neighbours), a random choice (a restart draws anew), sharing out by the entries (something to agree on); a list of the entries by digest, as a change of the list is all that has to be told on one ordered connection.

Change: the setting `connected-entries` of an agent, 1 to 256, default 8. `EntryChoice` ranks the entries by a hash of the agent's name and their address (rendezvous hashing), at most half of the chosen ones in one zone while others have enough; heartbeats name zones with the entries. An entry that fails or leaves is replaced by the next in rank at the next tick, and gets its agents back when it greets again. A surplus entry is told that the agent leaves; its connection ends once it has echoed a later time, no task of it runs and every result is acknowledged, so no order can be cut. Up to eight entries every agent connects to all, as before. A heartbeat without names now means those that this connection named last.

Over real processes with more than eight entries nothing was run.

--- a/app/src/main/java/org/teaselhook/app/local/LocalSite.java
+++ b/app/src/main/java/org/teaselhook/app/local/LocalSite.java
@@ -92,7 +92,8 @@
                 SLOTS,
                 CONNECTIONS,
                 loopback(0),
-                List.of(loopback(entry.grpcPort()))));
+                List.of(loopback(entry.grpcPort())),
+                AgentSettings.DEFAULT_CONNECTED_ENTRIES));
         parts.push(agent);
         TargetSettings target = TargetSettings.of("target-" + zone, SERVICE, zone, loopback(agent.httpPort()));
         parts.push(TargetServer.start(target, TargetBehaviour.of(RunTime.fixed(RUN_MILLIS)), listener));
--- a/bench/src/main/java/org/teaselhook/bench/capacity/LightEntry.java
+++ b/bench/src/main/java/org/teaselhook/bench/capacity/LightEntry.java
@@ -14,6 +14,8 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import org.teaselhook.bench.process.SitePlan;
+import org.teaselhook.node.session.EntryNames;
+import org.teaselhook.node.session.EntryPlace;
 import org.teaselhook.wire.Ack;
 import org.teaselhook.wire.AgentFrame;
 import org.teaselhook.wire.AgentHello;
@@ -37,8 +39,9 @@
             .build();
 
     private final int index;
-    private final List<String> entries;
+    private final List<EntryPlace> entries;
     private final Server server;
+    private EntryNames names = new EntryNames();
     private StreamObserver<EntryFrame> stream;
     private long agent;
     private long agentNanos;
@@ -47,7 +50,7 @@
     private long complete;
     private long refused;
 
-    private LightEntry(int index, InetSocketAddress bind, List<String> entries, EventLoopGroup group) {
+    private LightEntry(int index, InetSocketAddress bind, List<EntryPlace> entries, EventLoopGroup group) {
         this.index = index;
         this.entries = List.copyOf(entries);
         try {
@@ -64,11 +67,11 @@
         }
     }
 
-    /** Starts an entry that names the given addresses in its heartbeats. */
+    /** Starts an entry that names the given entries in its heartbeats as often as entries do. */
     static LightEntry start(
             int index,
             InetSocketAddress bind,
-            List<String> entries,
+            List<EntryPlace> entries,
             EventLoopGroup group,
             ScheduledExecutorService timer) {
         LightEntry entry = new LightEntry(index, bind, entries, group);
@@ -141,6 +144,7 @@
         agent = hello.getIncarnation();
         agentNanos = hello.getState().getAgentNanos();
         grants = 0;
+        names = new EntryNames();
         EntryHello own = EntryHello.newBuilder()
                 .setName("light-entry-" + index)
                 .setIncarnation(1_000L + index)
@@ -152,11 +156,10 @@
     }
 
     private EntryHeartbeat state() {
-        return EntryHeartbeat.newBuilder()
-                .setEchoAgentNanos(agentNanos)
-                .setConfigVersion(CONFIG.getVersion())
-                .addAllEntries(entries)
-                .build();
+        EntryHeartbeat.Builder heartbeat =
+                EntryHeartbeat.newBuilder().setEchoAgentNanos(agentNanos).setConfigVersion(CONFIG.getVersion());
+        names.addTo(heartbeat, entries);
+        return heartbeat.build();
     }
 
     private synchronized void heartbeat() {
--- a/node/src/main/java/org/teaselhook/node/agent/AgentControl.java
+++ b/node/src/main/java/org/teaselhook/node/agent/AgentControl.java
@@ -124,6 +124,16 @@
         return true;
     }
 
+    /** Notes whether the connection to an entry is to end once it is quiet. */
+    void parting(EntryStream stream, boolean parts) {
+        entries.get(streams.get(stream)).parting(parts);
+    }
+
+    /** Whether nothing of the entry on a stream is under way here. */
+    boolean isQuiet(EntryStream stream) {
+        return entries.get(streams.get(stream)).isQuiet();
+    }
+
     private void settle(Incarnation id, EntryState entry, long dispatch) {
         Settlement settlement = admission.settle(id, dispatch);
         if (settlement == Settlement.NOT_STARTED) {
@@ -360,8 +370,8 @@
     // -- slots
 
     private void announceState(long nowNanos) {
-        AgentFrame frame = AgentFrames.heartbeat(heartbeat(nowNanos));
-        entries.values().forEach(entry -> entry.send(frame));
+        AgentHeartbeat state = heartbeat(nowNanos);
+        entries.values().forEach(entry -> entry.send(AgentFrames.heartbeat(state, entry.isParting())));
         shareSlots(nowNanos);
     }
 
--- a/node/src/main/java/org/teaselhook/node/agent/AgentFrames.java
+++ b/node/src/main/java/org/teaselhook/node/agent/AgentFrames.java
@@ -34,6 +34,11 @@
         return AgentFrame.newBuilder().setHeartbeat(state).build();
     }
 
+    /** Makes a heartbeat that tells one entry to place nothing more at this agent, though it goes on. */
+    static AgentFrame heartbeat(AgentHeartbeat state, boolean parting) {
+        return heartbeat(parting ? state.toBuilder().setLeaving(true).build() : state);
+    }
+
     static AgentFrame grant(int slots) {
         return AgentFrame.newBuilder()
                 .setGrant(Grant.newBuilder().setSlots(slots))
--- a/node/src/main/java/org/teaselhook/node/agent/AgentNode.java
+++ b/node/src/main/java/org/teaselhook/node/agent/AgentNode.java
@@ -60,8 +60,13 @@
                 TaskRunner.http(client),
                 (task, result) -> loop.execute(() -> control().finished(task, result, clock.nanos())),
                 metrics);
-        this.links =
-                new EntryLinks(new GrpcDialer(loops), new LoopEvents(), control, settings.entries(), clock.nanos());
+        this.links = new EntryLinks(
+                new GrpcDialer(loops),
+                new LoopEvents(),
+                control,
+                new EntryChoice(settings.name(), settings.connectedEntries()),
+                settings.entries(),
+                clock.nanos());
         HealthPages pages = new HealthPages(metrics.registry(), () -> status.unready());
         this.server = HttpServer.start(
                 loops,
@@ -175,7 +180,7 @@
     }
 
     private void beat(long nowNanos) {
-        links.sendAll(AgentFrames.heartbeat(control.heartbeat(nowNanos)));
+        links.heartbeat(nowNanos);
     }
 
     private CompletionStage<Void> announce(Announcement announcement) {
--- a/node/src/main/java/org/teaselhook/node/agent/EntryLinks.java
+++ b/node/src/main/java/org/teaselhook/node/agent/EntryLinks.java
@@ -5,16 +5,21 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 import org.teaselhook.net.log.LogLine;
 import org.teaselhook.node.settings.SocketAddresses;
-import org.teaselhook.wire.AgentFrame;
+import org.teaselhook.wire.AgentHeartbeat;
 import org.teaselhook.wire.EntryFrame;
 import org.teaselhook.wire.EntryHeartbeat;
 
 /**
- * The connections to all entries. Frames of a connection that was replaced are dropped. Confined to the control thread.
+ * The connections to entries: to all of them, or to the chosen ones if there are more than the settings allow. An entry
+ * that fails or leaves is replaced by the next in rank until it is back. A connection that is no longer wanted ends
+ * when the entry is known to place nothing more here and nothing of it is under way. Frames of a connection that was
+ * replaced are dropped. Confined to the control thread.
  */
 final class EntryLinks {
 
@@ -24,13 +29,23 @@
     private final Dialer dialer;
     private final StreamEvents events;
     private final AgentControl control;
+    private final EntryChoice choice;
     private final Map<InetSocketAddress, EntryLink> links = new LinkedHashMap<>();
+    private List<KnownEntry> candidates = List.of();
+    private List<KnownEntry> usable = List.of();
     private long connections;
 
-    EntryLinks(Dialer dialer, StreamEvents events, AgentControl control, List<InetSocketAddress> entries, long now) {
+    EntryLinks(
+            Dialer dialer,
+            StreamEvents events,
+            AgentControl control,
+            EntryChoice choice,
+            List<InetSocketAddress> entries,
+            long now) {
         this.dialer = dialer;
         this.events = events;
         this.control = control;
+        this.choice = choice;
         entries.forEach(address -> links.put(address, new EntryLink(address, true, now)));
     }
 
@@ -43,13 +58,16 @@
         }
         link.heard(time.nanos());
         if (frame.hasHello()) {
+            link.greeted(frame.getHello().getZone());
+            link.entryLeaving(frame.getHello().getState().getLeaving());
             link.echoed(frame.getHello().getState().getEchoAgentNanos());
             control.connected(stream, frame.getHello(), time).ifPresent(older -> replace(older, time.nanos()));
-            learn(frame.getHello().getState(), time.nanos());
+            learn(link, frame.getHello().getState(), time.nanos());
         } else {
             if (frame.hasHeartbeat()) {
+                link.entryLeaving(frame.getHeartbeat().getLeaving());
                 link.echoed(frame.getHeartbeat().getEchoAgentNanos());
-                learn(frame.getHeartbeat(), time.nanos());
+                learn(link, frame.getHeartbeat(), time.nanos());
             }
             control.received(stream, frame, time);
         }
@@ -58,6 +76,7 @@
     void ended(EntryStream stream, String reason, long nowNanos) {
         EntryLink link = links.get(stream.address());
         if (link != null && link.isOn(stream)) {
+            link.failed(nowNanos);
             drop(link, reason, nowNanos, false);
         }
     }
@@ -65,19 +84,26 @@
     void tick(long nowNanos) {
         for (EntryLink link : new ArrayList<>(links.values())) {
             if (link.isSilent(nowNanos)) {
+                link.failed(nowNanos);
                 drop(link, "silent", nowNanos, true);
             }
+        }
+        choose(nowNanos);
+        for (EntryLink link : new ArrayList<>(links.values())) {
             if (link.isDialDue(nowNanos)) {
                 dial(link, nowNanos);
             }
         }
+        partFromSurplus(nowNanos);
         links.values().removeIf(link -> link.isForgotten(nowNanos, FORGET_NANOS));
     }
 
-    void sendAll(AgentFrame frame) {
+    /** Sends a heartbeat on every connection. */
+    void heartbeat(long nowNanos) {
+        AgentHeartbeat state = control.heartbeat(nowNanos);
         for (EntryLink link : links.values()) {
             if (link.hasStream()) {
-                link.stream().send(frame);
+                link.stream().send(AgentFrames.heartbeat(state, link.isParting()));
             }
         }
     }
@@ -91,19 +117,83 @@
         links.clear();
     }
 
-    private void learn(EntryHeartbeat heartbeat, long nowNanos) {
-        for (String name : heartbeat.getEntriesList()) {
-            SocketAddresses.parse(name).ifPresent(address -> learn(address, nowNanos));
+    /** Takes the entries that a heartbeat names; one without names means those that were named last. */
+    private void learn(EntryLink link, EntryHeartbeat heartbeat, long nowNanos) {
+        if (heartbeat.getEntriesCount() > 0) {
+            link.names(names(heartbeat));
+        }
+        link.names().forEach(entry -> learn(entry, nowNanos));
+    }
+
+    private static List<KnownEntry> names(EntryHeartbeat heartbeat) {
+        List<KnownEntry> result = new ArrayList<>();
+        for (int i = 0; i < heartbeat.getEntriesCount(); i++) {
+            String zone = i < heartbeat.getEntryZonesCount() ? heartbeat.getEntryZones(i) : "";
+            SocketAddresses.parse(heartbeat.getEntries(i))
+                    .ifPresent(address -> result.add(new KnownEntry(address, zone)));
+        }
+        return result;
+    }
+
+    private void learn(KnownEntry entry, long nowNanos) {
+        if (links.containsKey(entry.address()) || links.size() < MAX_LINKS) {
+            links.computeIfAbsent(entry.address(), unknown -> new EntryLink(unknown, false, nowNanos))
+                    .named(entry.zone(), nowNanos);
+        }
+    }
+
+    // -- the choice
+
+    /** Wants the chosen entries, and in place of those that fail or leave the next in rank. */
+    private void choose(long nowNanos) {
+        List<KnownEntry> nowCandidates = entries(EntryLink::isCandidate);
+        List<KnownEntry> nowUsable = entries(link -> link.isUsable(nowNanos));
+        if (nowCandidates.equals(candidates) && nowUsable.equals(usable)) {
+            return;
+        }
+        candidates = nowCandidates;
+        usable = nowUsable;
+        Set<InetSocketAddress> wanted = choice.choose(candidates);
+        wanted.addAll(choice.choose(usable));
+        links.values().forEach(link -> link.wanted(wanted.contains(link.address())));
+    }
+
+    private List<KnownEntry> entries(Predicate<EntryLink> eligible) {
+        return links.values().stream().filter(eligible).map(EntryLink::entry).toList();
+    }
+
+    private void partFromSurplus(long nowNanos) {
+        boolean served = links.values().stream()
+                .filter(link -> link.isWanted() && link.isUsable(nowNanos))
+                .allMatch(EntryLink::isGreeted);
+        for (EntryLink link : links.values()) {
+            if (link.isGreeted() && link.isParting() != (served && !link.isWanted())) {
+                turn(link, nowNanos);
+            } else if (link.isPartingKnown() && control.isQuiet(link.stream())) {
+                part(link, nowNanos);
+            }
         }
     }
 
-    private void learn(InetSocketAddress address, long nowNanos) {
-        EntryLink known = links.get(address);
-        if (known != null) {
-            known.named(nowNanos);
-        } else if (links.size() < MAX_LINKS) {
-            links.put(address, new EntryLink(address, false, nowNanos));
+    /** Tells an entry to place nothing more here, or takes that back. */
+    private void turn(EntryLink link, long nowNanos) {
+        if (link.isParting()) {
+            link.stay();
+        } else {
+            link.part(nowNanos);
         }
+        control.parting(link.stream(), link.isParting());
+        link.stream().send(AgentFrames.heartbeat(control.heartbeat(nowNanos), link.isParting()));
+    }
+
+    private void part(EntryLink link, long nowNanos) {
+        EntryStream stream = link.stream();
+        link.dropped(nowNanos, true);
+        stream.finish();
+        control.disconnected(stream, nowNanos);
+        LogLine.of("entry-parted")
+                .with("address", SocketAddresses.format(link.address()))
+                .info();
     }
 
     /** Ends an older stream to the same run of an entry; another address of that entry sleeps from then on. */
--- a/node/src/main/java/org/teaselhook/node/agent/EntryState.java
+++ b/node/src/main/java/org/teaselhook/node/agent/EntryState.java
@@ -16,6 +16,7 @@
     private final String name;
     private final Long2ObjectHashMap<TaskResult> kept = new Long2ObjectHashMap<>();
     private EntryStream stream;
+    private boolean parting;
     private int running;
     private long disconnectedNanos;
 
@@ -41,6 +42,15 @@
         return kept.values();
     }
 
+    boolean isParting() {
+        return parting;
+    }
+
+    /** Whether no task of the entry runs, and it has acknowledged every result. */
+    boolean isQuiet() {
+        return running == 0 && kept.isEmpty();
+    }
+
     boolean isAbandoned(long nowNanos, long keepNanos) {
         return !isConnected() && running == 0 && nowNanos - disconnectedNanos > keepNanos;
     }
@@ -49,6 +59,11 @@
 
     void connect(EntryStream opened) {
         stream = opened;
+        parting = false;
+    }
+
+    void parting(boolean parts) {
+        parting = parts;
     }
 
     void disconnect(long nowNanos) {
--- a/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
@@ -43,6 +43,7 @@
 import org.teaselhook.node.peer.Peers;
 import org.teaselhook.node.session.AgentSessions;
 import org.teaselhook.node.session.EntryIdentity;
+import org.teaselhook.node.session.EntryPlace;
 import org.teaselhook.node.settings.EntrySettings;
 
 /**
@@ -116,8 +117,8 @@
                 control::nowNanos,
                 configuration,
                 configuration::document);
-        this.sessions = new AgentSessions(
-                self, dispatcher, this::agentSawVersion, configuration::document, this::entryAddresses);
+        this.sessions =
+                new AgentSessions(self, dispatcher, this::agentSawVersion, configuration::document, this::liveEntries);
         output.connect(sessions);
         OtherEntries others = new OtherEntries(self.incarnation(), control, peers, claims, configuration::rules);
         Tickets tickets = Tickets.of(self.incarnation(), new SecureRandom(), TicketLimits.standard());
@@ -253,10 +254,10 @@
         configuration.agentSaw(version);
     }
 
-    private List<String> entryAddresses() {
-        List<String> result = new ArrayList<>();
-        result.add(self.address());
-        peers.live().forEach(peer -> result.add(peer.address()));
+    private List<EntryPlace> liveEntries() {
+        List<EntryPlace> result = new ArrayList<>();
+        result.add(new EntryPlace(self.address(), self.zone()));
+        peers.live().forEach(peer -> result.add(new EntryPlace(peer.address(), peer.zone())));
         return result;
     }
 
--- a/node/src/main/java/org/teaselhook/node/session/AgentSessions.java
+++ b/node/src/main/java/org/teaselhook/node/session/AgentSessions.java
@@ -41,7 +41,7 @@
     private final Dispatcher dispatcher;
     private final SessionEvents events;
     private final Supplier<ConfigDocument> config;
-    private final Supplier<List<String>> entryAddresses;
+    private final Supplier<List<EntryPlace>> entries;
     private final Map<Incarnation, AgentSession> sessions = new HashMap<>();
     private boolean leaving;
     private boolean reclaimAnswered;
@@ -53,19 +53,19 @@
      * @param dispatcher told of agents, grants and results
      * @param events told of the rest
      * @param config the configuration in force, version 0 while there is none
-     * @param entryAddresses the gRPC addresses of all live entries
+     * @param entries all live entries, this one among them
      */
     public AgentSessions(
             EntryIdentity self,
             Dispatcher dispatcher,
             SessionEvents events,
             Supplier<ConfigDocument> config,
-            Supplier<List<String>> entryAddresses) {
+            Supplier<List<EntryPlace>> entries) {
         this.self = Objects.requireNonNull(self, "self is null");
         this.dispatcher = Objects.requireNonNull(dispatcher, "dispatcher is null");
         this.events = Objects.requireNonNull(events, "events is null");
         this.config = Objects.requireNonNull(config, "config is null");
-        this.entryAddresses = Objects.requireNonNull(entryAddresses, "entryAddresses is null");
+        this.entries = Objects.requireNonNull(entries, "entries is null");
     }
 
     // -- frames from agents
@@ -290,13 +290,13 @@
     }
 
     private EntryHeartbeat heartbeat(long nowNanos, AgentSession session) {
-        return EntryHeartbeat.newBuilder()
+        EntryHeartbeat.Builder heartbeat = EntryHeartbeat.newBuilder()
                 .setEchoAgentNanos(session.clock().agentNanos())
                 .setConfigVersion(config.get().getVersion())
                 .setWantedSlots(dispatcher.wantedSlots(nowNanos, session.info().incarnation()))
-                .addAllEntries(session.names().next(entryAddresses.get()))
-                .setLeaving(leaving)
-                .build();
+                .setLeaving(leaving);
+        session.names().addTo(heartbeat, entries.get());
+        return heartbeat.build();
     }
 
     private EntryFrame configFrame() {
--- a/node/src/main/java/org/teaselhook/node/session/EntryNames.java
+++ b/node/src/main/java/org/teaselhook/node/session/EntryNames.java
@@ -2,26 +2,29 @@
 
 import java.util.List;
 
+import org.teaselhook.wire.EntryHeartbeat;
+
 /**
- * Decides which heartbeats to an agent name the live entries: those after a change, and every eighth, since agents
- * forget entries that are no longer named. Confined to the control thread.
+ * Decides which heartbeats on a connection to an agent name the live entries: the first, and those after a change.
+ * Confined to the control thread.
  */
-final class EntryNames {
-
-    /** Heartbeats from one naming to the next while nothing changes. */
-    static final int REPEAT_HEARTBEATS = 8;
+public final class EntryNames {
 
-    private List<String> named = List.of();
-    private int unnamedHeartbeats = REPEAT_HEARTBEATS;
+    private List<EntryPlace> named = List.of();
 
-    /** Returns the entries to be named in the next heartbeat, possibly none. */
-    List<String> next(List<String> live) {
-        unnamedHeartbeats++;
-        if (live.equals(named) && unnamedHeartbeats < REPEAT_HEARTBEATS) {
-            return List.of();
+    /**
+     * Names all live entries in the next heartbeat, or none if they are those that were named last.
+     *
+     * @param live the live entries, at least one
+     * @param heartbeat the heartbeat to be sent
+     */
+    public void addTo(EntryHeartbeat.Builder heartbeat, List<EntryPlace> live) {
+        if (live.equals(named)) {
+            return;
         }
         named = List.copyOf(live);
-        unnamedHeartbeats = 0;
-        return named;
+        for (EntryPlace place : named) {
+            heartbeat.addEntries(place.address()).addEntryZones(place.zone());
+        }
     }
 }
--- a/node/src/main/java/org/teaselhook/node/settings/AgentSettings.java
+++ b/node/src/main/java/org/teaselhook/node/settings/AgentSettings.java
@@ -14,6 +14,7 @@
  * connections: 64
  * http: 127.0.0.1:8090       # targets' announcements and health
  * entries: [10.0.0.1:9090, 10.0.0.2:9090]
+ * connected-entries: 8
  * }</pre>
  *
  * @param name the worker's name, unique among workers
@@ -23,6 +24,7 @@
  * @param connections the greatest number of connections to a target
  * @param http where targets announce themselves and health is served
  * @param entries gRPC addresses of entries, at least one
+ * @param connectedEntries the greatest number of entries that it is connected to, out of these and those they name
  */
 public record AgentSettings(
         String name,
@@ -31,12 +33,15 @@
         int slots,
         int connections,
         InetSocketAddress http,
-        List<InetSocketAddress> entries) {
+        List<InetSocketAddress> entries,
+        int connectedEntries) {
 
     /** The default of {@link #slots()}. */
     public static final int DEFAULT_SLOTS = 8;
     /** The default of {@link #connections()}. */
     public static final int DEFAULT_CONNECTIONS = 64;
+    /** The default of {@link #connectedEntries()}. */
+    public static final int DEFAULT_CONNECTED_ENTRIES = 8;
 
     /** Copies the list. */
     public AgentSettings {
@@ -61,6 +66,7 @@
                 (int) root.number("slots", 1, 4_096, DEFAULT_SLOTS),
                 (int) root.number("connections", 1, 65_536, DEFAULT_CONNECTIONS),
                 root.address("http"),
-                root.addresses("entries", 1));
+                root.addresses("entries", 1),
+                (int) root.number("connected-entries", 1, 256, DEFAULT_CONNECTED_ENTRIES));
     }
 }
--- a/wire/src/main/java/org/teaselhook/wire/EntryHeartbeat.java
+++ b/wire/src/main/java/org/teaselhook/wire/EntryHeartbeat.java
@@ -30,6 +30,8 @@
   private EntryHeartbeat() {
     entries_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
+    entryZones_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -97,7 +99,8 @@
       com.google.protobuf.LazyStringArrayList.emptyList();
   /**
    * <pre>
-   * gRPC addresses (host:port) of all live entries known to this one; empty when they were named lately.
+   * gRPC addresses (host:port) of all live entries known to this one; empty while they are those that this connection
+   * named last.
    * </pre>
    *
    * <code>repeated string entries = 4;</code>
@@ -109,7 +112,8 @@
   }
   /**
    * <pre>
-   * gRPC addresses (host:port) of all live entries known to this one; empty when they were named lately.
+   * gRPC addresses (host:port) of all live entries known to this one; empty while they are those that this connection
+   * named last.
    * </pre>
    *
    * <code>repeated string entries = 4;</code>
@@ -120,7 +124,8 @@
   }
   /**
    * <pre>
-   * gRPC addresses (host:port) of all live entries known to this one; empty when they were named lately.
+   * gRPC addresses (host:port) of all live entries known to this one; empty while they are those that this connection
+   * named last.
    * </pre>
    *
    * <code>repeated string entries = 4;</code>
@@ -132,7 +137,8 @@
   }
   /**
    * <pre>
-   * gRPC addresses (host:port) of all live entries known to this one; empty when they were named lately.
+   * gRPC addresses (host:port) of all live entries known to this one; empty while they are those that this connection
+   * named last.
    * </pre>
    *
    * <code>repeated string entries = 4;</code>
@@ -155,6 +161,59 @@
     return leaving_;
   }
 
+  public static final int ENTRY_ZONES_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList entryZones_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * The zones of these entries, in their order.
+   * </pre>
+   *
+   * <code>repeated string entry_zones = 6;</code>
+   * @return A list containing the entryZones.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getEntryZonesList() {
+    return entryZones_;
+  }
+  /**
+   * <pre>
+   * The zones of these entries, in their order.
+   * </pre>
+   *
+   * <code>repeated string entry_zones = 6;</code>
+   * @return The count of entryZones.
+   */
+  public int getEntryZonesCount() {
+    return entryZones_.size();
+  }
+  /**
+   * <pre>
+   * The zones of these entries, in their order.
+   * </pre>
+   *
+   * <code>repeated string entry_zones = 6;</code>
+   * @param index The index of the element to return.
+   * @return The entryZones at the given index.
+   */
+  public java.lang.String getEntryZones(int index) {
+    return entryZones_.get(index);
+  }
+  /**
+   * <pre>
+   * The zones of these entries, in their order.
+   * </pre>
+   *
+   * <code>repeated string entry_zones = 6;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the entryZones at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getEntryZonesBytes(int index) {
+    return entryZones_.getByteString(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -184,6 +243,9 @@
     if (leaving_ != false) {
       output.writeBool(5, leaving_);
     }
+    for (int i = 0; i < entryZones_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 6, entryZones_.getRaw(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -212,6 +274,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(5, leaving_);
     }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < entryZones_.size(); i++) {
+        dataSize += computeStringSizeNoTag(entryZones_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getEntryZonesList().size();
+    }
     return size;
   }
   @java.lang.Override
@@ -246,6 +316,8 @@
         .equals(other.getEntriesList())) return false;
     if (getLeaving()
         != other.getLeaving()) return false;
+    if (!getEntryZonesList()
+        .equals(other.getEntryZonesList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -272,6 +344,10 @@
     hash = (37 * hash) + LEAVING_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getLeaving());
+    if (getEntryZonesCount() > 0) {
+      hash = (37 * hash) + ENTRY_ZONES_FIELD_NUMBER;
+      hash = (53 * hash) + getEntryZonesList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -409,6 +485,8 @@
       entries_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
       leaving_ = false;
+      entryZones_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
       return this;
     }
 
@@ -458,6 +536,10 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.leaving_ = leaving_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        entryZones_.makeImmutable();
+        result.entryZones_ = entryZones_;
+      }
     }
 
     @java.lang.Override
@@ -494,6 +576,16 @@
       if (other.getLeaving() != false) {
         setLeaving(other.getLeaving());
       }
+      if (!other.entryZones_.isEmpty()) {
+        if (entryZones_.isEmpty()) {
+          entryZones_ = other.entryZones_;
+          bitField0_ |= 0x00000020;
+        } else {
+          ensureEntryZonesIsMutable();
+          entryZones_.addAll(other.entryZones_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -543,6 +635,11 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 40
+            case 50: {
+              ensureEntryZonesIsMutable();
+              entryZones_.add(input.readStringRequireUtf8());
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -690,7 +787,8 @@
     }
     /**
      * <pre>
-     * gRPC addresses (host:port) of all live entries known to this one; empty when they were named lately.
+     * gRPC addresses (host:port) of all live entries known to this one; empty while they are those that this connection
+     * named last.
      * </pre>
      *
      * <code>repeated string entries = 4;</code>
@@ -703,7 +801,8 @@
     }
     /**
      * <pre>
-     * gRPC addresses (host:port) of all live entries known to this one; empty when they were named lately.
+     * gRPC addresses (host:port) of all live entries known to this one; empty while they are those that this connection
+     * named last.
      * </pre>
      *
      * <code>repeated string entries = 4;</code>
@@ -714,7 +813,8 @@
     }
     /**
      * <pre>
-     * gRPC addresses (host:port) of all live entries known to this one; empty when they were named lately.
+     * gRPC addresses (host:port) of all live entries known to this one; empty while they are those that this connection
+     * named last.
      * </pre>
      *
      * <code>repeated string entries = 4;</code>
@@ -726,7 +826,8 @@
     }
     /**
      * <pre>
-     * gRPC addresses (host:port) of all live entries known to this one; empty when they were named lately.
+     * gRPC addresses (host:port) of all live entries known to this one; empty while they are those that this connection
+     * named last.
      * </pre>
      *
      * <code>repeated string entries = 4;</code>
@@ -739,7 +840,8 @@
     }
     /**
      * <pre>
-     * gRPC addresses (host:port) of all live entries known to this one; empty when they were named lately.
+     * gRPC addresses (host:port) of all live entries known to this one; empty while they are those that this connection
+     * named last.
      * </pre>
      *
      * <code>repeated string entries = 4;</code>
@@ -758,7 +860,8 @@
     }
     /**
      * <pre>
-     * gRPC addresses (host:port) of all live entries known to this one; empty when they were named lately.
+     * gRPC addresses (host:port) of all live entries known to this one; empty while they are those that this connection
+     * named last.
      * </pre>
      *
      * <code>repeated string entries = 4;</code>
@@ -776,7 +879,8 @@
     }
     /**
      * <pre>
-     * gRPC addresses (host:port) of all live entries known to this one; empty when they were named lately.
+     * gRPC addresses (host:port) of all live entries known to this one; empty while they are those that this connection
+     * named last.
      * </pre>
      *
      * <code>repeated string entries = 4;</code>
@@ -794,7 +898,8 @@
     }
     /**
      * <pre>
-     * gRPC addresses (host:port) of all live entries known to this one; empty when they were named lately.
+     * gRPC addresses (host:port) of all live entries known to this one; empty while they are those that this connection
+     * named last.
      * </pre>
      *
      * <code>repeated string entries = 4;</code>
@@ -809,7 +914,8 @@
     }
     /**
      * <pre>
-     * gRPC addresses (host:port) of all live entries known to this one; empty when they were named lately.
+     * gRPC addresses (host:port) of all live entries known to this one; empty while they are those that this connection
+     * named last.
      * </pre>
      *
      * <code>repeated string entries = 4;</code>
@@ -859,6 +965,153 @@
       return this;
     }
 
+    private com.google.protobuf.LazyStringArrayList entryZones_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureEntryZonesIsMutable() {
+      if (!entryZones_.isModifiable()) {
+        entryZones_ = new com.google.protobuf.LazyStringArrayList(entryZones_);
+      }
+      bitField0_ |= 0x00000020;
+    }
+    /**
+     * <pre>
+     * The zones of these entries, in their order.
+     * </pre>
+     *
+     * <code>repeated string entry_zones = 6;</code>
+     * @return A list containing the entryZones.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getEntryZonesList() {
+      entryZones_.makeImmutable();
+      return entryZones_;
+    }
+    /**
+     * <pre>
+     * The zones of these entries, in their order.
+     * </pre>
+     *
+     * <code>repeated string entry_zones = 6;</code>
+     * @return The count of entryZones.
+     */
+    public int getEntryZonesCount() {
+      return entryZones_.size();
+    }
+    /**
+     * <pre>
+     * The zones of these entries, in their order.
+     * </pre>
+     *
+     * <code>repeated string entry_zones = 6;</code>
+     * @param index The index of the element to return.
+     * @return The entryZones at the given index.
+     */
+    public java.lang.String getEntryZones(int index) {
+      return entryZones_.get(index);
+    }
+    /**
+     * <pre>
+     * The zones of these entries, in their order.
+     * </pre>
+     *
+     * <code>repeated string entry_zones = 6;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the entryZones at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getEntryZonesBytes(int index) {
+      return entryZones_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * The zones of these entries, in their order.
+     * </pre>
+     *
+     * <code>repeated string entry_zones = 6;</code>
+     * @param index The index to set the value at.
+     * @param value The entryZones to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEntryZones(
+        int index, java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      ensureEntryZonesIsMutable();
+      entryZones_.set(index, value);
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The zones of these entries, in their order.
+     * </pre>
+     *
+     * <code>repeated string entry_zones = 6;</code>
+     * @param value The entryZones to add.
+     * @return This builder for chaining.
+     */
+    public Builder addEntryZones(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      ensureEntryZonesIsMutable();
+      entryZones_.add(value);
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The zones of these entries, in their order.
+     * </pre>
+     *
+     * <code>repeated string entry_zones = 6;</code>
+     * @param values The entryZones to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllEntryZones(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureEntryZonesIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, entryZones_);
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The zones of these entries, in their order.
+     * </pre>
+     *
+     * <code>repeated string entry_zones = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEntryZones() {
+      entryZones_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000020);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The zones of these entries, in their order.
+     * </pre>
+     *
+     * <code>repeated string entry_zones = 6;</code>
+     * @param value The bytes of the entryZones to add.
+     * @return This builder for chaining.
+     */
+    public Builder addEntryZonesBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      ensureEntryZonesIsMutable();
+      entryZones_.add(value);
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:teaselhook.v1.EntryHeartbeat)
   }
 
--- a/wire/src/main/java/org/teaselhook/wire/EntryHeartbeatOrBuilder.java
+++ b/wire/src/main/java/org/teaselhook/wire/EntryHeartbeatOrBuilder.java
@@ -38,7 +38,8 @@
 
   /**
    * <pre>
-   * gRPC addresses (host:port) of all live entries known to this one; empty when they were named lately.
+   * gRPC addresses (host:port) of all live entries known to this one; empty while they are those that this connection
+   * named last.
    * </pre>
    *
    * <code>repeated string entries = 4;</code>
@@ -48,7 +49,8 @@
       getEntriesList();
   /**
    * <pre>
-   * gRPC addresses (host:port) of all live entries known to this one; empty when they were named lately.
+   * gRPC addresses (host:port) of all live entries known to this one; empty while they are those that this connection
+   * named last.
    * </pre>
    *
    * <code>repeated string entries = 4;</code>
@@ -57,7 +59,8 @@
   int getEntriesCount();
   /**
    * <pre>
-   * gRPC addresses (host:port) of all live entries known to this one; empty when they were named lately.
+   * gRPC addresses (host:port) of all live entries known to this one; empty while they are those that this connection
+   * named last.
    * </pre>
    *
    * <code>repeated string entries = 4;</code>
@@ -67,7 +70,8 @@
   java.lang.String getEntries(int index);
   /**
    * <pre>
-   * gRPC addresses (host:port) of all live entries known to this one; empty when they were named lately.
+   * gRPC addresses (host:port) of all live entries known to this one; empty while they are those that this connection
+   * named last.
    * </pre>
    *
    * <code>repeated string entries = 4;</code>
@@ -82,4 +86,45 @@
    * @return The leaving.
    */
   boolean getLeaving();
+
+  /**
+   * <pre>
+   * The zones of these entries, in their order.
+   * </pre>
+   *
+   * <code>repeated string entry_zones = 6;</code>
+   * @return A list containing the entryZones.
+   */
+  java.util.List<java.lang.String>
+      getEntryZonesList();
+  /**
+   * <pre>
+   * The zones of these entries, in their order.
+   * </pre>
+   *
+   * <code>repeated string entry_zones = 6;</code>
+   * @return The count of entryZones.
+   */
+  int getEntryZonesCount();
+  /**
+   * <pre>
+   * The zones of these entries, in their order.
+   * </pre>
+   *
+   * <code>repeated string entry_zones = 6;</code>
+   * @param index The index of the element to return.
+   * @return The entryZones at the given index.
+   */
+  java.lang.String getEntryZones(int index);
+  /**
+   * <pre>
+   * The zones of these entries, in their order.
+   * </pre>
+   *
+   * <code>repeated string entry_zones = 6;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the entryZones at the given index.
+   */
+  com.google.protobuf.ByteString
+      getEntryZonesBytes(int index);
 }
--- a/wire/src/main/java/org/teaselhook/wire/Teaselhook.java
+++ b/wire/src/main/java/org/teaselhook/wire/Teaselhook.java
@@ -183,62 +183,62 @@
       "ryHello\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001" +
       "(\006\022\014\n\004zone\030\003 \001(\t\022\023\n\013in_progress\030\004 \003(\004\022,\n" +
       "\005state\030\005 \001(\0132\035.teaselhook.v1.EntryHeartb" +
-      "eat\"z\n\016EntryHeartbeat\022\030\n\020echo_agent_nano" +
-      "s\030\001 \001(\006\022\026\n\016config_version\030\002 \001(\004\022\024\n\014wante" +
-      "d_slots\030\003 \001(\r\022\017\n\007entries\030\004 \003(\t\022\017\n\007leavin" +
-      "g\030\005 \001(\010\"B\n\016ConfigDocument\022\017\n\007version\030\001 \001" +
-      "(\004\022\014\n\004text\030\002 \001(\t\022\021\n\toperation\030\003 \001(\t\"\310\002\n\010" +
-      "Dispatch\022\020\n\010dispatch\030\001 \001(\004\022\031\n\021agent_inca" +
-      "rnation\030\002 \001(\006\022\030\n\020echo_agent_nanos\030\003 \001(\006\022" +
-      "\034\n\024start_by_agent_nanos\030\004 \001(\006\022\035\n\025finish_" +
-      "by_agent_nanos\030\005 \001(\006\022\026\n\016config_version\030\006" +
-      " \001(\004\022\017\n\007service\030\007 \001(\t\022\014\n\004kind\030\010 \001(\t\022\020\n\010c" +
-      "ustomer\030\t \001(\t\022\022\n\nsubmission\030\n \001(\t\022\022\n\ntas" +
-      "k_index\030\013 \001(\r\022\024\n\014content_type\030\014 \001(\t\022\014\n\004b" +
-      "ody\030\r \001(\014\022\017\n\007granted\030\016 \001(\010\022\022\n\nidempotent" +
-      "\030\017 \001(\010\"\032\n\006Cancel\022\020\n\010dispatch\030\001 \001(\004\"\027\n\003Ac" +
-      "k\022\020\n\010dispatch\030\001 \003(\004\"\034\n\013GrantReturn\022\r\n\005sl" +
-      "ots\030\001 \001(\r\"x\n\tPeerFrame\0221\n\theartbeat\030\001 \001(" +
-      "\0132\034.teaselhook.v1.PeerHeartbeatH\000\022/\n\006con" +
-      "fig\030\002 \001(\0132\035.teaselhook.v1.ConfigDocument" +
-      "H\000B\007\n\005frame\"\274\001\n\rPeerHeartbeat\022\014\n\004name\030\001 " +
-      "\001(\t\022\023\n\013incarnation\030\002 \001(\006\022\014\n\004zone\030\003 \001(\t\022\017" +
-      "\n\007address\030\004 \001(\t\022\026\n\016config_version\030\005 \001(\004\022" +
-      "\017\n\007leaving\030\006 \001(\010\022\020\n\010sequence\030\007 \001(\004\022\025\n\rec" +
-      "ho_sequence\030\010 \001(\004\022\027\n\017table_reachable\030\t \001" +
-      "(\010\"<\n\010TaskSpec\022\014\n\004kind\030\001 \001(\t\022\024\n\014content_" +
-      "type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\"\350\001\n\016ForwardRequ" +
-      "est\022\026\n\016to_incarnation\030\001 \001(\006\022\013\n\003key\030\002 \001(\t" +
-      "\022\016\n\006ticket\030\003 \001(\t\022\017\n\007service\030\004 \001(\t\022\020\n\010cus" +
-      "tomer\030\005 \001(\t\022\026\n\016timeout_millis\030\006 \001(\004\022\013\n\003j" +
-      "ob\030\007 \001(\010\022&\n\005tasks\030\010 \003(\0132\027.teaselhook.v1." +
-      "TaskSpec\022\021\n\tjoin_only\030\t \001(\010\022\016\n\006cancel\030\n " +
-      "\001(\010\022\016\n\006digest\030\013 \001(\006\"\273\001\n\014ForwardReply\022.\n\007" +
-      "outcome\030\001 \001(\0162\035.teaselhook.v1.ForwardOut" +
-      "come\022*\n\007answers\030\002 \003(\0132\031.teaselhook.v1.Ta" +
-      "skAnswer\022\017\n\007problem\030\003 \001(\t\022\016\n\006detail\030\004 \001(" +
-      "\t\022\032\n\022retry_after_millis\030\005 \001(\004\022\022\n\nsubmiss" +
-      "ion\030\006 \001(\t\"E\n\nTaskAnswer\022\023\n\013http_status\030\001" +
-      " \001(\r\022\024\n\014content_type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014" +
-      "*V\n\nTaskStatus\022\033\n\027TASK_STATUS_UNSPECIFIE" +
-      "D\020\000\022\014\n\010COMPLETE\020\001\022\020\n\014TARGET_ERROR\020\002\022\013\n\007U" +
-      "NKNOWN\020\003*\204\002\n\rRefusalReason\022\036\n\032REFUSAL_RE" +
-      "ASON_UNSPECIFIED\020\000\022\020\n\014NO_FREE_SLOT\020\001\022\020\n\014" +
-      "ALREADY_SEEN\020\002\022\023\n\017START_BY_PASSED\020\003\022\014\n\010Z" +
-      "ONE_OUT\020\004\022\013\n\007LEAVING\020\005\022\r\n\tNO_TARGET\020\006\022\017\n" +
-      "\013STALE_ENTRY\020\007\022\025\n\021WRONG_INCARNATION\020\010\022\021\n" +
-      "\rNEVER_ARRIVED\020\t\022\r\n\tCANCELLED\020\n\022\022\n\016CONNE" +
-      "CT_FAILED\020\013\022\022\n\016CONFIG_UNKNOWN\020\014*v\n\016Forwa" +
-      "rdOutcome\022\037\n\033FORWARD_OUTCOME_UNSPECIFIED" +
-      "\020\000\022\024\n\020FORWARD_COMPLETE\020\001\022\023\n\017FORWARD_NOT_" +
-      "RUN\020\002\022\030\n\024FORWARD_MAY_HAVE_RUN\020\0032\332\001\n\014Entr" +
-      "yService\022C\n\007Session\022\031.teaselhook.v1.Agen" +
-      "tFrame\032\031.teaselhook.v1.EntryFrame(\0010\001\022>\n" +
-      "\004Peer\022\030.teaselhook.v1.PeerFrame\032\030.teasel" +
-      "hook.v1.PeerFrame(\0010\001\022E\n\007Forward\022\035.tease" +
-      "lhook.v1.ForwardRequest\032\033.teaselhook.v1." +
-      "ForwardReplyB\027\n\023org.teaselhook.wireP\001b\006p" +
-      "roto3"
+      "eat\"\217\001\n\016EntryHeartbeat\022\030\n\020echo_agent_nan" +
+      "os\030\001 \001(\006\022\026\n\016config_version\030\002 \001(\004\022\024\n\014want" +
+      "ed_slots\030\003 \001(\r\022\017\n\007entries\030\004 \003(\t\022\017\n\007leavi" +
+      "ng\030\005 \001(\010\022\023\n\013entry_zones\030\006 \003(\t\"B\n\016ConfigD" +
+      "ocument\022\017\n\007version\030\001 \001(\004\022\014\n\004text\030\002 \001(\t\022\021" +
+      "\n\toperation\030\003 \001(\t\"\310\002\n\010Dispatch\022\020\n\010dispat" +
+      "ch\030\001 \001(\004\022\031\n\021agent_incarnation\030\002 \001(\006\022\030\n\020e" +
+      "cho_agent_nanos\030\003 \001(\006\022\034\n\024start_by_agent_" +
+      "nanos\030\004 \001(\006\022\035\n\025finish_by_agent_nanos\030\005 \001" +
+      "(\006\022\026\n\016config_version\030\006 \001(\004\022\017\n\007service\030\007 " +
+      "\001(\t\022\014\n\004kind\030\010 \001(\t\022\020\n\010customer\030\t \001(\t\022\022\n\ns" +
+      "ubmission\030\n \001(\t\022\022\n\ntask_index\030\013 \001(\r\022\024\n\014c" +
+      "ontent_type\030\014 \001(\t\022\014\n\004body\030\r \001(\014\022\017\n\007grant" +
+      "ed\030\016 \001(\010\022\022\n\nidempotent\030\017 \001(\010\"\032\n\006Cancel\022\020" +
+      "\n\010dispatch\030\001 \001(\004\"\027\n\003Ack\022\020\n\010dispatch\030\001 \003(" +
+      "\004\"\034\n\013GrantReturn\022\r\n\005slots\030\001 \001(\r\"x\n\tPeerF" +
+      "rame\0221\n\theartbeat\030\001 \001(\0132\034.teaselhook.v1." +
+      "PeerHeartbeatH\000\022/\n\006config\030\002 \001(\0132\035.teasel" +
+      "hook.v1.ConfigDocumentH\000B\007\n\005frame\"\274\001\n\rPe" +
+      "erHeartbeat\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation" +
+      "\030\002 \001(\006\022\014\n\004zone\030\003 \001(\t\022\017\n\007address\030\004 \001(\t\022\026\n" +
+      "\016config_version\030\005 \001(\004\022\017\n\007leaving\030\006 \001(\010\022\020" +
+      "\n\010sequence\030\007 \001(\004\022\025\n\recho_sequence\030\010 \001(\004\022" +
+      "\027\n\017table_reachable\030\t \001(\010\"<\n\010TaskSpec\022\014\n\004" +
+      "kind\030\001 \001(\t\022\024\n\014content_type\030\002 \001(\t\022\014\n\004body" +
+      "\030\003 \001(\014\"\350\001\n\016ForwardRequest\022\026\n\016to_incarnat" +
+      "ion\030\001 \001(\006\022\013\n\003key\030\002 \001(\t\022\016\n\006ticket\030\003 \001(\t\022\017" +
+      "\n\007service\030\004 \001(\t\022\020\n\010customer\030\005 \001(\t\022\026\n\016tim" +
+      "eout_millis\030\006 \001(\004\022\013\n\003job\030\007 \001(\010\022&\n\005tasks\030" +
+      "\010 \003(\0132\027.teaselhook.v1.TaskSpec\022\021\n\tjoin_o" +
+      "nly\030\t \001(\010\022\016\n\006cancel\030\n \001(\010\022\016\n\006digest\030\013 \001(" +
+      "\006\"\273\001\n\014ForwardReply\022.\n\007outcome\030\001 \001(\0162\035.te" +
+      "aselhook.v1.ForwardOutcome\022*\n\007answers\030\002 " +
+      "\003(\0132\031.teaselhook.v1.TaskAnswer\022\017\n\007proble" +
+      "m\030\003 \001(\t\022\016\n\006detail\030\004 \001(\t\022\032\n\022retry_after_m" +
+      "illis\030\005 \001(\004\022\022\n\nsubmission\030\006 \001(\t\"E\n\nTaskA" +
+      "nswer\022\023\n\013http_status\030\001 \001(\r\022\024\n\014content_ty" +
+      "pe\030\002 \001(\t\022\014\n\004body\030\003 \001(\014*V\n\nTaskStatus\022\033\n\027" +
+      "TASK_STATUS_UNSPECIFIED\020\000\022\014\n\010COMPLETE\020\001\022" +
+      "\020\n\014TARGET_ERROR\020\002\022\013\n\007UNKNOWN\020\003*\204\002\n\rRefus" +
+      "alReason\022\036\n\032REFUSAL_REASON_UNSPECIFIED\020\000" +
+      "\022\020\n\014NO_FREE_SLOT\020\001\022\020\n\014ALREADY_SEEN\020\002\022\023\n\017" +
+      "START_BY_PASSED\020\003\022\014\n\010ZONE_OUT\020\004\022\013\n\007LEAVI" +
+      "NG\020\005\022\r\n\tNO_TARGET\020\006\022\017\n\013STALE_ENTRY\020\007\022\025\n\021" +
+      "WRONG_INCARNATION\020\010\022\021\n\rNEVER_ARRIVED\020\t\022\r" +
+      "\n\tCANCELLED\020\n\022\022\n\016CONNECT_FAILED\020\013\022\022\n\016CON" +
+      "FIG_UNKNOWN\020\014*v\n\016ForwardOutcome\022\037\n\033FORWA" +
+      "RD_OUTCOME_UNSPECIFIED\020\000\022\024\n\020FORWARD_COMP" +
+      "LETE\020\001\022\023\n\017FORWARD_NOT_RUN\020\002\022\030\n\024FORWARD_M" +
+      "AY_HAVE_RUN\020\0032\332\001\n\014EntryService\022C\n\007Sessio" +
+      "n\022\031.teaselhook.v1.AgentFrame\032\031.teaselhoo" +
+      "k.v1.EntryFrame(\0010\001\022>\n\004Peer\022\030.teaselhook" +
+      ".v1.PeerFrame\032\030.teaselhook.v1.PeerFrame(" +
+      "\0010\001\022E\n\007Forward\022\035.teaselhook.v1.ForwardRe" +
+      "quest\032\033.teaselhook.v1.ForwardReplyB\027\n\023or" +
+      "g.teaselhook.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -309,7 +309,7 @@
     internal_static_teaselhook_v1_EntryHeartbeat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_EntryHeartbeat_descriptor,
-        new java.lang.String[] { "EchoAgentNanos", "ConfigVersion", "WantedSlots", "Entries", "Leaving", });
+        new java.lang.String[] { "EchoAgentNanos", "ConfigVersion", "WantedSlots", "Entries", "Leaving", "EntryZones", });
     internal_static_teaselhook_v1_ConfigDocument_descriptor =
       getDescriptor().getMessageType(11);
     internal_static_teaselhook_v1_ConfigDocument_fieldAccessorTable = new
