--- a/node/src/main/java/org/teaselhook/node/agent/AgentFrames.java
+++ b/node/src/main/java/org/teaselhook/node/agent/AgentFrames.java
@@ -39,6 +39,11 @@
         return AgentFrame.newBuilder().setConfig(held).build();
     }
 
+    /** Makes a heartbeat that tells one entry to place nothing more at this agent, though it goes on. */
+    static AgentFrame heartbeat(AgentHeartbeat state, boolean parting) {
+        return heartbeat(parting ? state.toBuilder().setLeaving(true).build() : state);
+    }
+
     static AgentFrame grant(int slots, int openSlots) {
         return AgentFrame.newBuilder()
                 .setGrant(Grant.newBuilder().setSlots(slots).setOpenSlots(openSlots))
--- a/node/src/main/java/org/teaselhook/node/agent/AgentNode.java
+++ b/node/src/main/java/org/teaselhook/node/agent/AgentNode.java
@@ -57,8 +57,13 @@
                 new AgentIdentity(settings.name(), incarnation, settings.zone(), settings.rack(), settings.slots());
         AgentMetrics metrics = new AgentMetrics(() -> status);
         this.control = new AgentControl(identity, TaskRunner.http(client), new LoopTaskEvents(), metrics);
-        this.links =
-                new EntryLinks(new GrpcDialer(loops), new LoopEvents(), control, settings.entries(), clock.nanos());
+        this.links = new EntryLinks(
+                new GrpcDialer(loops),
+                new LoopEvents(),
+                control,
+                new EntryChoice(settings.name(), settings.connectedEntries()),
+                settings.entries(),
+                clock.nanos());
         HealthPages pages = new HealthPages(metrics.registry(), () -> status.unready());
         this.server = HttpServer.start(
                 loops,
@@ -168,7 +173,7 @@
     }
 
     private void beat(long nowNanos) {
-        links.sendAll(AgentFrames.heartbeat(control.heartbeat(nowNanos)));
+        links.heartbeat(nowNanos);
     }
 
     private CompletionStage<Void> announce(Announcement announcement) {
--- a/node/src/test/java/org/teaselhook/node/session/AgentSessionsTest.java
+++ b/node/src/test/java/org/teaselhook/node/session/AgentSessionsTest.java
@@ -42,7 +42,11 @@
         Dispatcher dispatcher = new Dispatcher(DispatcherSettings.of("z"), output, new Random(1));
         EntryIdentity self = new EntryIdentity("entry-1", Incarnation.of(1), "z", "127.0.0.1:1");
         sessions = new AgentSessions(
-                self, dispatcher, new Events(), ConfigDocument::getDefaultInstance, () -> List.of("127.0.0.1:1"));
+                self,
+                dispatcher,
+                new Events(),
+                ConfigDocument::getDefaultInstance,
+                () -> List.of(new EntryPlace("127.0.0.1:1", "z")));
         output.sessions = sessions;
         sessions.connected(0, stream, hello());
     }
--- a/wire/src/main/java/org/teaselhook/wire/Teaselhook.java
+++ b/wire/src/main/java/org/teaselhook/wire/Teaselhook.java
@@ -212,75 +212,76 @@
       "equestH\000B\007\n\005frame\"\200\001\n\nEntryHello\022\014\n\004name" +
       "\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\014\n\004zone\030\003 \001(" +
       "\t\022\023\n\013in_progress\030\004 \003(\004\022,\n\005state\030\005 \001(\0132\035." +
-      "teaselhook.v1.EntryHeartbeat\"z\n\016EntryHea" +
-      "rtbeat\022\030\n\020echo_agent_nanos\030\001 \001(\006\022\026\n\016conf" +
-      "ig_version\030\002 \001(\004\022\024\n\014wanted_slots\030\003 \001(\r\022\017" +
-      "\n\007entries\030\004 \003(\t\022\017\n\007leaving\030\005 \001(\010\"\017\n\rConf" +
-      "igRequest\"B\n\016ConfigDocument\022\017\n\007version\030\001" +
-      " \001(\004\022\014\n\004text\030\002 \001(\t\022\021\n\toperation\030\003 \001(\t\"\310\002" +
-      "\n\010Dispatch\022\020\n\010dispatch\030\001 \001(\004\022\031\n\021agent_in" +
-      "carnation\030\002 \001(\006\022\030\n\020echo_agent_nanos\030\003 \001(" +
-      "\006\022\034\n\024start_by_agent_nanos\030\004 \001(\006\022\035\n\025finis" +
-      "h_by_agent_nanos\030\005 \001(\006\022\026\n\016config_version" +
-      "\030\006 \001(\004\022\017\n\007service\030\007 \001(\t\022\014\n\004kind\030\010 \001(\t\022\020\n" +
-      "\010customer\030\t \001(\t\022\022\n\nsubmission\030\n \001(\t\022\022\n\nt" +
-      "ask_index\030\013 \001(\r\022\024\n\014content_type\030\014 \001(\t\022\014\n" +
-      "\004body\030\r \001(\014\022\017\n\007granted\030\016 \001(\010\022\022\n\nidempote" +
-      "nt\030\017 \001(\010\"\032\n\006Cancel\022\020\n\010dispatch\030\001 \001(\004\"\027\n\003" +
-      "Ack\022\020\n\010dispatch\030\001 \003(\004\"\034\n\013GrantReturn\022\r\n\005" +
-      "slots\030\001 \001(\r\"x\n\tPeerFrame\0221\n\theartbeat\030\001 " +
-      "\001(\0132\034.teaselhook.v1.PeerHeartbeatH\000\022/\n\006c" +
-      "onfig\030\002 \001(\0132\035.teaselhook.v1.ConfigDocume" +
-      "ntH\000B\007\n\005frame\"\265\002\n\rPeerHeartbeat\022\014\n\004name\030" +
-      "\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\014\n\004zone\030\003 \001(\t" +
-      "\022\017\n\007address\030\004 \001(\t\022\026\n\016config_version\030\005 \001(" +
-      "\004\022\017\n\007leaving\030\006 \001(\010\022\020\n\010sequence\030\007 \001(\004\022\025\n\r" +
-      "echo_sequence\030\010 \001(\004\022\027\n\017table_reachable\030\t" +
-      " \001(\010\022\021\n\tconfirmed\030\n \001(\010\022\033\n\023confirmed_age" +
-      "_nanos\030\013 \001(\004\022\025\n\rlacks_entries\030\014 \001(\010\0220\n\rk" +
-      "nown_entries\030\r \003(\0132\031.teaselhook.v1.Known" +
-      "Entry\"/\n\nKnownEntry\022\014\n\004name\030\001 \001(\t\022\023\n\013inc" +
-      "arnation\030\002 \001(\006\"\017\n\rAgentsRequest\"<\n\013Agent" +
-      "sReply\022-\n\006agents\030\001 \003(\0132\035.teaselhook.v1.C" +
-      "onnectedAgent\"y\n\016ConnectedAgent\022\014\n\004name\030" +
-      "\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\014\n\004zone\030\003 \001(\t" +
-      "\022\026\n\016config_version\030\004 \001(\004\022\017\n\007leaving\030\005 \001(" +
-      "\010\022\r\n\005slots\030\006 \001(\r\"<\n\010TaskSpec\022\014\n\004kind\030\001 \001" +
-      "(\t\022\024\n\014content_type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\"\255" +
-      "\002\n\016ForwardRequest\022\026\n\016to_incarnation\030\001 \001(" +
-      "\006\022\013\n\003key\030\002 \001(\t\022\016\n\006ticket\030\003 \001(\t\022\017\n\007servic" +
-      "e\030\004 \001(\t\022\020\n\010customer\030\005 \001(\t\022\026\n\016timeout_mil" +
-      "lis\030\006 \001(\004\022\013\n\003job\030\007 \001(\010\022&\n\005tasks\030\010 \003(\0132\027." +
-      "teaselhook.v1.TaskSpec\022\021\n\tjoin_only\030\t \001(" +
-      "\010\022\016\n\006cancel\030\n \001(\010\022\016\n\006digest\030\013 \001(\006\022\030\n\020fro" +
-      "m_incarnation\030\014 \001(\006\022\022\n\nage_millis\030\r \001(\004\022" +
-      "\025\n\rcopy_is_yours\030\016 \001(\010\"\273\001\n\014ForwardReply\022" +
-      ".\n\007outcome\030\001 \001(\0162\035.teaselhook.v1.Forward" +
-      "Outcome\022*\n\007answers\030\002 \003(\0132\031.teaselhook.v1" +
-      ".TaskAnswer\022\017\n\007problem\030\003 \001(\t\022\016\n\006detail\030\004" +
-      " \001(\t\022\032\n\022retry_after_millis\030\005 \001(\004\022\022\n\nsubm" +
-      "ission\030\006 \001(\t\"E\n\nTaskAnswer\022\023\n\013http_statu" +
-      "s\030\001 \001(\r\022\024\n\014content_type\030\002 \001(\t\022\014\n\004body\030\003 " +
-      "\001(\014*V\n\nTaskStatus\022\033\n\027TASK_STATUS_UNSPECI" +
-      "FIED\020\000\022\014\n\010COMPLETE\020\001\022\020\n\014TARGET_ERROR\020\002\022\013" +
-      "\n\007UNKNOWN\020\003*\204\002\n\rRefusalReason\022\036\n\032REFUSAL" +
-      "_REASON_UNSPECIFIED\020\000\022\020\n\014NO_FREE_SLOT\020\001\022" +
-      "\020\n\014ALREADY_SEEN\020\002\022\023\n\017START_BY_PASSED\020\003\022\014" +
-      "\n\010ZONE_OUT\020\004\022\013\n\007LEAVING\020\005\022\r\n\tNO_TARGET\020\006" +
-      "\022\017\n\013STALE_ENTRY\020\007\022\025\n\021WRONG_INCARNATION\020\010" +
-      "\022\021\n\rNEVER_ARRIVED\020\t\022\r\n\tCANCELLED\020\n\022\022\n\016CO" +
-      "NNECT_FAILED\020\013\022\022\n\016CONFIG_UNKNOWN\020\014*v\n\016Fo" +
-      "rwardOutcome\022\037\n\033FORWARD_OUTCOME_UNSPECIF" +
-      "IED\020\000\022\024\n\020FORWARD_COMPLETE\020\001\022\023\n\017FORWARD_N" +
-      "OT_RUN\020\002\022\030\n\024FORWARD_MAY_HAVE_RUN\020\0032\236\002\n\014E" +
-      "ntryService\022C\n\007Session\022\031.teaselhook.v1.A" +
-      "gentFrame\032\031.teaselhook.v1.EntryFrame(\0010\001" +
-      "\022>\n\004Peer\022\030.teaselhook.v1.PeerFrame\032\030.tea" +
-      "selhook.v1.PeerFrame(\0010\001\022E\n\007Forward\022\035.te" +
-      "aselhook.v1.ForwardRequest\032\033.teaselhook." +
-      "v1.ForwardReply\022B\n\006Agents\022\034.teaselhook.v" +
-      "1.AgentsRequest\032\032.teaselhook.v1.AgentsRe" +
-      "plyB\027\n\023org.teaselhook.wireP\001b\006proto3"
+      "teaselhook.v1.EntryHeartbeat\"\217\001\n\016EntryHe" +
+      "artbeat\022\030\n\020echo_agent_nanos\030\001 \001(\006\022\026\n\016con" +
+      "fig_version\030\002 \001(\004\022\024\n\014wanted_slots\030\003 \001(\r\022" +
+      "\017\n\007entries\030\004 \003(\t\022\017\n\007leaving\030\005 \001(\010\022\023\n\013ent" +
+      "ry_zones\030\006 \003(\t\"\017\n\rConfigRequest\"B\n\016Confi" +
+      "gDocument\022\017\n\007version\030\001 \001(\004\022\014\n\004text\030\002 \001(\t" +
+      "\022\021\n\toperation\030\003 \001(\t\"\310\002\n\010Dispatch\022\020\n\010disp" +
+      "atch\030\001 \001(\004\022\031\n\021agent_incarnation\030\002 \001(\006\022\030\n" +
+      "\020echo_agent_nanos\030\003 \001(\006\022\034\n\024start_by_agen" +
+      "t_nanos\030\004 \001(\006\022\035\n\025finish_by_agent_nanos\030\005" +
+      " \001(\006\022\026\n\016config_version\030\006 \001(\004\022\017\n\007service\030" +
+      "\007 \001(\t\022\014\n\004kind\030\010 \001(\t\022\020\n\010customer\030\t \001(\t\022\022\n" +
+      "\nsubmission\030\n \001(\t\022\022\n\ntask_index\030\013 \001(\r\022\024\n" +
+      "\014content_type\030\014 \001(\t\022\014\n\004body\030\r \001(\014\022\017\n\007gra" +
+      "nted\030\016 \001(\010\022\022\n\nidempotent\030\017 \001(\010\"\032\n\006Cancel" +
+      "\022\020\n\010dispatch\030\001 \001(\004\"\027\n\003Ack\022\020\n\010dispatch\030\001 " +
+      "\003(\004\"\034\n\013GrantReturn\022\r\n\005slots\030\001 \001(\r\"x\n\tPee" +
+      "rFrame\0221\n\theartbeat\030\001 \001(\0132\034.teaselhook.v" +
+      "1.PeerHeartbeatH\000\022/\n\006config\030\002 \001(\0132\035.teas" +
+      "elhook.v1.ConfigDocumentH\000B\007\n\005frame\"\265\002\n\r" +
+      "PeerHeartbeat\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnati" +
+      "on\030\002 \001(\006\022\014\n\004zone\030\003 \001(\t\022\017\n\007address\030\004 \001(\t\022" +
+      "\026\n\016config_version\030\005 \001(\004\022\017\n\007leaving\030\006 \001(\010" +
+      "\022\020\n\010sequence\030\007 \001(\004\022\025\n\recho_sequence\030\010 \001(" +
+      "\004\022\027\n\017table_reachable\030\t \001(\010\022\021\n\tconfirmed\030" +
+      "\n \001(\010\022\033\n\023confirmed_age_nanos\030\013 \001(\004\022\025\n\rla" +
+      "cks_entries\030\014 \001(\010\0220\n\rknown_entries\030\r \003(\013" +
+      "2\031.teaselhook.v1.KnownEntry\"/\n\nKnownEntr" +
+      "y\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\"\017\n\r" +
+      "AgentsRequest\"<\n\013AgentsReply\022-\n\006agents\030\001" +
+      " \003(\0132\035.teaselhook.v1.ConnectedAgent\"y\n\016C" +
+      "onnectedAgent\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnati" +
+      "on\030\002 \001(\006\022\014\n\004zone\030\003 \001(\t\022\026\n\016config_version" +
+      "\030\004 \001(\004\022\017\n\007leaving\030\005 \001(\010\022\r\n\005slots\030\006 \001(\r\"<" +
+      "\n\010TaskSpec\022\014\n\004kind\030\001 \001(\t\022\024\n\014content_type" +
+      "\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\"\255\002\n\016ForwardRequest\022" +
+      "\026\n\016to_incarnation\030\001 \001(\006\022\013\n\003key\030\002 \001(\t\022\016\n\006" +
+      "ticket\030\003 \001(\t\022\017\n\007service\030\004 \001(\t\022\020\n\010custome" +
+      "r\030\005 \001(\t\022\026\n\016timeout_millis\030\006 \001(\004\022\013\n\003job\030\007" +
+      " \001(\010\022&\n\005tasks\030\010 \003(\0132\027.teaselhook.v1.Task" +
+      "Spec\022\021\n\tjoin_only\030\t \001(\010\022\016\n\006cancel\030\n \001(\010\022" +
+      "\016\n\006digest\030\013 \001(\006\022\030\n\020from_incarnation\030\014 \001(" +
+      "\006\022\022\n\nage_millis\030\r \001(\004\022\025\n\rcopy_is_yours\030\016" +
+      " \001(\010\"\273\001\n\014ForwardReply\022.\n\007outcome\030\001 \001(\0162\035" +
+      ".teaselhook.v1.ForwardOutcome\022*\n\007answers" +
+      "\030\002 \003(\0132\031.teaselhook.v1.TaskAnswer\022\017\n\007pro" +
+      "blem\030\003 \001(\t\022\016\n\006detail\030\004 \001(\t\022\032\n\022retry_afte" +
+      "r_millis\030\005 \001(\004\022\022\n\nsubmission\030\006 \001(\t\"E\n\nTa" +
+      "skAnswer\022\023\n\013http_status\030\001 \001(\r\022\024\n\014content" +
+      "_type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014*V\n\nTaskStatus\022" +
+      "\033\n\027TASK_STATUS_UNSPECIFIED\020\000\022\014\n\010COMPLETE" +
+      "\020\001\022\020\n\014TARGET_ERROR\020\002\022\013\n\007UNKNOWN\020\003*\204\002\n\rRe" +
+      "fusalReason\022\036\n\032REFUSAL_REASON_UNSPECIFIE" +
+      "D\020\000\022\020\n\014NO_FREE_SLOT\020\001\022\020\n\014ALREADY_SEEN\020\002\022" +
+      "\023\n\017START_BY_PASSED\020\003\022\014\n\010ZONE_OUT\020\004\022\013\n\007LE" +
+      "AVING\020\005\022\r\n\tNO_TARGET\020\006\022\017\n\013STALE_ENTRY\020\007\022" +
+      "\025\n\021WRONG_INCARNATION\020\010\022\021\n\rNEVER_ARRIVED\020" +
+      "\t\022\r\n\tCANCELLED\020\n\022\022\n\016CONNECT_FAILED\020\013\022\022\n\016" +
+      "CONFIG_UNKNOWN\020\014*v\n\016ForwardOutcome\022\037\n\033FO" +
+      "RWARD_OUTCOME_UNSPECIFIED\020\000\022\024\n\020FORWARD_C" +
+      "OMPLETE\020\001\022\023\n\017FORWARD_NOT_RUN\020\002\022\030\n\024FORWAR" +
+      "D_MAY_HAVE_RUN\020\0032\236\002\n\014EntryService\022C\n\007Ses" +
+      "sion\022\031.teaselhook.v1.AgentFrame\032\031.teasel" +
+      "hook.v1.EntryFrame(\0010\001\022>\n\004Peer\022\030.teaselh" +
+      "ook.v1.PeerFrame\032\030.teaselhook.v1.PeerFra" +
+      "me(\0010\001\022E\n\007Forward\022\035.teaselhook.v1.Forwar" +
+      "dRequest\032\033.teaselhook.v1.ForwardReply\022B\n" +
+      "\006Agents\022\034.teaselhook.v1.AgentsRequest\032\032." +
+      "teaselhook.v1.AgentsReplyB\027\n\023org.teaselh" +
+      "ook.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -351,7 +352,7 @@
     internal_static_teaselhook_v1_EntryHeartbeat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_EntryHeartbeat_descriptor,
-        new java.lang.String[] { "EchoAgentNanos", "ConfigVersion", "WantedSlots", "Entries", "Leaving", });
+        new java.lang.String[] { "EchoAgentNanos", "ConfigVersion", "WantedSlots", "Entries", "Leaving", "EntryZones", });
     internal_static_teaselhook_v1_ConfigRequest_descriptor =
       getDescriptor().getMessageType(11);
     internal_static_teaselhook_v1_ConfigRequest_fieldAccessorTable = new
