Race whole rules files, with outages, in config-race

Cause: the race appended one zone line to the file that it replaced and never had an outage, so a replacement that overwrote another operator's routes, quotas or limits would not have been seen.

The ledger keeps each file sent with the version it was made from, makes all kept changes again in turn and compares the end with the table service; a file kept on another version than its own is a violation. Every second restart is followed by an outage of 2.5 s.

--- a/bench/src/main/java/org/teaselhook/bench/config/ConfigRace.java
+++ b/bench/src/main/java/org/teaselhook/bench/config/ConfigRace.java
@@ -16,8 +16,8 @@
 import org.teaselhook.standin.target.TaskListener;
 
 /**
- * Two operators race each other through entries that are killed and started again in turn, over a table service that
- * loses answers and lets writes take effect late.
+ * Two operators race each other, with single edits and whole rules files, through entries that are killed and started
+ * again in turn, over a table service that loses answers, lets writes take effect late and is out at times.
  */
 final class ConfigRace {
 
@@ -25,6 +25,9 @@
     private static final double LOST_SHARE = 0.1;
     private static final double LATE_SHARE = 0.1;
     private static final long LATE_MILLIS = 1_500;
+    private static final TableFaults RACED =
+            TableFaults.none().withLostAnswers(LOST_SHARE).withLateWrites(LATE_SHARE, LATE_MILLIS);
+    private static final long OUTAGE_MILLIS = 2_500;
     private static final long KILL_INTERVAL_MILLIS = 7_000;
     private static final long IN_FORCE_NANOS = TimeUnit.SECONDS.toNanos(15);
     private static final long POLL_MILLIS = 100;
@@ -50,7 +53,7 @@
         SitePlan plan = SitePlan.standard().withProcesses(3, 3).withoutRelays();
         try (Site site = Site.start(plan, TaskListener.none(), directory)) {
             site.awaitReady(READY_WAIT);
-            site.table().faults(TableFaults.none().withLostAnswers(LOST_SHARE).withLateWrites(LATE_SHARE, LATE_MILLIS));
+            site.table().faults(RACED);
             race(site);
             site.table().faults(TableFaults.none());
             TimeUnit.MILLISECONDS.sleep(2 * LATE_MILLIS);
@@ -75,14 +78,23 @@
             ProcessNode process = site.entries().get(i % site.entries().size()).process();
             process.kill();
             process.start();
+            if (i % 2 == 1) {
+                outage(site);
+            }
         }
     }
 
+    private static void outage(Site site) throws InterruptedException {
+        site.table().faults(RACED.withOutage(TableFaults.Outage.REFUSING));
+        TimeUnit.MILLISECONDS.sleep(OUTAGE_MILLIS);
+        site.table().faults(RACED);
+    }
+
     private List<String> check(Site site) throws InterruptedException {
         Operators operators = Operators.of(site.client(), site.entries().get(0).http());
         List<KeptChange> kept = operators.history(MAX_HISTORY);
         String text = operators.rules().orElseThrow().text();
-        List<String> found = new ArrayList<>(ledger.violations(kept, text));
+        List<String> found = new ArrayList<>(ledger.violations(kept, site.plan().rules(), text));
         long last = kept.get(kept.size() - 1).version();
         found.addAll(late(site, last));
         site.processes()
--- a/bench/src/main/java/org/teaselhook/bench/config/RaceLedger.java
+++ b/bench/src/main/java/org/teaselhook/bench/config/RaceLedger.java
@@ -12,13 +12,25 @@
 
 /**
  * What racing operators were told about their changes, and the check against what the table service kept. Each change
- * takes a zone out that is named like its operation and is never brought back. Safe for use by several threads.
+ * takes a zone out that is named like its operation and is never brought back, by an edit of that line or as part of a
+ * whole file. Safe for use by several threads.
  */
 final class RaceLedger {
 
+    private static final String EDIT_AUTHOR = "harness";
+    private static final String EDIT_REASON = "taken out by command";
+
     private final Map<String, Long> accepted = new HashMap<>();
     private final Set<String> refused = new HashSet<>();
     private final Set<String> unsettled = new HashSet<>();
+    private final Map<String, Replacement> replacements = new HashMap<>();
+
+    private record Replacement(long expected, String text) {}
+
+    /** An operation is about to replace a version by a whole file. */
+    synchronized void replacing(String operation, long expected, String text) {
+        replacements.put(operation, new Replacement(expected, text));
+    }
 
     synchronized void accepted(String operation, long version) {
         accepted.put(operation, version);
@@ -37,7 +49,7 @@
     }
 
     /** Returns every way in which the kept changes and the final text differ from what operators were told. */
-    synchronized List<String> violations(List<KeptChange> kept, String finalText) {
+    synchronized List<String> violations(List<KeptChange> kept, String firstText, String finalText) {
         List<String> found = new ArrayList<>();
         Map<String, Long> versions = new HashMap<>();
         long expected = 1;
@@ -61,6 +73,29 @@
         versions.keySet().stream()
                 .filter(operation -> operation.startsWith("race-") && !text.isZoneOut(operation))
                 .forEach(operation -> found.add("lost: " + operation));
+        found.addAll(replayed(kept, firstText, finalText));
+        return found;
+    }
+
+    /** Makes every kept change again on the one before it, and compares the end with what the table service holds. */
+    private List<String> replayed(List<KeptChange> kept, String firstText, String finalText) {
+        List<String> found = new ArrayList<>();
+        RulesText text = RulesText.of(firstText);
+        for (KeptChange change : kept) {
+            Replacement replacement = replacements.get(change.operation());
+            if (replacement != null && replacement.expected() != change.version() - 1) {
+                found.add("made from " + replacement.expected() + ", kept as " + change.version() + ": "
+                        + change.operation());
+            }
+            if (replacement != null) {
+                text = RulesText.of(replacement.text());
+            } else if (change.operation().startsWith("race-")) {
+                text = text.withZoneOut(change.operation(), EDIT_AUTHOR, EDIT_REASON);
+            }
+        }
+        if (!text.text().equals(RulesText.of(finalText).text())) {
+            found.add("the kept changes made in turn give another text");
+        }
         return found;
     }
 }
--- a/bench/src/main/java/org/teaselhook/bench/config/RacingOperator.java
+++ b/bench/src/main/java/org/teaselhook/bench/config/RacingOperator.java
@@ -9,7 +9,6 @@
 import org.teaselhook.bench.process.EntryNode;
 import org.teaselhook.bench.process.Operators;
 import org.teaselhook.bench.process.Site;
-import org.teaselhook.core.rules.RulesText;
 import org.teaselhook.net.http.HttpReply;
 
 /**
@@ -66,9 +65,8 @@
         Optional<HttpReply> base = entry().rules().filter(RacingOperator::isCurrent);
         base.ifPresent(reply -> {
             String expected = reply.header("teaselhook-version").orElse("0");
-            String text = RulesText.of(reply.text())
-                    .withZoneOut(operation, name, "race")
-                    .text();
+            String text = RacedFile.edited(reply.text(), name, operation, random);
+            ledger.replacing(operation, Long.parseLong(expected), text);
             settle(operation, () -> entry().replaceRules(expected, text, operation));
         });
     }
--- a/bench/src/test/java/org/teaselhook/bench/config/RaceLedgerTest.java
+++ b/bench/src/test/java/org/teaselhook/bench/config/RaceLedgerTest.java
@@ -12,7 +12,8 @@
 
     private static final KeptChange A = new KeptChange(1, "race-a");
     private static final KeptChange B = new KeptChange(2, "race-b");
-    private static final String BOTH = "zone race-a out # A: x\nzone race-b out # B: x\n";
+    private static final String ONE = edit("race-a");
+    private static final String BOTH = ONE + "zone race-b out  # ilze: race\n";
 
     // -- violations
 
@@ -20,11 +21,12 @@
     public Object[][] histories() {
         return new Object[][] {
             {List.of(A, B), BOTH, 0},
-            {List.of(A, new KeptChange(3, "race-b")), BOTH, 2},
+            {List.of(A, new KeptChange(3, "race-b")), BOTH, 3},
             {List.of(A, B, new KeptChange(3, "race-a")), BOTH, 2},
-            {List.of(A), BOTH, 1},
-            {List.of(A, B), "zone race-a out # A: x\n", 1},
-            {List.of(A, B, new KeptChange(3, "race-c")), BOTH + "zone race-c out # C: x\n", 1},
+            {List.of(A), ONE, 1},
+            {List.of(A, B), ONE, 2},
+            {List.of(A, B, new KeptChange(3, "race-c")), BOTH + edit("race-c"), 1},
+            {List.of(A, B), BOTH + "limit job-tasks 9  # ilze: x\n", 1},
         };
     }
 
@@ -34,7 +36,12 @@
         ledger.accepted("race-a", 1);
         ledger.accepted("race-b", 2);
         ledger.refused("race-c");
+        ledger.replacing("race-b", 1, BOTH);
 
-        assertEquals(ledger.violations(kept, text).size(), violations);
+        assertEquals(ledger.violations(kept, "", text).size(), violations);
+    }
+
+    private static String edit(String operation) {
+        return "zone " + operation + " out  # harness: taken out by command\n";
     }
 }
