--- a/app/src/test/java/org/teaselhook/app/ctl/CtlCommandTest.java
+++ b/app/src/test/java/org/teaselhook/app/ctl/CtlCommandTest.java
@@ -228,6 +228,11 @@
         private volatile List<ProcessStatus> processes = List.of();
         private volatile HeldConfig held = new HeldConfig(ConfigVersion.NONE, "", "", Set.of(), true);
 
+        @Override
+        public boolean isStopping() {
+            return false;
+        }
+
         @Override
         public CompletionStage<List<ProcessStatus>> processes() {
             return CompletableFuture.completedStage(processes);
--- a/node/src/main/java/org/teaselhook/node/admin/AdminHandler.java
+++ b/node/src/main/java/org/teaselhook/node/admin/AdminHandler.java
@@ -169,6 +169,9 @@
                     "the header Teaselhook-Author is missing or not valid",
                     "send the name of the operator, 1 to 64 printable ASCII characters without colon"));
         }
+        if (cluster.isStopping()) {
+            return done(AdminReplies.stopping());
+        }
         Operation operation = new Operation(id.get(), author.get());
         return applying.start(operation)
                 .thenCompose(result -> spread(result).thenApply(spread -> finish(operation, result)));
--- a/node/src/main/java/org/teaselhook/node/admin/AdminReplies.java
+++ b/node/src/main/java/org/teaselhook/node/admin/AdminReplies.java
@@ -178,6 +178,11 @@
                 .with("retry-after", RETRY_SECONDS);
     }
 
+    static HttpReply stopping() {
+        return problem(503, "stopping", "the entry is stopping and accepts no changes", "ask another entry")
+                .with("retry-after", RETRY_SECONDS);
+    }
+
     private static HttpReply problem(int status, String type, String detail, String remedy) {
         return json(status, PROBLEM, body(status, type, detail, remedy));
     }
--- a/node/src/main/java/org/teaselhook/node/admin/Cluster.java
+++ b/node/src/main/java/org/teaselhook/node/admin/Cluster.java
@@ -27,6 +27,13 @@
      */
     CompletionStage<HeldConfig> held();
 
+    /**
+     * Tells whether this entry is stopping, after which other entries do not wait for it.
+     *
+     * @return true if it accepts no more changes
+     */
+    boolean isStopping();
+
     /**
      * Takes over an accepted rules file here and sends it to every peer and agent at once.
      *
--- a/node/src/main/java/org/teaselhook/node/entry/EntryCluster.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryCluster.java
@@ -39,6 +39,7 @@
     private final AgentSessions sessions;
     private final Peers peers;
     private final BooleanSupplier tableReachable;
+    private final BooleanSupplier stopping;
 
     EntryCluster(
             EntryIdentity self,
@@ -46,13 +47,15 @@
             EntryConfiguration configuration,
             AgentSessions sessions,
             Peers peers,
-            BooleanSupplier tableReachable) {
+            BooleanSupplier tableReachable,
+            BooleanSupplier stopping) {
         this.self = self;
         this.control = control;
         this.configuration = configuration;
         this.sessions = sessions;
         this.peers = peers;
         this.tableReachable = tableReachable;
+        this.stopping = stopping;
     }
 
     // -- processes
@@ -138,6 +141,11 @@
                 () -> HeldConfig.of(configuration.current(), tableReachable.getAsBoolean()), control);
     }
 
+    @Override
+    public boolean isStopping() {
+        return stopping.getAsBoolean();
+    }
+
     /** A change is not answered before it would outlast the death of this entry, unless no other entry answers. */
     @Override
     public CompletionStage<Void> push(ConfigVersion version, String text, String operation) {
--- a/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
@@ -86,7 +86,7 @@
     private final HttpServer http;
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
     private volatile EntryStatus status;
-    private boolean stopping;
+    private volatile boolean stopping;
     private long stoppingSince;
     private long lastTickNanos;
 
@@ -162,8 +162,8 @@
     private EntryHttp handler(TableService table, OtherEntries others, Tickets tickets) {
         HealthPages health = new HealthPages(
                 metrics.registry(), () -> Optional.of(status.unreadyReason()).filter(reason -> !reason.isEmpty()));
-        EntryCluster cluster =
-                new EntryCluster(self, control, configuration, sessions, peers, poller::isTableReachable);
+        EntryCluster cluster = new EntryCluster(
+                self, control, configuration, sessions, peers, poller::isTableReachable, () -> stopping);
         AdminHandler admin = AdminHandler.of(ConfigStore.of(table, System::currentTimeMillis), cluster);
         CallerHandler callers = new CallerHandler(
                 control,
--- a/node/src/test/java/org/teaselhook/node/admin/AdminHandlerTest.java
+++ b/node/src/test/java/org/teaselhook/node/admin/AdminHandlerTest.java
@@ -96,6 +96,20 @@
         assertEquals(reply.join().status(), 200);
     }
 
+    @Test
+    public void shouldRefuseChangesWhileStopping() {
+        StubCluster cluster = new StubCluster();
+        cluster.stopping = true;
+        AdminHandler stopping = AdminHandler.of(ConfigStore.of(new DirectTable(), () -> 0), cluster);
+        HttpReply reply = stopping.handle(
+                        HttpCall.of("POST", AdminHandler.PREFIX + "zones/a/out", OPERATION, new byte[0]))
+                .toCompletableFuture()
+                .join();
+
+        assertEquals(reply.status(), 503);
+        assertTrue(reply.text().contains("ask another entry"), reply.text());
+    }
+
     private HttpReply send(String method, String path, Map<String, String> headers, String body) {
         byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
         return handler.handle(HttpCall.of(method, AdminHandler.PREFIX + path, headers, bytes))
@@ -104,9 +118,15 @@
     }
 
     private static final class StubCluster implements Cluster {
+        private boolean stopping;
         private CompletionStage<Void> pushed =
                 CompletableFuture.failedStage(new AssertionError("nothing was accepted"));
 
+        @Override
+        public boolean isStopping() {
+            return stopping;
+        }
+
         @Override
         public CompletionStage<List<ProcessStatus>> processes() {
             return CompletableFuture.completedStage(List.of());
