--- a/bench/src/main/java/org/teaselhook/bench/agentcost/AgentCostCommand.java
+++ b/bench/src/main/java/org/teaselhook/bench/agentcost/AgentCostCommand.java
@@ -39,7 +39,11 @@
     @Spec
     private CommandSpec spec;
 
-    @Option(names = "--entries", split = ",", defaultValue = "1,3,6", description = "Entries (${DEFAULT-VALUE}).")
+    @Option(
+            names = "--entries",
+            split = ",",
+            defaultValue = "1,3,6",
+            description = "Entries, at most 8 each (${DEFAULT-VALUE}).")
     private List<Integer> entries;
 
     @Option(names = "--seconds", defaultValue = "20", description = "Length of each measurement (${DEFAULT-VALUE}).")
