Keep a parting connection while the agent holds a dispatch of it

An agent ends the connection to a surplus entry once that connection is quiet, and it may hold a dispatch without a grant, undecided, for up to 20 ms; such a dispatch did not count. The entry would have had to settle it on a connection that never comes.

Change: a connection with a held dispatch is not quiet. HeldDispatchTest.shouldKeepConnectionWhileItHoldsADispatch failed before.

--- a/node/src/main/java/org/teaselhook/node/agent/AgentControl.java
+++ b/node/src/main/java/org/teaselhook/node/agent/AgentControl.java
@@ -136,7 +136,8 @@
 
     /** Whether nothing of the entry on a stream is under way here. */
     boolean isQuiet(EntryStream stream) {
-        return entries.get(streams.get(stream)).isQuiet();
+        Incarnation id = streams.get(stream);
+        return entries.get(id).isQuiet() && !held.holds(id);
     }
 
     private void settle(Incarnation id, EntryState entry, long dispatch) {
--- a/node/src/main/java/org/teaselhook/node/agent/HeldDispatches.java
+++ b/node/src/main/java/org/teaselhook/node/agent/HeldDispatches.java
@@ -25,6 +25,13 @@
         this.sharing = sharing;
     }
 
+    // -- accessors
+
+    /** Tells whether a dispatch of an entry waits. */
+    boolean holds(Incarnation entry) {
+        return waiting.stream().anyMatch(held -> held.entry().equals(entry));
+    }
+
     // -- updates
 
     void hold(Incarnation entry, Dispatch task, AgentTime time) {
--- a/node/src/test/java/org/teaselhook/node/agent/HeldDispatchTest.java
+++ b/node/src/test/java/org/teaselhook/node/agent/HeldDispatchTest.java
@@ -16,6 +16,7 @@
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 /** Dispatches without a grant while every free slot is granted to another entry. */
@@ -105,6 +106,14 @@
         assertEquals(agent.startedNumbers, List.of());
     }
 
+    @Test
+    public void shouldKeepConnectionWhileItHoldsADispatch() {
+        assertTrue(agent.control.isQuiet(second));
+        agent.dispatchUngranted(second, 5);
+
+        assertFalse(agent.control.isQuiet(second));
+    }
+
     // -- randomised
 
     /** An entry that keeps to its grants, answers each reclaim once, and sends dispatches with and without grants. */
