--- a/bench/src/main/java/org/teaselhook/bench/claims/ClaimsCommand.java
+++ b/bench/src/main/java/org/teaselhook/bench/claims/ClaimsCommand.java
@@ -40,7 +40,8 @@
     private enum Case {
         LOAD,
         KILL,
-        OUTAGE
+        OUTAGE,
+        ZONE
     }
 
     /**
@@ -63,6 +64,9 @@
         if (cases.contains(Case.OUTAGE)) {
             inOutage();
         }
+        if (cases.contains(Case.ZONE)) {
+            afterKillOfZone();
+        }
         return 0;
     }
 
@@ -88,6 +92,12 @@
         runs.forEach(CompletableFuture::join);
     }
 
+    private void afterKillOfZone() throws InterruptedException {
+        try (ZoneKillRun run = ZoneKillRun.start(rate, seed)) {
+            run.run((int) seconds);
+        }
+    }
+
     private void underLoad(ClaimWay way, int factor) throws InterruptedException {
         try (ClaimRun run = ClaimRun.start(way, rate * factor, seed)) {
             run.phase("warm-up", 2);
--- /dev/null
+++ b/bench/src/main/java/org/teaselhook/bench/claims/ZoneKillRun.java
@@ -0,0 +1,208 @@
+package org.teaselhook.bench.claims;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+import org.teaselhook.bench.process.AgentNode;
+import org.teaselhook.bench.process.EntryNode;
+import org.teaselhook.bench.process.ProcessNode;
+import org.teaselhook.bench.process.Readiness;
+import org.teaselhook.bench.process.Site;
+import org.teaselhook.bench.process.SitePlan;
+import org.teaselhook.net.http.HttpCall;
+import org.teaselhook.net.http.HttpResult;
+import org.teaselhook.standin.target.TaskListener;
+
+/**
+ * Non-idempotent requests under new keys at a site of processes, before and after the entry and the agents of one
+ * availability zone are killed together. Callers go to entries that were ready within the last probes.
+ */
+final class ZoneKillRun implements AutoCloseable {
+
+    private static final long TIMEOUT_MILLIS = 5_000;
+    private static final long GIVE_UP_MILLIS = 7_000;
+    private static final long PROBE_INTERVAL_MILLIS = 200;
+    private static final long PROBE_TIMEOUT_MILLIS = 400;
+    private static final int WARM_UP_SECONDS = 6;
+    private static final int KILL_AFTER_SECONDS = 1;
+    private static final Duration START_TIMEOUT = Duration.ofSeconds(60);
+
+    private final Site site;
+    private final int perSecond;
+    private final Random random;
+    private final Readiness readiness;
+    private final List<Thread> probes;
+    private volatile List<InetSocketAddress> ready;
+    private long lastKey;
+
+    private ZoneKillRun(Site site, int perSecond, long seed) {
+        this.site = site;
+        this.perSecond = perSecond;
+        this.random = new Random(seed);
+        this.readiness = Readiness.of(site.client(), PROBE_TIMEOUT_MILLIS);
+        this.ready = site.entries().stream().map(EntryNode::http).toList();
+        this.probes = site.entries().stream()
+                .map(entry -> new Thread(
+                        () -> probe(entry.http()), "probe-" + entry.process().name()))
+                .toList();
+        probes.forEach(Thread::start);
+    }
+
+    // -- factories
+
+    static ZoneKillRun start(int perSecond, long seed) throws InterruptedException {
+        SitePlan plan = SitePlan.standard().withoutRelays();
+        Site site = Site.start(plan, TaskListener.none(), directory());
+        try {
+            site.awaitReady(START_TIMEOUT);
+            return new ZoneKillRun(site, perSecond, seed);
+        } catch (IllegalStateException e) {
+            site.close();
+            throw e;
+        }
+    }
+
+    private static Path directory() {
+        try {
+            return Files.createTempDirectory("zone-kill");
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    // -- phases
+
+    /** Prints a line for the steady state and one for each second around the kill; second 1 is the first after it. */
+    void run(int seconds) throws InterruptedException {
+        phase(WARM_UP_SECONDS);
+        print("steady", phase(seconds));
+        Executor later = CompletableFuture.delayedExecutor(KILL_AFTER_SECONDS, TimeUnit.SECONDS);
+        zone(site.plan().zone(0)).forEach(process -> later.execute(process::kill));
+        List<Call> after = phase(seconds);
+        for (int second = 0; second < seconds; second++) {
+            long from = TimeUnit.SECONDS.toNanos(second);
+            List<Call> calls = after.stream()
+                    .filter(call -> call.dueNanos() >= from && call.dueNanos() < from + TimeUnit.SECONDS.toNanos(1))
+                    .toList();
+            print("second-" + (second + 1 - KILL_AFTER_SECONDS), calls);
+        }
+        print("after-kill-of-a-zone", after);
+    }
+
+    private Stream<ProcessNode> zone(String zone) {
+        Stream<ProcessNode> entries = site.entries().stream()
+                .filter(entry -> entry.zone().equals(zone))
+                .map(EntryNode::process);
+        Stream<ProcessNode> agents = site.agents().stream()
+                .filter(agent -> agent.zone().equals(zone))
+                .map(AgentNode::process);
+        return Stream.concat(entries, agents);
+    }
+
+    private static void print(String phase, List<Call> calls) {
+        Map<String, List<Call>> byOutcome = calls.stream().collect(Collectors.groupingBy(Call::outcome));
+        String outcomes = byOutcome.entrySet().stream()
+                .sorted(Map.Entry.comparingByKey())
+                .map(entry -> entry.getKey() + "=" + entry.getValue().size() + times(entry.getValue()))
+                .collect(Collectors.joining(" "));
+        System.out.println("way=ledger-over-processes phase=" + phase + " calls=" + calls.size() + " " + outcomes);
+    }
+
+    private static String times(List<Call> calls) {
+        List<Long> sorted = calls.stream().map(Call::tookNanos).sorted().toList();
+        return String.format(
+                "(p50=%dms p99=%dms max=%dms)",
+                millis(sorted.get(sorted.size() / 2)),
+                millis(sorted.get(sorted.size() * 99 / 100)),
+                millis(sorted.get(sorted.size() - 1)));
+    }
+
+    private static long millis(long nanos) {
+        return TimeUnit.NANOSECONDS.toMillis(nanos);
+    }
+
+    // -- calls
+
+    /** One call; {@code dueNanos} counts from the start of its phase. */
+    private record Call(long dueNanos, long tookNanos, String outcome) {}
+
+    private List<Call> phase(int seconds) throws InterruptedException {
+        List<CompletableFuture<Call>> calls = new ArrayList<>();
+        long startNanos = System.nanoTime();
+        long dueNanos = 0;
+        while (dueNanos < TimeUnit.SECONDS.toNanos(seconds)) {
+            long leftNanos = startNanos + dueNanos - System.nanoTime();
+            TimeUnit.NANOSECONDS.sleep(Math.max(0, leftNanos));
+            calls.add(call(startNanos, dueNanos));
+            dueNanos += (long) (-Math.log(1 - random.nextDouble()) / perSecond * TimeUnit.SECONDS.toNanos(1));
+        }
+        return calls.stream().map(CompletableFuture::join).toList();
+    }
+
+    private CompletableFuture<Call> call(long startNanos, long dueNanos) {
+        lastKey++;
+        Map<String, String> headers = Map.of(
+                "idempotency-key",
+                "order-" + lastKey,
+                "teaselhook-timeout-ms",
+                Long.toString(TIMEOUT_MILLIS),
+                "content-type",
+                "text/plain");
+        byte[] body = ("order " + lastKey).getBytes(StandardCharsets.UTF_8);
+        String path = "/v1/services/" + SitePlan.SERVICE + "/" + SitePlan.ONCE_KIND;
+        List<InetSocketAddress> choices = ready;
+        InetSocketAddress entry = choices.get(random.nextInt(choices.size()));
+        return site.client()
+                .send(entry, HttpCall.of("POST", path, headers, body), GIVE_UP_MILLIS)
+                .thenApply(result -> new Call(dueNanos, System.nanoTime() - startNanos - dueNanos, outcome(result)))
+                .toCompletableFuture();
+    }
+
+    private static String outcome(HttpResult result) {
+        return result instanceof HttpResult.Replied replied
+                ? replied.reply().header("teaselhook-outcome").orElse("unlabelled")
+                : "no-answer";
+    }
+
+    // -- the balancer
+
+    private void probe(InetSocketAddress entry) {
+        try {
+            while (true) {
+                note(entry, readiness.isReady(entry));
+                TimeUnit.MILLISECONDS.sleep(PROBE_INTERVAL_MILLIS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private synchronized void note(InetSocketAddress entry, boolean isReady) {
+        List<InetSocketAddress> next = new ArrayList<>(ready);
+        next.remove(entry);
+        if (isReady || next.isEmpty()) {
+            next.add(entry);
+        }
+        ready = List.copyOf(next);
+    }
+
+    @Override
+    public void close() {
+        probes.forEach(Thread::interrupt);
+        site.close();
+    }
+}
