Admit work for which slots are free at this instant

The slots that serve the queue are smoothed over 0.5 s; the agents had just come back after 2 s of silence in which tasks waited and few ran, so the estimate was still near 5.

Ruled out: a wrong learned run time (4 s was right), and that the tasks could not fit (two rounds of 4 s in 12 s even on 8 slots). Weighed: no memory at all (an entry whose queue is empty for a moment in overload would take all slots for its own again).

Change: before a refusal the entry counts what it has at this instant, the slots in use and those granted, if that is more than the smoothed figure.

DispatcherTest.shouldAdmitForSlotsThatJustBecameFree failed before, passes after; the randomised dispatcher test passes.

--- a/core/src/main/java/org/teaselhook/core/dispatch/Forecast.java
+++ b/core/src/main/java/org/teaselhook/core/dispatch/Forecast.java
@@ -76,7 +76,7 @@
         long ahead = pool.queue().workAhead(nowNanos, submission.customer(), weight, latestStart);
         long own = work - work / submission.size();
         long lastStart = nowNanos + (long) ((ahead + own) / pool.capacity(nowNanos));
-        if (lastStart <= latestStart) {
+        if (lastStart <= latestStart || nowNanos + (ahead + own) / Math.max(1, pool.slotsAtHand()) <= latestStart) {
             return Optional.empty();
         }
         String detail = "queued=" + pool.queue().size() + "; the last task would start "
--- a/core/src/main/java/org/teaselhook/core/dispatch/ServicePool.java
+++ b/core/src/main/java/org/teaselhook/core/dispatch/ServicePool.java
@@ -133,6 +133,11 @@
         return Math.max(1, Math.min(capacity, slotsInService));
     }
 
+    /** Returns the slots that this entry uses and those that it could use at once. */
+    int slotsAtHand() {
+        return running + ready.free();
+    }
+
     void opened() {
         running++;
     }
--- a/core/src/main/java/org/teaselhook/core/placement/CandidateSet.java
+++ b/core/src/main/java/org/teaselhook/core/placement/CandidateSet.java
@@ -57,6 +57,15 @@
         return candidate.index() >= 0;
     }
 
+    /**
+     * Adds up the free slots of all candidates. Takes time in proportion to their number.
+     *
+     * @return the sum
+     */
+    public int free() {
+        return members.stream().mapToInt(Candidate::free).sum();
+    }
+
     /**
      * Draws a worker.
      *
--- a/core/src/test/java/org/teaselhook/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/teaselhook/core/dispatch/DispatcherTest.java
@@ -401,6 +401,18 @@
         assertTrue(refused.problem().retryAfter().toMillis() >= 100);
     }
 
+    @Test
+    public void shouldAdmitForSlotsThatJustBecameFree() {
+        join(1, "thrissur", 1);
+        complete(10, 100 * MILLI);
+        submit("slow", 2, true, 10 * SECOND);
+        tickUntil(now + 3 * SECOND);
+        dispatcher.cancel(now, "slow");
+        join(2, "thrissur", 16);
+        submit("job", 20, true, 600 * MILLI);
+        assertEquals(output.outcomeOf("job"), "open");
+    }
+
     @DataProvider
     public Object[][] sizes() {
         return new Object[][] {{1, 50L, "not-run NEVER_FITS"}, {60, 2_000L, "not-run NEVER_FITS"}, {10, 2_000L, "open"}
