--- a/node/src/main/java/org/teaselhook/node/agent/AgentControl.java
+++ b/node/src/main/java/org/teaselhook/node/agent/AgentControl.java
@@ -15,7 +15,6 @@
 import org.teaselhook.core.grant.GrantSharing;
 import org.teaselhook.core.id.Incarnation;
 import org.teaselhook.net.http.HttpResult;
-import org.teaselhook.net.log.LogLine;
 import org.teaselhook.wire.AgentFrame;
 import org.teaselhook.wire.AgentHeartbeat;
 import org.teaselhook.wire.ConfigDocument;
@@ -104,12 +103,7 @@
         streams.put(stream, id);
         held.forget(id);
         sharing.connect(id);
-        LogLine.of("entry-connected")
-                .with("entry", hello.getName())
-                .with("incarnation", id)
-                .with("in_progress", hello.getInProgressCount())
-                .with("kept", entry.kept().size())
-                .info();
+        AgentLog.entryConnected(hello, id, entry.kept().size());
         entry.kept().forEach(result -> entry.send(AgentFrames.result(result, SlotNews.NONE)));
         hello.getInProgressList().forEach(dispatch -> settle(id, entry, dispatch));
         heard(id, hello.getState(), time);
@@ -168,11 +162,7 @@
                 sharing.giveBack(id, frame.getGrantReturn().getSlots());
                 shareSlots(time.nanos());
             }
-            default ->
-                LogLine.of("frame-ignored")
-                        .with("entry", id)
-                        .with("frame", frame.getFrameCase())
-                        .warn();
+            default -> AgentLog.frameIgnored(id, frame.getFrameCase());
         }
     }
 
@@ -195,10 +185,7 @@
             return;
         }
         configuration = newer.get();
-        LogLine.of("configuration")
-                .with("version", configuration.version())
-                .with("zone_out", configuration.rules().isOut(agent.zone()))
-                .info();
+        AgentLog.configuration(configuration.version(), configuration.rules().isOut(agent.zone()));
         announceState(nowNanos);
     }
 
@@ -246,10 +233,7 @@
         } else if (verdict instanceof Verdict.Refuse refuse) {
             refuse(id, task, granted, refuse.reason(), time.nanos());
         } else {
-            LogLine.of("duplicate")
-                    .with("entry", id)
-                    .with("dispatch", task.getDispatch())
-                    .warn();
+            AgentLog.duplicate(id, task.getDispatch());
             return false;
         }
         return true;
@@ -259,15 +243,7 @@
         entries.get(id).begin();
         target.begin();
         metrics.started();
-        LogLine.of("start")
-                .with("entry", id)
-                .with("dispatch", task.getDispatch())
-                .with("submission", task.getSubmission())
-                .with("task", task.getTaskIndex())
-                .with("kind", task.getKind())
-                .with("target", target.name())
-                .with("running", sharing.running())
-                .info();
+        AgentLog.start(id, task, target, sharing.running());
         long timeoutMillis = Math.max(1, (task.getFinishByAgentNanos() - time.nanos()) / 1_000_000L);
         RunningTask running = new RunningTask(id, task, target, time.nanos());
         runner.run(target.address(), id, task, time.wallMillisOf(startByNanos), timeoutMillis)
@@ -284,11 +260,7 @@
 
     private void refused(Incarnation id, long dispatch, RefusalReason reason) {
         metrics.refused(reason);
-        LogLine.of("refusal")
-                .with("entry", id)
-                .with("dispatch", dispatch)
-                .with("reason", reason)
-                .info();
+        AgentLog.refusal(id, dispatch, reason);
     }
 
     /** Takes the end of a task. */
@@ -318,13 +290,7 @@
     private void complete(RunningTask running, TaskResult result, long nowNanos) {
         EntryState entry = entries.get(running.entry());
         metrics.finished(result.getStatus());
-        LogLine.of("result")
-                .with("entry", running.entry())
-                .with("dispatch", result.getDispatch())
-                .with("status", result.getStatus())
-                .with("http_status", result.getHttpStatus())
-                .with("run_ms", result.getRunNanos() / 1_000_000L)
-                .info();
+        AgentLog.result(running.entry(), result);
         entry.keep(result);
         entry.send(AgentFrames.result(result, shareSlots(nowNanos, running.entry())));
     }
@@ -333,10 +299,7 @@
 
     void announce(String name, String service, InetSocketAddress address, long nowNanos) {
         if (targets.announce(name, service, address, nowNanos)) {
-            LogLine.of("target-available")
-                    .with("target", name)
-                    .with("service", service)
-                    .info();
+            AgentLog.targetAvailable(name, service);
             announceState(nowNanos);
         }
     }
@@ -344,7 +307,7 @@
     boolean withdraw(String name, long nowNanos) {
         boolean known = targets.withdraw(name);
         if (known) {
-            LogLine.of("target-leaving").with("target", name).info();
+            AgentLog.targetLeaving(name);
             announceState(nowNanos);
         }
         return known;
@@ -354,7 +317,7 @@
 
     void tick(long nowNanos) {
         if (targets.lapse(nowNanos)) {
-            LogLine.of("target-lapsed").warn();
+            AgentLog.targetLapsed();
             announceState(nowNanos);
         }
         entries.forEach((id, entry) -> retireIfAbandoned(id, entry, nowNanos));
@@ -366,16 +329,13 @@
     private void retireIfAbandoned(Incarnation id, EntryState entry, long nowNanos) {
         if (entry.isAbandoned(nowNanos, KEEP_NANOS)) {
             admission.retire(id);
-            LogLine.of("entry-forgotten")
-                    .with("entry", entry.name())
-                    .with("incarnation", id)
-                    .info();
+            AgentLog.entryForgotten(entry.name(), id);
         }
     }
 
     void leave(long nowNanos) {
         leaving = true;
-        LogLine.of("leaving").with("running", sharing.running()).info();
+        AgentLog.leaving(sharing.running());
         announceState(nowNanos);
     }
 
