Count all slots in service while an entry has no work

Change: an entry that has no work counts all slots in service before it refuses; nothing tells then that it would not get them.

DispatcherTest.shouldAdmitForSlotsThatJustBecameFree, now also with no slot granted, failed before and passes after; the randomised dispatcher test passes.

--- a/core/src/main/java/org/teaselhook/core/dispatch/ServicePool.java
+++ b/core/src/main/java/org/teaselhook/core/dispatch/ServicePool.java
@@ -133,9 +133,12 @@
         return Math.max(1, Math.min(capacity, slotsInService));
     }
 
-    /** Returns the slots that this entry uses and those that it could use at once. */
+    /**
+     * Returns the slots that this entry uses and those that it could use at once; all in service while it has no work,
+     * as nothing tells then that it would not get them.
+     */
     int slotsAtHand() {
-        return running + ready.free();
+        return running == 0 && queue.isEmpty() ? slotsInService : running + ready.free();
     }
 
     void opened() {
--- a/core/src/test/java/org/teaselhook/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/teaselhook/core/dispatch/DispatcherTest.java
@@ -401,18 +401,23 @@
         assertTrue(refused.problem().retryAfter().toMillis() >= 100);
     }
 
-    @Test
-    public void shouldAdmitForSlotsThatJustBecameFree() {
+    @Test(dataProvider = "grantedSlots")
+    public void shouldAdmitForSlotsThatJustBecameFree(int granted) {
         join(1, "thrissur", 1);
         complete(10, 100 * MILLI);
         submit("slow", 2, true, 10 * SECOND);
         tickUntil(now + 3 * SECOND);
-        dispatcher.cancel(now, "slow");
-        join(2, "thrissur", 16);
+        result(output.lastOrder(), TaskStatus.TARGET_ERROR);
+        dispatcher.reclaim(now, join(2, "thrissur", 16), 16 - granted);
         submit("job", 20, true, 600 * MILLI);
         assertEquals(output.outcomeOf("job"), "open");
     }
 
+    @DataProvider
+    public Object[][] grantedSlots() {
+        return new Object[][] {{16}, {0}};
+    }
+
     @DataProvider
     public Object[][] sizes() {
         return new Object[][] {{1, 50L, "not-run NEVER_FITS"}, {60, 2_000L, "not-run NEVER_FITS"}, {10, 2_000L, "open"}
