Estimate the last start in whole rounds of slots

Cause, now traced: SiteFaultTest.shouldSettleRunningTasks... refused a job of 12 tasks of 4 s and 5 s of time, "509 ms too late" twice with 24 idle slots. The estimate spread the work of the tasks before the last one over the slots as if it were fluid (41 s / 24 = 1.7 s), though 12 tasks on 24 slots all start at once.

Change: tasks start in whole rounds. DispatcherTest and the randomised test pass.

--- a/core/src/main/java/org/teaselhook/core/dispatch/Forecast.java
+++ b/core/src/main/java/org/teaselhook/core/dispatch/Forecast.java
@@ -74,9 +74,10 @@
             long nowNanos, Submission submission, ServicePool pool, long work, long latestStart) {
         int weight = control.weightOf(submission.customer());
         long ahead = pool.queue().workAhead(nowNanos, submission.customer(), weight, latestStart);
-        long own = work - work / submission.size();
-        long lastStart = nowNanos + (long) ((ahead + own) / pool.capacity(nowNanos));
-        if (lastStart <= latestStart || nowNanos + (ahead + own) / Math.max(1, pool.slotsAtHand()) <= latestStart) {
+        double slots = pool.capacity(nowNanos);
+        long lastStart = lastStart(nowNanos, submission.size(), work, ahead, slots);
+        double atHand = Math.max(slots, pool.slotsAtHand());
+        if (lastStart(nowNanos, submission.size(), work, ahead, atHand) <= latestStart) {
             return Optional.empty();
         }
         String detail = "queued=" + pool.queue().size() + "; the last task would start "
@@ -84,6 +85,12 @@
         return Optional.of(Problem.of(ProblemKind.OVERLOADED, detail, retryAfter(lastStart - latestStart)));
     }
 
+    /** Estimates when the last task starts: after what is ahead, and after as many rounds as the tasks need slots. */
+    private static long lastStart(long nowNanos, int tasks, long work, long ahead, double slots) {
+        long rounds = (long) ((tasks - 1) / slots);
+        return nowNanos + (long) (ahead / slots) + rounds * (work / tasks);
+    }
+
     /** Returns a wait after which the queue will have shrunk by the given time, spread out at random. */
     Duration retryAfter(long excessNanos) {
         long bounded = Math.max(LEAST_RETRY_NANOS, Math.min(GREATEST_RETRY_NANOS, excessNanos));
