Count the claims as known while the ledger's breaker is half open

The entry made no claim of its own, so it stayed half open, and Ledger.isCurrent asked for a closed breaker. Such an entry never counted the claims as known again, and called each refusal of a key in an outage doubtful. Ruled out: lost peers and a stale registry (neither is in the log).

Change: the ends of the logs are known if they were read within 2 s and no shard is behind, unless the breaker is open. Whether writes pass says nothing about what was read.

LedgerAvailabilityTest.shouldBeCurrentAgainAfterOutageWithoutClaimOfItsOwn failed before; all tests of the ledger pass.

--- a/core/src/main/java/org/teaselhook/core/claim/Ledger.java
+++ b/core/src/main/java/org/teaselhook/core/claim/Ledger.java
@@ -122,12 +122,12 @@
      * Tells whether the logs were read to their ends lately.
      *
      * @param nowNanos the present time
-     * @return true if the ends were read within the last 2 s, no shard is behind them, and the breaker is closed
+     * @return true if the ends were read within the last 2 s, no shard is behind them, and the breaker is not open
      */
     public boolean isCurrent(long nowNanos) {
         boolean lately = headsKnown && nowNanos - headsKnownNanos <= CURRENT_NANOS;
         return lately
-                && breaker.state() == Breaker.State.CLOSED
+                && !breaker.isOpen()
                 && IntStream.range(0, shards.length).noneMatch(shard -> shards[shard].isBehind());
     }
 
--- a/core/src/test/java/org/teaselhook/core/claim/LedgerAvailabilityTest.java
+++ b/core/src/test/java/org/teaselhook/core/claim/LedgerAvailabilityTest.java
@@ -126,6 +126,22 @@
         assertEquals(first.answer(first.claim(KEY, DIGEST)), ClaimResult.mine());
     }
 
+    // -- isCurrent
+
+    @Test
+    public void shouldBeCurrentAgainAfterOutageWithoutClaimOfItsOwn() {
+        first.settle();
+        for (int read = 0; read < 2; read++) {
+            first.tick(TimeUnit.SECONDS.toMillis(1));
+            first.loseAll();
+        }
+        assertTrue(first.hasSeen(Kind.BREAKER_OPENED));
+        assertFalse(first.isCurrent());
+        first.tick(LedgerHarness.LIMITS.probeIntervalMillis());
+        first.settle();
+        assertTrue(first.isCurrent());
+    }
+
     // -- lookup
 
     @Test
--- a/core/src/test/java/org/teaselhook/core/claim/LedgerHarness.java
+++ b/core/src/test/java/org/teaselhook/core/claim/LedgerHarness.java
@@ -138,6 +138,10 @@
 
     // -- observations
 
+    boolean isCurrent() {
+        return ledger.isCurrent(now().nanos());
+    }
+
     ClaimResult answer(long claimId) {
         return answers.get(claimId);
     }
