Count the slots at hand only for work about to be refused

Each submission added up the free slots of all ready workers, a pass over the workers in the path of every request, though the sum is needed only if the smoothed figure would refuse. It is now asked for only then.

--- a/core/src/main/java/org/teaselhook/core/dispatch/Forecast.java
+++ b/core/src/main/java/org/teaselhook/core/dispatch/Forecast.java
@@ -74,10 +74,9 @@
             long nowNanos, Submission submission, ServicePool pool, long work, long latestStart) {
         int weight = control.weightOf(submission.customer());
         long ahead = pool.queue().workAhead(nowNanos, submission.customer(), weight, latestStart);
-        double slots = pool.capacity(nowNanos);
-        long lastStart = lastStart(nowNanos, submission.size(), work, ahead, slots);
-        double atHand = Math.max(slots, pool.slotsAtHand());
-        if (lastStart(nowNanos, submission.size(), work, ahead, atHand) <= latestStart) {
+        int tasks = submission.size();
+        long lastStart = lastStart(nowNanos, tasks, work, ahead, pool.capacity(nowNanos));
+        if (lastStart <= latestStart || lastStart(nowNanos, tasks, work, ahead, slotsAtHand(pool)) <= latestStart) {
             return Optional.empty();
         }
         String detail = "queued=" + pool.queue().size() + "; the last task would start "
@@ -85,6 +84,11 @@
         return Optional.of(Problem.of(ProblemKind.OVERLOADED, detail, retryAfter(lastStart - latestStart)));
     }
 
+    /** Counts the slots at hand, in time proportional to the workers: for submissions about to be refused only. */
+    private static int slotsAtHand(ServicePool pool) {
+        return Math.max(1, pool.slotsAtHand());
+    }
+
     /** Estimates when the last task starts: after what is ahead, and after as many rounds as the tasks need slots. */
     private static long lastStart(long nowNanos, int tasks, long work, long ahead, double slots) {
         long rounds = (long) ((tasks - 1) / slots);
