Share the fixture of the ledger's tests and the silent dispatch output

LedgerTest and LedgerAvailabilityTest set up the same two ledgers, and two tests of node spelt out the same empty methods of the dispatcher's output. LedgerFixture and IgnoringOutput hold them.

--- a/core/src/test/java/org/teaselhook/core/claim/LedgerTest.java
+++ b/core/src/test/java/org/teaselhook/core/claim/LedgerTest.java
@@ -7,11 +7,8 @@
 import java.util.stream.LongStream;
 
 import org.teaselhook.core.claim.LedgerEvent.Kind;
-import org.teaselhook.core.id.Incarnation;
-import org.teaselhook.core.table.InMemoryTable;
 import org.teaselhook.core.table.TableResult;
 import org.teaselhook.core.table.Transaction;
-import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -19,25 +16,7 @@
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
-public class LedgerTest {
-
-    private static final Incarnation FIRST = Incarnation.of(1);
-    private static final Incarnation SECOND = Incarnation.of(2);
-    private static final String KEY = LedgerHarness.key(0);
-    private static final String OTHER_KEY = LedgerHarness.key(1);
-    private static final long DIGEST = 7;
-    private static final LogKeys LOG = LogKeys.of(0);
-
-    private InMemoryTable table;
-    private LedgerHarness first;
-    private LedgerHarness second;
-
-    @BeforeMethod
-    public void start() {
-        table = InMemoryTable.empty();
-        first = new LedgerHarness(FIRST, table);
-        second = new LedgerHarness(SECOND, table);
-    }
+public class LedgerTest extends LedgerFixture {
 
     // -- claim
 
--- a/node/src/test/java/org/teaselhook/node/control/DispatcherTimersTest.java
+++ b/node/src/test/java/org/teaselhook/node/control/DispatcherTimersTest.java
@@ -11,9 +11,6 @@
 
 import org.teaselhook.core.dispatch.AgentInfo;
 import org.teaselhook.core.dispatch.AgentState;
-import org.teaselhook.core.dispatch.Decision;
-import org.teaselhook.core.dispatch.DispatchOrder;
-import org.teaselhook.core.dispatch.DispatchOutput;
 import org.teaselhook.core.dispatch.Dispatcher;
 import org.teaselhook.core.dispatch.DispatcherSettings;
 import org.teaselhook.core.dispatch.Submission;
@@ -74,7 +71,7 @@
     }
 
     /** Notes when each submission was answered. */
-    private static final class Answers implements DispatchOutput {
+    private static final class Answers extends IgnoringOutput {
         private final Map<String, Long> atNanos = new ConcurrentHashMap<>();
         private final CountDownLatch all = new CountDownLatch(SUBMISSIONS);
 
@@ -83,23 +80,5 @@
             atNanos.put(submissionId, System.nanoTime());
             all.countDown();
         }
-
-        @Override
-        public void dispatch(DispatchOrder order) {}
-
-        @Override
-        public void cancel(Incarnation agent, long number) {}
-
-        @Override
-        public void ack(Incarnation agent, long number) {}
-
-        @Override
-        public void returnGrants(Incarnation agent, int slots) {}
-
-        @Override
-        public void want(Incarnation agent, int slots) {}
-
-        @Override
-        public void decided(Decision decision) {}
     }
 }
--- /dev/null
+++ b/node/src/test/java/org/teaselhook/node/control/IgnoringOutput.java
@@ -0,0 +1,32 @@
+package org.teaselhook.node.control;
+
+import org.teaselhook.core.dispatch.Decision;
+import org.teaselhook.core.dispatch.DispatchOrder;
+import org.teaselhook.core.dispatch.DispatchOutput;
+import org.teaselhook.core.id.Incarnation;
+import org.teaselhook.core.outcome.Outcome;
+
+/** An output of the dispatcher that a test overrides where it looks. */
+public abstract class IgnoringOutput implements DispatchOutput {
+
+    @Override
+    public void dispatch(DispatchOrder order) {}
+
+    @Override
+    public void cancel(Incarnation agent, long number) {}
+
+    @Override
+    public void ack(Incarnation agent, long number) {}
+
+    @Override
+    public void answered(String submissionId, Outcome outcome) {}
+
+    @Override
+    public void returnGrants(Incarnation agent, int slots) {}
+
+    @Override
+    public void want(Incarnation agent, int slots) {}
+
+    @Override
+    public void decided(Decision decision) {}
+}
--- a/node/src/test/java/org/teaselhook/node/entry/TestEntry.java
+++ b/node/src/test/java/org/teaselhook/node/entry/TestEntry.java
@@ -18,9 +18,7 @@
 import org.teaselhook.core.claim.Tickets;
 import org.teaselhook.core.dispatch.AgentInfo;
 import org.teaselhook.core.dispatch.AgentState;
-import org.teaselhook.core.dispatch.Decision;
 import org.teaselhook.core.dispatch.DispatchOrder;
-import org.teaselhook.core.dispatch.DispatchOutput;
 import org.teaselhook.core.dispatch.Dispatcher;
 import org.teaselhook.core.dispatch.DispatcherSettings;
 import org.teaselhook.core.dispatch.TaskStatus;
@@ -39,12 +37,13 @@
 import org.teaselhook.node.claim.ClaimListener;
 import org.teaselhook.node.claim.Claims;
 import org.teaselhook.node.control.ControlLoop;
+import org.teaselhook.node.control.IgnoringOutput;
 import org.teaselhook.wire.ForwardRequest;
 
 import static java.time.Duration.ofMillis;
 
 /** The admission of one entry, with a worker that answers at once and calls to other entries made by the test. */
-final class TestEntry implements DispatchOutput, PeerCalls, AutoCloseable {
+final class TestEntry extends IgnoringOutput implements PeerCalls, AutoCloseable {
 
     static final Answer ANSWER = Answer.of(200, "text/plain", new byte[] {1});
 
@@ -263,19 +262,4 @@
     public void answered(String submissionId, Outcome outcome) {
         admissions.answered(control.nowNanos(), submissionId, outcome);
     }
-
-    @Override
-    public void cancel(Incarnation agent, long number) {}
-
-    @Override
-    public void ack(Incarnation agent, long number) {}
-
-    @Override
-    public void returnGrants(Incarnation agent, int slots) {}
-
-    @Override
-    public void want(Incarnation agent, int slots) {}
-
-    @Override
-    public void decided(Decision decision) {}
 }
