--- a/bench/src/main/java/org/teaselhook/bench/config/ConfigBenchCommand.java
+++ b/bench/src/main/java/org/teaselhook/bench/config/ConfigBenchCommand.java
@@ -1,12 +1,13 @@
 package org.teaselhook.bench.config;
 
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 
+import org.teaselhook.bench.process.LogDirectory;
 import org.teaselhook.bench.process.SitePlan;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Spec;
@@ -35,8 +36,8 @@
     @Option(names = "--seed", defaultValue = "1", description = "Seed of the pauses (${DEFAULT-VALUE}).")
     private long seed;
 
-    @Option(names = "--directory", description = "Where settings and logs are kept; a temporary one by default.")
-    private Path directory;
+    @Mixin
+    private LogDirectory directory;
 
     private ConfigBenchCommand() {}
 
@@ -51,7 +52,7 @@
 
     @Override
     public Integer call() throws Exception {
-        Path logs = directory == null ? Files.createTempDirectory("config-bench") : Files.createDirectories(directory);
+        Path logs = directory.create("config-bench");
         SitePlan plan = SitePlan.standard().withProcesses(entries, agents);
         new ConfigBench(plan, changes, seed, logs)
                 .run()
--- a/bench/src/main/java/org/teaselhook/bench/config/ConfigRaceCommand.java
+++ b/bench/src/main/java/org/teaselhook/bench/config/ConfigRaceCommand.java
@@ -1,13 +1,14 @@
 package org.teaselhook.bench.config;
 
 import java.io.PrintWriter;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.Callable;
 
+import org.teaselhook.bench.process.LogDirectory;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Spec;
@@ -32,8 +33,8 @@
     @Option(names = "--seconds", defaultValue = "60", description = "Length of the race (${DEFAULT-VALUE}).")
     private long seconds;
 
-    @Option(names = "--directory", description = "Where settings and logs are kept; a temporary one by default.")
-    private Path directory;
+    @Mixin
+    private LogDirectory directory;
 
     private ConfigRaceCommand() {}
 
@@ -48,7 +49,7 @@
 
     @Override
     public Integer call() throws Exception {
-        Path logs = directory == null ? Files.createTempDirectory("config-race") : Files.createDirectories(directory);
+        Path logs = directory.create("config-race");
         ConfigRace race = new ConfigRace(seed, seconds, logs);
         List<String> violations = race.run();
         PrintWriter out = spec.commandLine().getOut();
--- a/bench/src/main/java/org/teaselhook/bench/failure/FailureRunCommand.java
+++ b/bench/src/main/java/org/teaselhook/bench/failure/FailureRunCommand.java
@@ -7,8 +7,10 @@
 import java.util.concurrent.Callable;
 
 import org.teaselhook.bench.history.HistoryEvent;
+import org.teaselhook.bench.process.LogDirectory;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Spec;
@@ -34,8 +36,8 @@
     @Option(names = "--rate", defaultValue = "25", description = "Submissions per second (${DEFAULT-VALUE}).")
     private double perSecond;
 
-    @Option(names = "--directory", description = "Where settings and logs are kept; a temporary one by default.")
-    private Path directory;
+    @Mixin
+    private LogDirectory directory;
 
     private FailureRunCommand() {}
 
@@ -50,7 +52,7 @@
 
     @Override
     public Integer call() throws Exception {
-        Path logs = directory == null ? Files.createTempDirectory("failure-run") : Files.createDirectories(directory);
+        Path logs = directory.create("failure-run");
         FailureReport report = new FailureRun(seed, Duration.ofSeconds(seconds), perSecond, logs).run();
         Files.write(
                 logs.resolve("history.txt"),
