--- a/app/src/main/java/org/teaselhook/app/Daemon.java
+++ b/app/src/main/java/org/teaselhook/app/Daemon.java
@@ -5,10 +5,13 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
+import org.teaselhook.net.log.LogLine;
 import org.tinylog.provider.ProviderRegistry;
+import sun.misc.Signal;
 
 /**
- * Keeps a daemon running until the process is told to end (SIGTERM or SIGINT), then stops it gracefully.
+ * Keeps a daemon running until the process is told to end (SIGTERM or SIGINT), then stops it gracefully. SIGHUP makes
+ * it read its settings again.
  */
 final class Daemon {
 
@@ -16,8 +19,14 @@
 
     private Daemon() {}
 
-    /** Waits for the end; the process exits after the daemon has stopped. */
+    /** Waits for the end; the process exits after the daemon has stopped. SIGHUP does not end it. */
     static int runUntilTerminated(Supplier<CompletionStage<Void>> stop) throws InterruptedException {
+        return runUntilTerminated(stop, () -> LogLine.of("reload-ignored").info());
+    }
+
+    /** Waits for the end, and calls {@code reload} on each SIGHUP. */
+    static int runUntilTerminated(Supplier<CompletionStage<Void>> stop, Runnable reload) throws InterruptedException {
+        Signal.handle(new Signal("HUP"), signal -> reload.run());
         CountDownLatch ended = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(stop, ended), "stop"));
         ended.await();
--- /dev/null
+++ b/app/src/main/java/org/teaselhook/app/LeaseAgentCommand.java
@@ -0,0 +1,34 @@
+package org.teaselhook.app;
+
+import java.util.Optional;
+import java.util.concurrent.Callable;
+
+import org.teaselhook.node.lease.LeaseAgentNode;
+import org.teaselhook.node.settings.LeaseAgentSettings;
+import org.teaselhook.platform.Platform;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+
+/**
+ * Runs an agent on the users' platform.
+ */
+@Command(
+        name = "lease-agent",
+        description = "Runs an agent on the users' platform: keeps runs on a worker under leases.",
+        mixinStandardHelpOptions = true)
+final class LeaseAgentCommand implements Callable<Integer> {
+
+    @Mixin
+    private SettingsOption settings;
+
+    @Override
+    public Integer call() throws Exception {
+        Optional<LeaseAgentSettings> read = settings.read(LeaseAgentSettings::parse);
+        if (read.isEmpty()) {
+            return 2;
+        }
+        LeaseAgentNode agent = Platform.startAgent(read.get());
+        return Daemon.runUntilTerminated(
+                agent::stop, settings.reload(LeaseAgentSettings::parse, read.get(), agent::reload));
+    }
+}
--- a/app/src/main/java/org/teaselhook/app/Main.java
+++ b/app/src/main/java/org/teaselhook/app/Main.java
@@ -14,6 +14,8 @@
         subcommands = {
             EntryCommand.class,
             AgentCommand.class,
+            JobEntryCommand.class,
+            LeaseAgentCommand.class,
             TableCommand.class,
             LocalCommand.class,
             org.teaselhook.app.ctl.CtlCommand.class
--- a/app/src/main/java/org/teaselhook/app/SettingsOption.java
+++ b/app/src/main/java/org/teaselhook/app/SettingsOption.java
@@ -3,8 +3,10 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
+import org.teaselhook.net.log.LogLine;
 import org.teaselhook.node.settings.SettingFault;
 import org.teaselhook.node.settings.SettingsFile;
 import org.teaselhook.node.settings.SettingsResult;
@@ -27,6 +29,23 @@
         return SettingsFile.read(file, parse).fold(Optional::of, this::report);
     }
 
+    /**
+     * Returns an action that reads the file again and applies what can change while the process runs. A file with
+     * faults changes nothing.
+     */
+    <T> Runnable reload(Function<String, SettingsResult<T>> parse, T present, Consumer<T> apply) {
+        return () -> {
+            Optional<T> next = SettingsFile.read(file, parse).fold(Optional::of, this::report);
+            LogLine.of("settings-reloaded")
+                    .with("accepted", next.isPresent())
+                    .with(
+                            "changed",
+                            next.filter(settings -> !settings.equals(present)).isPresent())
+                    .info();
+            next.ifPresent(apply);
+        };
+    }
+
     private <T> Optional<T> report(List<SettingFault> faults) {
         System.err.println(file + " has " + faults.size() + " fault(s):");
         faults.forEach(fault -> System.err.println("  " + fault.message()));
--- /dev/null
+++ b/core/src/main/java/org/teaselhook/core/amount/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Amounts of processor, memory and accelerators that tasks ask for and workers have.
+ */
+package org.teaselhook.core.amount;
--- /dev/null
+++ b/core/src/main/java/org/teaselhook/core/job/ActiveJob.java
@@ -0,0 +1,117 @@
+package org.teaselhook.core.job;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.IntStream;
+
+/**
+ * A job that is not answered yet.
+ */
+final class ActiveJob {
+
+    /**
+     * Who is next: a job that has begun, since its other tasks wait for the rest; then the one whose latest useful
+     * start comes first.
+     */
+    static final Comparator<ActiveJob> TURN = Comparator.comparing((ActiveJob job) -> !job.hasBegun())
+            .thenComparing(ActiveJob::latestStart)
+            .thenComparing(ActiveJob::sequence);
+
+    private final Job job;
+    private final long sequence;
+    private final long latestStart;
+    private final long giveUpAt;
+    private final List<ActiveTask> tasks = new ArrayList<>();
+    private boolean begun;
+    private boolean ran;
+
+    ActiveJob(Job job, long sequence, long latestStart, long giveUpAt) {
+        this.job = job;
+        this.sequence = sequence;
+        this.latestStart = latestStart;
+        this.giveUpAt = giveUpAt;
+        for (int step = 0; step < job.steps().size(); step++) {
+            for (int index = 0; index < job.steps().get(step).tasks(); index++) {
+                tasks.add(new ActiveTask(this, step, index));
+            }
+        }
+    }
+
+    // -- accessors
+
+    Job job() {
+        return job;
+    }
+
+    long sequence() {
+        return sequence;
+    }
+
+    long latestStart() {
+        return latestStart;
+    }
+
+    long giveUpAt() {
+        return giveUpAt;
+    }
+
+    List<ActiveTask> tasks() {
+        return tasks;
+    }
+
+    /** Whether some task was ordered. */
+    boolean hasBegun() {
+        return begun;
+    }
+
+    /** Whether some task may have run. */
+    boolean mayHaveRun() {
+        return ran || tasks.stream().anyMatch(task -> task.placement().isPresent());
+    }
+
+    boolean isDone() {
+        return tasks.stream().allMatch(ActiveTask::isDone);
+    }
+
+    /** Returns the tasks that wait for a worker, the steps before them being done. */
+    List<ActiveTask> ready() {
+        return tasks.stream()
+                .filter(task -> task.isWaiting() && isUnlocked(task.step()))
+                .toList();
+    }
+
+    private boolean isUnlocked(Step step) {
+        return step.after().stream().allMatch(this::isStepDone);
+    }
+
+    private boolean isStepDone(int step) {
+        return tasks.stream().filter(task -> task.stepNumber() == step).allMatch(ActiveTask::isDone);
+    }
+
+    /** Returns the processor time that its ready tasks ask for, in thousandths of a core. */
+    long readyCpuMillis() {
+        return ready().stream()
+                .mapToLong(task -> task.step().amounts().cpuMillis())
+                .sum();
+    }
+
+    int placedOn(WorkerRecord worker, int step) {
+        return Math.toIntExact(IntStream.range(0, tasks.size())
+                .mapToObj(tasks::get)
+                .filter(task -> task.stepNumber() == step)
+                .filter(task ->
+                        task.placement().filter(p -> p.worker() == worker).isPresent())
+                .count());
+    }
+
+    // -- updates
+
+    void begin() {
+        begun = true;
+    }
+
+    void ran() {
+        ran = true;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaselhook/core/job/ActiveTask.java
@@ -0,0 +1,110 @@
+package org.teaselhook.core.job;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+
+import org.teaselhook.core.id.Incarnation;
+
+/**
+ * A task of a job that is not answered yet.
+ */
+final class ActiveTask {
+
+    private final ActiveJob job;
+    private final int step;
+    private final String name;
+    private final Set<Incarnation> avoided = new HashSet<>();
+    private Optional<Placement> placement = Optional.empty();
+    private int runs;
+    private int failures;
+    private int moves;
+    private boolean done;
+
+    ActiveTask(ActiveJob job, int step, int index) {
+        this.job = job;
+        this.step = step;
+        this.name = job.job().id() + ".0." + step + "." + index;
+    }
+
+    // -- accessors
+
+    ActiveJob job() {
+        return job;
+    }
+
+    Step step() {
+        return job.job().steps().get(step);
+    }
+
+    int stepNumber() {
+        return step;
+    }
+
+    String name() {
+        return name;
+    }
+
+    Optional<Placement> placement() {
+        return placement;
+    }
+
+    int nextRun() {
+        return runs + 1;
+    }
+
+    int failures() {
+        return failures;
+    }
+
+    int moves() {
+        return moves;
+    }
+
+    boolean isDone() {
+        return done;
+    }
+
+    boolean isWaiting() {
+        return !done && placement.isEmpty();
+    }
+
+    boolean avoids(Incarnation agent) {
+        return avoided.contains(agent);
+    }
+
+    /** Whether only some of the workers may run it. */
+    boolean isConstrained() {
+        return !avoided.isEmpty() || step().requiredLabel().isPresent() || step().maxPerWorker() > 0;
+    }
+
+    // -- updates
+
+    void placed(Placement newPlacement) {
+        placement = Optional.of(newPlacement);
+        runs++;
+    }
+
+    void released() {
+        placement = Optional.empty();
+    }
+
+    void failed(Incarnation agent) {
+        failures++;
+        avoided.add(agent);
+    }
+
+    void moved(Incarnation agent) {
+        moves++;
+        avoided.add(agent);
+    }
+
+    /** Allows every worker again, where there is no other. */
+    void avoidNone() {
+        avoided.clear();
+    }
+
+    void done() {
+        done = true;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaselhook/core/job/JobAdmission.java
@@ -0,0 +1,86 @@
+package org.teaselhook.core.job;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Predicate;
+
+import org.teaselhook.core.outcome.Problem;
+import org.teaselhook.core.outcome.ProblemKind;
+
+/**
+ * Decides on arrival whether a job is taken. What cannot be served is turned away at once.
+ */
+final class JobAdmission {
+
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    private final WorkerFleet fleet;
+    private final RunTimes runTimes;
+
+    JobAdmission(WorkerFleet fleet, RunTimes runTimes) {
+        this.fleet = fleet;
+        this.runTimes = runTimes;
+    }
+
+    /**
+     * Returns why a job is turned away, or empty if it is taken.
+     *
+     * @param nowNanos the present time
+     * @param active the job
+     * @param ahead the jobs that wait and go before it
+     * @param entries the number of entries that share the workers
+     * @param zoneOut tells whether a zone is out of service
+     */
+    Optional<Problem> refusal(
+            long nowNanos, ActiveJob active, Collection<ActiveJob> ahead, int entries, Predicate<String> zoneOut) {
+        Job job = active.job();
+        if (nowNanos - job.deadline() >= 0) {
+            return problem(ProblemKind.OVERLOADED, "its time had run out on arrival");
+        }
+        String service = job.route().service();
+        List<WorkerRecord> serving = fleet.all().stream()
+                .filter(w -> w.serves(service) && !zoneOut.test(w.zone()) && !w.isAvoided(nowNanos))
+                .toList();
+        if (serving.isEmpty()) {
+            return problem(ProblemKind.NO_WORKER, "service=" + service);
+        }
+        if (!fits(job, serving)) {
+            return problem(ProblemKind.NO_WORKER, "no worker is large enough for a task");
+        }
+        return tooLate(nowNanos, active, ahead, forecast(serving, entries));
+    }
+
+    private static boolean fits(Job job, List<WorkerRecord> serving) {
+        return job.steps().stream().allMatch(step -> serving.stream()
+                .anyMatch(w -> step.amounts().fitsInto(w.view().capacity())));
+    }
+
+    private WaitForecast forecast(List<WorkerRecord> serving, int entries) {
+        long free = serving.stream()
+                .mapToLong(w -> Math.max(0, w.free().cpuMillis()))
+                .sum();
+        long total =
+                serving.stream().mapToLong(w -> w.view().capacity().cpuMillis()).sum();
+        return new WaitForecast(free, total, entries, runTimes.meanMillis());
+    }
+
+    private static Optional<Problem> tooLate(
+            long nowNanos, ActiveJob active, Collection<ActiveJob> ahead, WaitForecast forecast) {
+        long before = ahead.stream().mapToLong(ActiveJob::readyCpuMillis).sum();
+        double wait = forecast.waitMillis(before + active.readyCpuMillis());
+        double slack = (active.latestStart() - nowNanos) / NANOS_PER_MILLI;
+        if (wait <= slack) {
+            return Optional.empty();
+        }
+        String detail = "wait_ms=" + Math.round(wait) + " slack_ms=" + Math.round(slack) + " free_cpu="
+                + forecast.freeCpuMillis() + " ahead_cpu=" + before;
+        Duration comeBack = Duration.ofMillis(Math.max(1, Math.round(wait - slack)));
+        return Optional.of(Problem.of(ProblemKind.OVERLOADED, detail, comeBack));
+    }
+
+    private static Optional<Problem> problem(ProblemKind kind, String detail) {
+        return Optional.of(Problem.of(kind, detail));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaselhook/core/job/JobDispatcher.java
@@ -0,0 +1,488 @@
+package org.teaselhook.core.job;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+
+import org.teaselhook.core.id.Incarnation;
+import org.teaselhook.core.lease.RunOutcome;
+import org.teaselhook.core.lease.RunRefusal;
+import org.teaselhook.core.outcome.Problem;
+import org.teaselhook.core.outcome.ProblemKind;
+import org.teaselhook.core.route.Routes;
+
+/**
+ * Decides which task of which job starts on which worker, and what becomes of each job. Confined to one thread.
+ */
+public final class JobDispatcher {
+
+    private static final int MAX_MOVES = 2;
+
+    /** How long a worker that turned a start down is left alone, in ns. */
+    private static final long TURNED_DOWN_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
+    private final JobOutput output;
+    private final WorkerChoice choice;
+    private final RunTimes runTimes = new RunTimes();
+    private final RecentResults recent = new RecentResults();
+    private final WorkerFleet fleet = new WorkerFleet();
+    private final JobAdmission admission = new JobAdmission(fleet, runTimes);
+    private final JobPlanner planner = new JobPlanner(runTimes);
+    private final Map<String, ActiveJob> jobs = new HashMap<>();
+    private final TreeSet<ActiveJob> waiting = new TreeSet<>(ActiveJob.TURN);
+    private Routes routes = Routes.none();
+    private int entries = 1;
+
+    private JobDispatcher(String zone, JobOutput output) {
+        this.output = Objects.requireNonNull(output, "output is null");
+        this.choice = new WorkerChoice(zone);
+    }
+
+    // -- factories
+
+    /**
+     * Returns a dispatcher without workers.
+     *
+     * @param zone the entry's availability zone
+     * @param output where decisions go
+     * @return a new dispatcher
+     */
+    public static JobDispatcher of(String zone, JobOutput output) {
+        return new JobDispatcher(Objects.requireNonNull(zone, "zone is null"), output);
+    }
+
+    // -- accessors
+
+    /**
+     * Counts the jobs of a route that no worker has begun.
+     *
+     * @param route the route's name
+     * @return the number
+     */
+    public int queued(String route) {
+        return Math.toIntExact(jobs.values().stream()
+                .filter(job -> !job.hasBegun() && job.job().route().name().equals(route))
+                .count());
+    }
+
+    /**
+     * Counts the jobs in progress.
+     *
+     * @return the number
+     */
+    public int size() {
+        return jobs.size();
+    }
+
+    /**
+     * Tells whether a job is in progress.
+     *
+     * @param jobId the job's id
+     * @return true if so
+     */
+    public boolean isActive(String jobId) {
+        return jobs.containsKey(jobId);
+    }
+
+    /**
+     * Counts the workers that take work.
+     *
+     * @return the number
+     */
+    public int openWorkers() {
+        return fleet.open();
+    }
+
+    /**
+     * Returns the orders in progress at a run of an agent.
+     *
+     * @param agent the run of the agent
+     * @return the orders' numbers
+     */
+    public List<Long> ordersAt(Incarnation agent) {
+        return fleet.find(agent)
+                .map(worker -> List.copyOf(worker.placements().keySet()))
+                .orElse(List.of());
+    }
+
+    // -- jobs
+
+    /**
+     * Takes a job, which is answered once through {@link JobOutput#answered}, possibly at once, unless it is cancelled.
+     * A copy of a job in progress is answered with it.
+     *
+     * @param nowNanos the present time
+     * @param job the job
+     */
+    public void submit(long nowNanos, Job job) {
+        Optional<JobResult> known = recent.find(job.id());
+        if (known.isPresent() || jobs.containsKey(job.id())) {
+            decided(JobDecision.Kind.DUPLICATE, job.id(), "", "answered", known.isPresent());
+            known.ifPresent(result -> output.answered(nowNanos, job, result));
+            return;
+        }
+        ActiveJob active = planner.plan(job);
+        Optional<Problem> refusal =
+                admission.refusal(nowNanos, active, waiting.headSet(active), entries, routes::isOut);
+        if (refusal.isPresent()) {
+            decided(
+                    JobDecision.Kind.REFUSED,
+                    job.id(),
+                    "",
+                    "reason",
+                    refusal.get().detail());
+            output.answered(nowNanos, job, new JobResult.NotRun(refusal.get()));
+            return;
+        }
+        jobs.put(job.id(), active);
+        waiting.add(active);
+        drain(nowNanos);
+    }
+
+    /**
+     * Cancels a job because its caller has gone: it gets no answer, and what runs is stopped.
+     *
+     * @param nowNanos the present time
+     * @param jobId the job's id
+     */
+    public void cancel(long nowNanos, String jobId) {
+        ActiveJob active = jobs.get(jobId);
+        if (active != null) {
+            decided(JobDecision.Kind.GIVEN_UP, jobId, "", "reason", "cancelled");
+            remove(active);
+            drain(nowNanos);
+        }
+    }
+
+    // -- agents
+
+    /**
+     * Notes a connection of an agent.
+     *
+     * @param nowNanos the present time
+     * @param agent the run of the agent
+     * @param name the agent's name
+     * @param zone its availability zone
+     */
+    public void connected(long nowNanos, Incarnation agent, String name, String zone) {
+        fleet.connect(nowNanos, agent, name, zone);
+    }
+
+    /**
+     * Notes that the connection of an agent is lost. What it runs is over or not, as it will tell when it is back.
+     *
+     * @param nowNanos the present time
+     * @param agent the run of the agent
+     */
+    public void disconnected(long nowNanos, Incarnation agent) {
+        fleet.find(agent).ifPresent(WorkerRecord::disconnected);
+    }
+
+    /**
+     * Takes an agent's word of its worker.
+     *
+     * @param nowNanos the present time
+     * @param agent the run of the agent
+     * @param view the worker
+     */
+    public void heard(long nowNanos, Incarnation agent, WorkerView view) {
+        Optional<WorkerRecord> worker = fleet.find(agent).filter(WorkerRecord::isConnected);
+        if (worker.isEmpty()) {
+            return;
+        }
+        worker.get().heard(nowNanos, view);
+        if (!view.service().isEmpty()) {
+            fleet.earlierRuns(worker.get()).forEach(earlier -> gone(nowNanos, earlier));
+        }
+        drain(nowNanos);
+    }
+
+    private void gone(long nowNanos, WorkerRecord worker) {
+        fleet.remove(worker);
+        List.copyOf(worker.placements().values()).forEach(p -> ended(nowNanos, p, RunOutcome.LOST, 0));
+    }
+
+    /**
+     * Takes the end of a run.
+     *
+     * @param nowNanos the present time
+     * @param number the order's number
+     * @param outcome how it ended
+     * @param runMillis how long it ran
+     */
+    public void ended(long nowNanos, long number, RunOutcome outcome, long runMillis) {
+        fleet.find(number).ifPresent(placement -> {
+            ended(nowNanos, placement, outcome, runMillis);
+            drain(nowNanos);
+        });
+    }
+
+    private void ended(long nowNanos, Placement placement, RunOutcome outcome, long runMillis) {
+        fleet.release(placement);
+        ActiveTask task = placement.task();
+        task.job().ran();
+        if (outcome == RunOutcome.DONE) {
+            learn(nowNanos, placement, runMillis);
+        } else {
+            Object[] inputs = {"outcome", outcome, "worker", placement.worker().name(), "run_ms", runMillis};
+            decided(JobDecision.Kind.RUN_ENDED, task.job().job().id(), task.name(), inputs);
+        }
+        if (outcome == RunOutcome.FAILED) {
+            failed(nowNanos, placement);
+        }
+        if (jobs.get(task.job().job().id()) == task.job()) {
+            progress(nowNanos, task, outcome);
+        }
+    }
+
+    private void learn(long nowNanos, Placement placement, long runMillis) {
+        ActiveTask task = placement.task();
+        runTimes.ran(task.job().job().route().name(), task.step().estimateMillis(), runMillis);
+        if (placement.expectedMillis() > 0) {
+            placement.worker().ran(nowNanos, runMillis / placement.expectedMillis());
+        }
+    }
+
+    private void failed(long nowNanos, Placement placement) {
+        placement.task().failed(placement.worker().agent());
+        if (placement.worker().failed(nowNanos)) {
+            String job = placement.task().job().job().id();
+            decided(
+                    JobDecision.Kind.WORKER_AVOIDED,
+                    job,
+                    "",
+                    "worker",
+                    placement.worker().name());
+        }
+    }
+
+    private void progress(long nowNanos, ActiveTask task, RunOutcome outcome) {
+        ActiveJob active = task.job();
+        if (outcome == RunOutcome.DONE) {
+            task.done();
+        } else if (task.failures() >= active.job().route().maxAttempts()) {
+            String detail = "task " + task.name() + " failed " + task.failures() + " times";
+            end(nowNanos, active, detail, new JobResult.Failed(detail));
+            return;
+        }
+        if (active.isDone()) {
+            decided(JobDecision.Kind.COMPLETED, active.job().id(), "", "ms", elapsed(nowNanos, active));
+            finish(nowNanos, active, new JobResult.Completed());
+        } else {
+            enqueue(active);
+        }
+    }
+
+    /**
+     * Takes an agent's word that an order was not carried out and never will be.
+     *
+     * @param nowNanos the present time
+     * @param number the order's number
+     * @param refusal the reason
+     */
+    public void refused(long nowNanos, long number, RunRefusal refusal) {
+        fleet.find(number).ifPresent(placement -> refused(nowNanos, placement, refusal));
+    }
+
+    private void refused(long nowNanos, Placement placement, RunRefusal refusal) {
+        ActiveTask task = placement.task();
+        decided(
+                JobDecision.Kind.ORDER_REFUSED,
+                task.job().job().id(),
+                task.name(),
+                "reason",
+                refusal,
+                "worker",
+                placement.worker().name());
+        fleet.release(placement);
+        if (refusal == RunRefusal.NO_ROOM) {
+            placement.worker().full();
+        } else if (refusal != RunRefusal.CANCELLED) {
+            placement.worker().avoid(nowNanos + TURNED_DOWN_NANOS);
+        }
+        if (jobs.get(task.job().job().id()) == task.job()) {
+            enqueue(task.job());
+        }
+        drain(nowNanos);
+    }
+
+    // -- configuration
+
+    /**
+     * Takes the operators' decisions over.
+     *
+     * @param nowNanos the present time
+     * @param newRoutes the newest known
+     */
+    public void routes(long nowNanos, Routes newRoutes) {
+        routes = newRoutes;
+        drain(nowNanos);
+    }
+
+    /**
+     * Notes how many entries share the workers.
+     *
+     * @param count the number, this one included
+     */
+    public void entries(int count) {
+        entries = count;
+    }
+
+    // -- time
+
+    /**
+     * Does what has fallen due.
+     *
+     * @param nowNanos the present time
+     */
+    public void tick(long nowNanos) {
+        fleet.surelyOver(nowNanos).forEach(worker -> gone(nowNanos, worker));
+        List.copyOf(jobs.values()).forEach(active -> giveUpIfUseless(nowNanos, active));
+        fleet.placements().forEach(placement -> moveIfOverdue(nowNanos, placement));
+        drain(nowNanos);
+    }
+
+    private void giveUpIfUseless(long nowNanos, ActiveJob active) {
+        if (nowNanos - active.giveUpAt() >= 0) {
+            giveUp(nowNanos, active, "not done after " + elapsed(nowNanos, active) + " ms");
+        } else if (!active.hasBegun() && nowNanos - active.latestStart() > 0) {
+            giveUp(nowNanos, active, "not begun after " + elapsed(nowNanos, active) + " ms");
+        }
+    }
+
+    private void moveIfOverdue(long nowNanos, Placement placement) {
+        if (!placement.isOverdue(nowNanos)) {
+            return;
+        }
+        double elapsed = placement.elapsedMillis(nowNanos);
+        double expected = placement.expectedMillis();
+        placement.worker().late(nowNanos, elapsed / expected);
+        ActiveTask task = placement.task();
+        boolean current = jobs.get(task.job().job().id()) == task.job()
+                && task.placement().filter(p -> p == placement).isPresent();
+        if (!current
+                || task.moves() >= MAX_MOVES
+                || task.avoids(placement.worker().agent())) {
+            return;
+        }
+        task.moved(placement.worker().agent());
+        decided(
+                JobDecision.Kind.MOVED,
+                task.job().job().id(),
+                task.name(),
+                "worker",
+                placement.worker().name(),
+                "elapsed_ms",
+                Math.round(elapsed),
+                "expected_ms",
+                Math.round(expected));
+        output.stop(placement.worker().agent(), placement.number());
+    }
+
+    // -- starting tasks
+
+    private void drain(long nowNanos) {
+        for (ActiveJob active : new ArrayList<>(waiting)) {
+            if (!active.hasBegun() && nowNanos - active.latestStart() > 0) {
+                continue;
+            }
+            if (!placeAll(nowNanos, active)) {
+                return;
+            }
+        }
+    }
+
+    /** Places the ready tasks of a job. Returns false if what is free does not even cover an ordinary task. */
+    private boolean placeAll(long nowNanos, ActiveJob active) {
+        for (ActiveTask task : active.ready()) {
+            if (fleet.isPlaced(task.name())) {
+                continue;
+            }
+            Optional<WorkerRecord> worker = choice.choose(nowNanos, task, fleet.all(), routes::isOut);
+            if (worker.isEmpty() && !task.isConstrained()) {
+                return false;
+            }
+            if (worker.isEmpty() && fleet.isAvoidedEverywhere(task)) {
+                task.avoidNone();
+            }
+            worker.ifPresent(chosen -> place(nowNanos, task, chosen));
+        }
+        if (active.ready().isEmpty()) {
+            waiting.remove(active);
+        }
+        return true;
+    }
+
+    private void place(long nowNanos, ActiveTask task, WorkerRecord worker) {
+        ActiveJob active = task.job();
+        Job job = active.job();
+        if (!active.hasBegun()) {
+            waiting.remove(active);
+            active.begin();
+            waiting.add(active);
+            decided(JobDecision.Kind.ACCEPTED, job.id(), "", "waited_ms", elapsed(nowNanos, active));
+        }
+        double expected =
+                task.step().estimateMillis() * runTimes.ratio(job.route().name());
+        int runNumber = task.nextRun();
+        Placement placement = fleet.place(nowNanos, task, worker, expected);
+        PlacedRun run = new PlacedRun(
+                placement.number(),
+                worker.agent(),
+                task.name(),
+                runNumber,
+                job.route().service(),
+                job.spec(),
+                task.step().amounts(),
+                active.giveUpAt());
+        decided(JobDecision.Kind.PLACED, job.id(), task.name(), "worker", worker.name(), "order", run.number());
+        output.order(run);
+    }
+
+    // -- ends
+
+    private void giveUp(long nowNanos, ActiveJob active, String detail) {
+        JobResult result = active.mayHaveRun()
+                ? new JobResult.GivenUp(detail)
+                : new JobResult.NotRun(Problem.of(ProblemKind.OVERLOADED, detail));
+        end(nowNanos, active, detail, result);
+    }
+
+    private void end(long nowNanos, ActiveJob active, String detail, JobResult result) {
+        decided(JobDecision.Kind.GIVEN_UP, active.job().id(), "", "reason", detail);
+        finish(nowNanos, active, result);
+    }
+
+    private void finish(long nowNanos, ActiveJob active, JobResult result) {
+        recent.keep(active.job().id(), result);
+        remove(active);
+        output.answered(nowNanos, active.job(), result);
+    }
+
+    private void remove(ActiveJob active) {
+        waiting.remove(active);
+        jobs.remove(active.job().id());
+        active.tasks().stream()
+                .flatMap(task -> task.placement().stream())
+                .forEach(p -> output.stop(p.worker().agent(), p.number()));
+    }
+
+    private void enqueue(ActiveJob active) {
+        if (!active.ready().isEmpty()) {
+            waiting.add(active);
+        }
+    }
+
+    private void decided(JobDecision.Kind kind, String job, String task, Object... inputs) {
+        output.decided(new JobDecision(kind, job, task, inputs));
+    }
+
+    private static long elapsed(long nowNanos, ActiveJob active) {
+        return TimeUnit.NANOSECONDS.toMillis(nowNanos - active.job().arrivedAt());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaselhook/core/job/JobPlanner.java
@@ -0,0 +1,37 @@
+package org.teaselhook.core.job;
+
+/**
+ * Works out by when a job has to begin to be in time, and when it is of no use any more.
+ */
+final class JobPlanner {
+
+    /** A job that takes longer than this many objectives is of no use to its caller. */
+    private static final double USELESS_OBJECTIVES = 3;
+
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    private final RunTimes runTimes;
+    private long lastSequence;
+
+    JobPlanner(RunTimes runTimes) {
+        this.runTimes = runTimes;
+    }
+
+    /** Plans a job by its estimates; one without estimates may begin and end as long as its caller waits. */
+    ActiveJob plan(Job job) {
+        lastSequence++;
+        if (job.chainMillis() == 0) {
+            return new ActiveJob(job, lastSequence, job.deadline(), job.deadline());
+        }
+        double work = job.chainMillis() * runTimes.ratio(job.route().name());
+        double objective = job.route().objectiveMillis(work);
+        long latestStart = job.arrivedAt() + nanos(objective - work);
+        long useless = job.arrivedAt() + nanos(objective * USELESS_OBJECTIVES);
+        long giveUpAt = useless - job.deadline() < 0 ? useless : job.deadline();
+        return new ActiveJob(job, lastSequence, latestStart, giveUpAt);
+    }
+
+    private static long nanos(double millis) {
+        return (long) (millis * NANOS_PER_MILLI);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaselhook/core/job/JobResult.java
@@ -0,0 +1,33 @@
+package org.teaselhook.core.job;
+
+import org.teaselhook.core.outcome.Problem;
+
+/**
+ * The one final answer to a job.
+ */
+public sealed interface JobResult {
+
+    /** Every task is done. */
+    record Completed() implements JobResult {}
+
+    /**
+     * A task has failed as often as its route allows: the job cannot be done.
+     *
+     * @param detail what was seen
+     */
+    record Failed(String detail) implements JobResult {}
+
+    /**
+     * It was given up after some of its tasks may have run. Its runs are being stopped, and it may be sent again.
+     *
+     * @param detail what was seen
+     */
+    record GivenUp(String detail) implements JobResult {}
+
+    /**
+     * No task has run, and none will.
+     *
+     * @param problem the reason, and when to come back
+     */
+    record NotRun(Problem problem) implements JobResult {}
+}
--- /dev/null
+++ b/core/src/main/java/org/teaselhook/core/job/WorkerRecord.java
@@ -0,0 +1,163 @@
+package org.teaselhook.core.job;
+
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+
+import org.teaselhook.core.amount.Amounts;
+import org.teaselhook.core.id.Incarnation;
+
+/**
+ * A worker as this entry knows it: its agent's word, less what was ordered since, and how it has done of late.
+ */
+final class WorkerRecord {
+
+    /** Weight of the newest run in the average of a worker's slowness. */
+    private static final double SLOWNESS_WEIGHT = 0.25;
+
+    /** How fast an old impression fades, so that a recovered worker is tried again, in ns. */
+    private static final double SLOWNESS_FADE_NANOS = TimeUnit.SECONDS.toNanos(4);
+
+    /** The greatest slowness noted, so that a worker is tried again within some seconds of its last late run. */
+    private static final double MAX_SLOWNESS = 5;
+
+    /** Failed runs in a row after which a worker is avoided; one alone may be the task's own fault. */
+    private static final int FAILURES_IN_A_ROW = 2;
+
+    private static final long MIN_AVOIDED_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+    private static final int MAX_DOUBLINGS = 3;
+
+    private final Incarnation agent;
+    private final String name;
+    private final String zone;
+    private final TreeMap<Long, Placement> placements = new TreeMap<>();
+    private WorkerView view = WorkerView.CLOSED;
+    private Amounts unseen = Amounts.NONE;
+    private boolean full;
+    private boolean connected;
+    private long heardAt;
+    private double slowness = 1;
+    private long slownessAt;
+    private int failuresInARow;
+    private long avoidedUntil = Long.MIN_VALUE;
+
+    WorkerRecord(Incarnation agent, String name, String zone) {
+        this.agent = agent;
+        this.name = name;
+        this.zone = zone;
+    }
+
+    // -- accessors
+
+    Incarnation agent() {
+        return agent;
+    }
+
+    String name() {
+        return name;
+    }
+
+    String zone() {
+        return zone;
+    }
+
+    WorkerView view() {
+        return view;
+    }
+
+    boolean isConnected() {
+        return connected;
+    }
+
+    long heardAt() {
+        return heardAt;
+    }
+
+    TreeMap<Long, Placement> placements() {
+        return placements;
+    }
+
+    /** Whether it serves, though perhaps it has no room now. */
+    boolean serves(String service) {
+        return connected && !service.isEmpty() && view.service().equals(service);
+    }
+
+    boolean isAvoided(long nowNanos) {
+        return avoidedUntil != Long.MIN_VALUE && nowNanos - avoidedUntil < 0;
+    }
+
+    /** Returns what an order would probably find free. */
+    Amounts free() {
+        return full ? Amounts.NONE : view.capacity().minus(view.used()).minus(unseen);
+    }
+
+    /** Returns how much longer runs take here than on the usual worker; 1 for the usual one. */
+    double slowness(long nowNanos) {
+        double kept = Math.exp(-(nowNanos - slownessAt) / SLOWNESS_FADE_NANOS);
+        return 1 + (slowness - 1) * kept;
+    }
+
+    // -- updates
+
+    void connected(long nowNanos) {
+        connected = true;
+        heardAt = nowNanos;
+    }
+
+    void disconnected() {
+        connected = false;
+        view = WorkerView.CLOSED;
+    }
+
+    void heard(long nowNanos, WorkerView newView) {
+        heardAt = nowNanos;
+        view = newView;
+        full = false;
+        unseen = placements.tailMap(newView.seenOrder(), false).values().stream()
+                .map(Placement::amounts)
+                .reduce(Amounts.NONE, Amounts::plus);
+    }
+
+    void placed(Placement placement) {
+        placements.put(placement.number(), placement);
+        unseen = unseen.plus(placement.amounts());
+    }
+
+    void removed(Placement placement) {
+        placements.remove(placement.number());
+        if (placement.number() > view.seenOrder()) {
+            unseen = unseen.minus(placement.amounts());
+        }
+    }
+
+    void full() {
+        full = true;
+    }
+
+    void avoid(long untilNanos) {
+        avoidedUntil = untilNanos;
+    }
+
+    void ran(long nowNanos, double ratio) {
+        failuresInARow = 0;
+        double bounded = Math.min(ratio, MAX_SLOWNESS);
+        slowness = slowness(nowNanos) * (1 - SLOWNESS_WEIGHT) + bounded * SLOWNESS_WEIGHT;
+        slownessAt = nowNanos;
+    }
+
+    /** Notes a run that has already taken so many times as long as it should. */
+    void late(long nowNanos, double ratio) {
+        slowness = Math.max(slowness(nowNanos), Math.min(ratio, MAX_SLOWNESS));
+        slownessAt = nowNanos;
+    }
+
+    /** Notes a failed run, and tells whether the worker is avoided from now on. */
+    boolean failed(long nowNanos) {
+        failuresInARow++;
+        int beyond = failuresInARow - FAILURES_IN_A_ROW;
+        if (beyond < 0) {
+            return false;
+        }
+        avoid(nowNanos + (MIN_AVOIDED_NANOS << Math.min(MAX_DOUBLINGS, beyond)));
+        return true;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/teaselhook/core/lease/RunTable.java
@@ -0,0 +1,71 @@
+package org.teaselhook.core.lease;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+
+import org.teaselhook.core.amount.Amounts;
+
+/**
+ * The runs that have not certainly ended, and the sum of what they use.
+ */
+final class RunTable {
+
+    private final Map<RunId, Run> byId = new HashMap<>();
+    private final Map<OrderId, Run> byOrder = new HashMap<>();
+    private Amounts used = Amounts.NONE;
+
+    // -- accessors
+
+    Optional<Run> find(RunId id) {
+        return Optional.ofNullable(byId.get(id));
+    }
+
+    Optional<Run> find(OrderId order) {
+        return Optional.ofNullable(byOrder.get(order));
+    }
+
+    boolean holds(RunId id, Run run) {
+        return byId.get(id) == run;
+    }
+
+    List<Run> all() {
+        return new ArrayList<>(byId.values());
+    }
+
+    List<Run> all(Predicate<Run> filter) {
+        return byId.values().stream().filter(filter).toList();
+    }
+
+    int size() {
+        return byId.size();
+    }
+
+    Amounts used() {
+        return used;
+    }
+
+    // -- updates
+
+    void add(Run run) {
+        byId.put(run.id(), run);
+        byOrder.put(run.request().order(), run);
+        used = used.plus(run.request().amounts());
+    }
+
+    /** Puts a run under another number, for its next start call. */
+    void renumber(Run run, RunId id) {
+        byId.remove(run.id());
+        run.startCalled(id);
+        byId.put(id, run);
+    }
+
+    void remove(Run run) {
+        byId.remove(run.id());
+        byOrder.remove(run.request().order());
+        used = used.minus(run.request().amounts());
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/teaselhook/core/job/JobDispatcherTest.java
@@ -0,0 +1,407 @@
+package org.teaselhook.core.job;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import org.teaselhook.core.amount.Amounts;
+import org.teaselhook.core.id.Incarnation;
+import org.teaselhook.core.lease.RunOutcome;
+import org.teaselhook.core.lease.RunRefusal;
+import org.teaselhook.core.route.Route;
+import org.teaselhook.core.route.Routes;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+public class JobDispatcherTest {
+
+    private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+    private static final Amounts TASK = Amounts.of(1_600, 64, 0);
+    private static final Amounts WORKER = Amounts.of(16_000, 65_536, 0);
+
+    private RecordingJobOutput output;
+    private JobDispatcher dispatcher;
+    private long now;
+
+    @BeforeMethod
+    public void createDispatcher() {
+        now = TimeUnit.SECONDS.toNanos(5);
+        output = new RecordingJobOutput();
+        dispatcher = JobDispatcher.of("thrissur", output);
+    }
+
+    // -- the whole path
+
+    @Test
+    public void shouldCompleteJobWhenEveryTaskIsDone() {
+        join(1, 10);
+        submit("a", 2, 200);
+        assertEquals(output.orderedTasks(), List.of("a.0.0.0", "a.0.0.1"));
+        end(output.orders().get(0), RunOutcome.DONE, 200);
+        assertTrue(output.answers().isEmpty());
+        end(output.orders().get(1), RunOutcome.DONE, 200);
+
+        assertTrue(output.answers().get("a") instanceof JobResult.Completed);
+        assertEquals(dispatcher.size(), 0);
+    }
+
+    @Test
+    public void shouldStartStepOnlyWhenStepsBeforeAreDone() {
+        join(1, 10);
+        Step first = step(1, 100, List.of());
+        Step second = step(2, 100, List.of(0));
+        dispatcher.submit(now, job("a", List.of(first, second), now + 10_000 * MILLI));
+        assertEquals(output.orderedTasks(), List.of("a.0.0.0"));
+
+        end(output.orders().get(0), RunOutcome.DONE, 100);
+        assertEquals(output.orderedTasks(), List.of("a.0.0.0", "a.0.1.0", "a.0.1.1"));
+    }
+
+    // -- turning away
+
+    @Test
+    public void shouldTurnJobAwayAtOnceWhenNoWorkerServesItsService() {
+        submit("a", 1, 200);
+
+        assertTrue(output.answers().get("a") instanceof JobResult.NotRun);
+    }
+
+    @Test
+    public void shouldTurnJobAwayAtOnceWhenTaskFitsNoWorker() {
+        join(1, 1);
+        dispatcher.submit(
+                now,
+                job(
+                        "a",
+                        List.of(new Step(
+                                1, Amounts.of(20_000, 1, 0), 100, List.of(), Optional.empty(), Optional.empty(), 0)),
+                        now + MILLI));
+
+        assertTrue(output.answers().get("a") instanceof JobResult.NotRun);
+    }
+
+    /** A burst of three times the capacity: those that cannot begin in time are told on arrival, none after a wait. */
+    @Test
+    public void shouldTurnAwayOnArrivalWhatBurstLeavesNoTimeFor() {
+        join(1, 10);
+        join(2, 10);
+        for (int i = 0; i < 30; i++) {
+            submit("job" + i, 2, 300);
+        }
+
+        long refused = output.answers().values().stream()
+                .filter(JobResult.NotRun.class::isInstance)
+                .count();
+        assertEquals(output.orders().size(), 20);
+        assertTrue(refused >= 5, "refused " + refused);
+        assertTrue(refused < 20, "the wait allowed by the objective is used, refused " + refused);
+        for (JobResult result : output.answers().values()) {
+            JobResult.NotRun notRun = (JobResult.NotRun) result;
+            assertTrue(notRun.problem().retryAfter().toMillis() > 0, "a caller is told when to come back");
+        }
+    }
+
+    @Test
+    public void shouldGiveUpWaitingJobAtItsLatestUsefulStartAndSayThatItHasNotRun() {
+        join(1, 1);
+        submit("a", 1, 300);
+        submit("b", 1, 600);
+        assertTrue(output.answers().isEmpty());
+        now += 430 * MILLI;
+        dispatcher.tick(now);
+
+        assertTrue(output.answers().get("b") instanceof JobResult.NotRun);
+        end(output.orders().get(0), RunOutcome.DONE, 300);
+        assertEquals(output.orders().size(), 1);
+    }
+
+    @Test
+    public void shouldNeitherSayFailedNorNotRunWhenJobIsGivenUpAfterTaskMayHaveRun() {
+        join(1, 10);
+        submit("a", 1, 300);
+        now += 10_000 * MILLI;
+        dispatcher.tick(now);
+
+        assertTrue(output.answers().get("a") instanceof JobResult.GivenUp);
+        assertEquals(output.stops(), List.of(1L));
+    }
+
+    // -- order
+
+    @Test
+    public void shouldServeJobWithTheEarliestLatestStartFirst() {
+        join(1, 1);
+        submit("running", 1, 300);
+        submit("long", 1, 1_000);
+        submit("short", 1, 500);
+        end(output.orders().get(0), RunOutcome.DONE, 300);
+
+        assertEquals(output.orderedTasks(), List.of("running.0.0.0", "short.0.0.0", "long.0.0.0"));
+    }
+
+    @Test
+    public void shouldFinishPlacingJobThatHasBegunBeforeOthers() {
+        join(1, 2);
+        submit("wide", 3, 1_000);
+        submit("short", 1, 200);
+        end(output.orders().get(0), RunOutcome.DONE, 300);
+
+        assertEquals(output.lastOrder().task(), "wide.0.0.2");
+    }
+
+    // -- choosing workers
+
+    @Test
+    public void shouldNotOrderMoreThanIsFreeBeforeTheAgentHasSpoken() {
+        join(1, 2);
+        submit("a", 3, 1_000);
+
+        assertEquals(output.orders().size(), 2);
+    }
+
+    @Test
+    public void shouldCountWhatTheAgentHasSeenOnlyOnce() {
+        join(1, 2);
+        submit("a", 1, 1_000);
+        dispatcher.heard(now, agent(1), view(2, TASK, 1));
+        submit("b", 1, 1_000);
+
+        assertEquals(output.orders().size(), 2);
+    }
+
+    @Test
+    public void shouldAvoidZoneThatIsOutOfService() {
+        join(1, 10);
+        dispatcher.routes(now, new Routes(1, 1, List.of(route()), Set.of("thrissur")));
+        submit("a", 1, 200);
+
+        assertTrue(output.orders().isEmpty());
+        assertTrue(output.answers().get("a") instanceof JobResult.NotRun);
+    }
+
+    @Test
+    public void shouldLeaveWorkerAloneThatHasRefusedForWantOfRoomUntilItSpeaks() {
+        join(1, 1);
+        submit("a", 1, 1_000);
+        dispatcher.refused(now, 1, RunRefusal.NO_ROOM);
+        assertEquals(output.orders().size(), 1);
+
+        dispatcher.heard(now, agent(1), view(1, Amounts.NONE, 1));
+        assertEquals(output.orders().size(), 2);
+    }
+
+    /** Workers that fail everything at once look empty, and would draw all work to themselves. */
+    @Test
+    public void shouldAvoidWorkerThatFailsInARow() {
+        join(1, 10);
+        join(2, 10);
+        for (int i = 0; i < 20; i++) {
+            submit("job" + i, 1, 200);
+            PlacedRun run = output.lastOrder();
+            end(run, run.agent().equals(agent(1)) ? RunOutcome.FAILED : RunOutcome.DONE, 5);
+            dispatcher.heard(now, agent(1), view(10, Amounts.NONE, run.number()));
+            dispatcher.heard(now, agent(2), view(10, Amounts.NONE, run.number()));
+        }
+
+        long atFailing = output.orders().stream()
+                .filter(run -> run.agent().equals(agent(1)))
+                .count();
+        assertTrue(atFailing <= 3, "ordered " + atFailing + " times at the worker that fails");
+    }
+
+    @Test
+    public void shouldRunFailedTaskOnAnotherWorkerAndGiveUpAfterTheLastAttempt() {
+        join(1, 10);
+        join(2, 10);
+        join(3, 10);
+        join(4, 10);
+        submit("a", 1, 200);
+        List<Incarnation> tried = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            tried.add(output.lastOrder().agent());
+            assertEquals(output.lastOrder().run(), i + 1);
+            end(output.lastOrder(), RunOutcome.FAILED, 50);
+        }
+
+        assertEquals(Set.copyOf(tried).size(), 3);
+        assertEquals(output.orders().size(), 3);
+        assertTrue(output.answers().get("a") instanceof JobResult.Failed);
+    }
+
+    /** One worker in six turns several times slower: what it runs is moved, and it gets nothing for a while. */
+    @Test
+    public void shouldMoveRunThatTakesFarLongerThanExpected() {
+        join(1, 10);
+        join(2, 10);
+        submit("a", 1, 200);
+        Incarnation slow = output.lastOrder().agent();
+        now += 570 * MILLI;
+        dispatcher.heard(now, agent(1), view(10, Amounts.NONE, 0));
+        dispatcher.heard(now, agent(2), view(10, Amounts.NONE, 0));
+        dispatcher.tick(now);
+        assertEquals(output.stops(), List.of(1L));
+        assertEquals(output.orders().size(), 1, "two runs of a task must not overlap");
+
+        dispatcher.ended(now, 1, RunOutcome.STOPPED, 570);
+        assertEquals(output.orders().size(), 2);
+        assertNotEquals(output.lastOrder().agent(), slow);
+        submit("b", 1, 200);
+        assertNotEquals(output.lastOrder().agent(), slow);
+    }
+
+    // -- agents that are lost
+
+    @Test
+    public void shouldRunTaskElsewhereOnlyWhenItsRunIsSurelyOver() {
+        join(1, 10);
+        submit("a", 1, 2_000);
+        join(2, 10);
+        dispatcher.disconnected(now, agent(1));
+        now += 1_000 * MILLI;
+        dispatcher.tick(now);
+        assertEquals(output.orders().size(), 1);
+
+        now += 400 * MILLI;
+        dispatcher.tick(now);
+        assertEquals(output.orders().size(), 2);
+        assertEquals(output.lastOrder().agent(), agent(2));
+    }
+
+    @Test
+    public void shouldRunTaskAgainWhenNewRunOfAgentHasOpenedItsWorker() {
+        join(1, 10);
+        submit("a", 1, 2_000);
+        dispatcher.disconnected(now, agent(1));
+        dispatcher.connected(now, agent(9), "agent-1", "thrissur");
+        dispatcher.heard(now, agent(9), WorkerView.CLOSED);
+        assertEquals(output.orders().size(), 1, "what the former run of the agent ordered may still run");
+
+        dispatcher.heard(now, agent(9), view(10, Amounts.NONE, 0));
+        assertEquals(output.lastOrder().agent(), agent(9));
+        assertEquals(output.lastOrder().run(), 2);
+    }
+
+    @Test
+    public void shouldGoOnWithRunsOfAgentThatReconnects() {
+        join(1, 10);
+        submit("a", 1, 500);
+        dispatcher.disconnected(now, agent(1));
+        dispatcher.connected(now, agent(1), "agent-1", "thrissur");
+        assertEquals(dispatcher.ordersAt(agent(1)), List.of(1L));
+        end(output.lastOrder(), RunOutcome.DONE, 500);
+
+        assertTrue(output.answers().get("a") instanceof JobResult.Completed);
+    }
+
+    // -- copies and callers that leave
+
+    @Test
+    public void shouldAnswerCopyAfterTheAnswerWithoutRunningAgain() {
+        join(1, 10);
+        submit("a", 1, 200);
+        end(output.lastOrder(), RunOutcome.DONE, 200);
+        output.answers().clear();
+        submit("a", 1, 200);
+
+        assertTrue(output.answers().get("a") instanceof JobResult.Completed);
+        assertEquals(output.orders().size(), 1);
+    }
+
+    @Test
+    public void shouldRunJobAgainThatIsSentAgainAfterItWasGivenUp() {
+        join(1, 10);
+        submit("a", 1, 300);
+        now += 10_000 * MILLI;
+        dispatcher.tick(now);
+        end(output.lastOrder(), RunOutcome.STOPPED, 10_000);
+        output.answers().clear();
+        submit("a", 1, 300);
+
+        assertEquals(output.orders().size(), 2);
+        end(output.lastOrder(), RunOutcome.DONE, 300);
+        assertTrue(output.answers().get("a") instanceof JobResult.Completed);
+    }
+
+    @Test
+    public void shouldNotStartTaskWhileItsRunForCallerThatLeftIsStillBeingStopped() {
+        join(1, 10);
+        submit("a", 1, 200);
+        dispatcher.cancel(now, "a");
+        assertEquals(output.stops(), List.of(1L));
+        submit("a", 1, 200);
+        assertEquals(output.orders().size(), 1);
+
+        end(output.orders().get(0), RunOutcome.STOPPED, 30);
+        assertEquals(output.orders().size(), 2);
+        assertFalse(output.answers().containsKey("a"));
+    }
+
+    @DataProvider
+    public Object[][] labels() {
+        return new Object[][] {{Optional.of("a"), 1}, {Optional.of("b"), 0}, {Optional.empty(), 1}};
+    }
+
+    @Test(dataProvider = "labels")
+    public void shouldPlaceOnlyOnWorkersWithTheRequiredLabel(Optional<String> label, int orders) {
+        join(1, 10);
+        Step step = new Step(1, TASK, 200, List.of(), label, Optional.empty(), 0);
+        dispatcher.submit(now, job("j", List.of(step), now + 5_000 * MILLI));
+
+        assertEquals(output.orders().size(), orders);
+    }
+
+    @Test
+    public void shouldPlaceNoMoreTasksOfStepOnWorkerThanAllowed() {
+        join(1, 10);
+        join(2, 10);
+        Step step = new Step(4, TASK, 200, List.of(), Optional.empty(), Optional.empty(), 1);
+        dispatcher.submit(now, job("j", List.of(step), now + 5_000 * MILLI));
+
+        assertEquals(output.orders().size(), 2);
+    }
+
+    // -- fixture
+
+    private void join(int number, int tasks) {
+        dispatcher.connected(now, agent(number), "agent-" + number, "thrissur");
+        dispatcher.heard(now, agent(number), view(tasks, Amounts.NONE, 0));
+    }
+
+    private static WorkerView view(int tasks, Amounts used, long seenOrder) {
+        Amounts capacity = tasks == 10 ? WORKER : Amounts.of(tasks * 1_600, 65_536, 0);
+        return new WorkerView("patchdesk", capacity, used, List.of("a", "r1"), seenOrder);
+    }
+
+    private void end(PlacedRun run, RunOutcome outcome, long millis) {
+        dispatcher.heard(now, run.agent(), view(10, Amounts.NONE, run.number()));
+        dispatcher.ended(now, run.number(), outcome, millis);
+    }
+
+    private void submit(String id, int tasks, long estimateMillis) {
+        dispatcher.submit(now, job(id, List.of(step(tasks, estimateMillis, List.of())), now + 5_000 * MILLI));
+    }
+
+    private Job job(String id, List<Step> steps, long deadline) {
+        return new Job(id, route(), "spec", steps, now, deadline);
+    }
+
+    private static Step step(int tasks, long estimateMillis, List<Integer> after) {
+        return new Step(tasks, TASK, estimateMillis, after, Optional.empty(), Optional.empty(), 0);
+    }
+
+    private static Route route() {
+        return new Route("r", "h.example", "/p/", "patchdesk", 0, 3, 1.6, 60, 5_000);
+    }
+
+    private static Incarnation agent(int number) {
+        return Incarnation.of(number);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/teaselhook/core/job/RecordingJobOutput.java
@@ -0,0 +1,63 @@
+package org.teaselhook.core.job;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.teaselhook.core.id.Incarnation;
+
+/**
+ * Writes down orders, stops and answers.
+ */
+final class RecordingJobOutput implements JobOutput {
+
+    private final List<PlacedRun> orders = new ArrayList<>();
+    private final List<Long> stops = new ArrayList<>();
+    private final Map<String, JobResult> answers = new LinkedHashMap<>();
+    private final List<JobDecision> decisions = new ArrayList<>();
+
+    @Override
+    public void order(PlacedRun run) {
+        orders.add(run);
+    }
+
+    @Override
+    public void stop(Incarnation agent, long number) {
+        stops.add(number);
+    }
+
+    @Override
+    public void answered(long nowNanos, Job job, JobResult result) {
+        answers.put(job.id(), result);
+    }
+
+    @Override
+    public void decided(JobDecision decision) {
+        decisions.add(decision);
+    }
+
+    List<PlacedRun> orders() {
+        return orders;
+    }
+
+    PlacedRun lastOrder() {
+        return orders.get(orders.size() - 1);
+    }
+
+    List<String> orderedTasks() {
+        return orders.stream().map(PlacedRun::task).toList();
+    }
+
+    List<Long> stops() {
+        return stops;
+    }
+
+    Map<String, JobResult> answers() {
+        return answers;
+    }
+
+    long decided(JobDecision.Kind kind) {
+        return decisions.stream().filter(d -> d.kind() == kind).count();
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/teaselhook/core/lease/RecordingEvents.java
@@ -0,0 +1,31 @@
+package org.teaselhook.core.lease;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Writes down what became of orders.
+ */
+final class RecordingEvents implements RunEvents {
+
+    private final List<String> events = new ArrayList<>();
+
+    @Override
+    public void ended(OrderId order, RunOutcome outcome, long runMillis) {
+        events.add(order.number() + " " + outcome);
+    }
+
+    @Override
+    public void refused(OrderId order, RunRefusal refusal) {
+        events.add(order.number() + " " + refusal);
+    }
+
+    @Override
+    public void changed() {
+        // Tests ask for the state itself.
+    }
+
+    List<String> all() {
+        return events;
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/teaselhook/core/lease/WorkerRunsTest.java
@@ -0,0 +1,342 @@
+package org.teaselhook.core.lease;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+
+import org.teaselhook.core.amount.Amounts;
+import org.teaselhook.core.id.Incarnation;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+public class WorkerRunsTest {
+
+    private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+    private static final Incarnation ENTRY = Incarnation.of(7);
+    private static final Incarnation OTHER_ENTRY = Incarnation.of(8);
+    private static final long FIRST_TOKEN = 100;
+
+    private FakeWorker worker;
+    private RecordingEvents events;
+    private WorkerRuns runs;
+    private long now;
+
+    @BeforeMethod
+    public void openWorker() {
+        now = TimeUnit.SECONDS.toNanos(10);
+        worker = new FakeWorker();
+        events = new RecordingEvents();
+        runs = WorkerRuns.of(FIRST_TOKEN, worker, new Immediately(), events, new SilentLog());
+        runs.reported(now, report("w", 1, 1, 4_000, false));
+        worker.answerLook();
+    }
+
+    // -- taking orders
+
+    @Test
+    public void shouldTakeOrdersOnceWorkerHasListedItsRuns() {
+        assertTrue(runs.open().isPresent());
+
+        order(1, "a");
+        worker.accept(worker.lastStart());
+        worker.end(worker.lastStart().run(), RunOutcome.DONE);
+        worker.answerLook();
+
+        assertEquals(events.all(), List.of("1 DONE"));
+        assertEquals(runs.used(), Amounts.NONE);
+    }
+
+    @Test
+    public void shouldRefuseWhatDoesNotFitBesideRunsThatAreBeingStopped() {
+        order(1, "a");
+        order(2, "b");
+        worker.starts().forEach(worker::accept);
+        runs.stop(now, id(1));
+        worker.stops().get(0).answer().complete(StopResult.STOPPED);
+
+        order(3, "c");
+        assertEquals(events.all(), List.of("3 NO_ROOM"));
+
+        worker.end(new RunId("a", 1), RunOutcome.STOPPED);
+        worker.answerLook();
+        order(4, "d");
+        assertEquals(events.all(), List.of("3 NO_ROOM", "1 STOPPED"));
+        assertEquals(worker.lastStart().run().task(), "d");
+    }
+
+    @DataProvider
+    public Object[][] refusals() {
+        return new Object[][] {
+            {StartResult.NO_ROOM, RunRefusal.NO_ROOM},
+            {StartResult.REFUSED, RunRefusal.WORKER_REFUSED},
+            {StartResult.NOT_SENT, RunRefusal.WORKER_REFUSED},
+            {StartResult.LEASE_PASSED, RunRefusal.WORKER_REFUSED},
+            {StartResult.OTHER_WORKER, RunRefusal.NO_WORKER},
+            {StartResult.FENCED, RunRefusal.WORKER_REFUSED},
+        };
+    }
+
+    @Test(dataProvider = "refusals")
+    public void shouldSayNotBegunOnlyWhereWorkerDidNothing(StartResult result, RunRefusal expected) {
+        order(1, "a");
+        worker.lastStart().answer().complete(result);
+
+        assertEquals(events.all(), List.of("1 " + expected));
+        assertEquals(runs.used(), Amounts.NONE);
+    }
+
+    @Test
+    public void shouldRefuseOrderAfterItsLastUsefulStart() {
+        runs.order(now, request(1, "a", now - 1));
+
+        assertEquals(events.all(), List.of("1 START_BY_PASSED"));
+    }
+
+    @Test
+    public void shouldRaiseRunNumberWhenWorkerHasSeenTaskBefore() {
+        order(1, "a");
+        worker.lastStart().answer().complete(StartResult.OLD_RUN);
+
+        assertEquals(worker.lastStart().run(), new RunId("a", 2));
+    }
+
+    @Test
+    public void shouldStopOlderRunOfTaskThatAnotherEntryOrders() {
+        order(1, "a");
+        worker.accept(worker.lastStart());
+        runs.order(now, new RunRequest(new OrderId(OTHER_ENTRY, 1), new RunId("a", 1), "s", "", half(), now));
+
+        assertEquals(events.all(), List.of("1 NO_ROOM"));
+        assertEquals(worker.stops().get(0).run(), new RunId("a", 1));
+        assertEquals(worker.starts().size(), 1);
+    }
+
+    // -- orders carried out late
+
+    @Test
+    public void shouldKeepRoomOfUnansweredStartUntilItIsKnownNotToBegin() {
+        order(1, "a");
+        worker.lastStart().answer().complete(StartResult.UNKNOWN);
+        assertEquals(runs.used(), half());
+        assertEquals(events.all(), List.of());
+
+        FakeWorker.Look asked = worker.lastLook();
+        worker.stops().get(0).answer().complete(StopResult.STOPPED);
+        assertEquals(worker.lastLook(), asked);
+        now += MILLI;
+        worker.answerLook();
+        assertEquals(events.all(), List.of(), "the list was asked for before the stop was answered");
+
+        now += MILLI;
+        worker.answerLook();
+        assertEquals(events.all(), List.of("1 WORKER_REFUSED"));
+        assertEquals(runs.used(), Amounts.NONE);
+    }
+
+    @Test
+    public void shouldStopUnansweredStartAgainUntilStopIsAnswered() {
+        order(1, "a");
+        worker.lastStart().answer().complete(StartResult.UNKNOWN);
+        worker.stops().get(0).answer().complete(StopResult.UNKNOWN);
+        assertEquals(worker.stops().size(), 1);
+
+        now = runs.nextTickAt();
+        runs.tick(now);
+        assertEquals(worker.stops().size(), 2);
+        assertEquals(runs.used(), half());
+    }
+
+    @Test
+    public void shouldReportEndOfStartThatTookEffectWithoutAnswer() {
+        order(1, "a");
+        worker.appears(worker.lastStart().run());
+        worker.lastStart().answer().complete(StartResult.UNKNOWN);
+        worker.stops().get(0).answer().complete(StopResult.STOPPED);
+        worker.end(new RunId("a", 1), RunOutcome.STOPPED);
+        worker.answerLook();
+
+        assertEquals(events.all(), List.of("1 STOPPED"));
+    }
+
+    // -- lives of the worker
+
+    @Test
+    public void shouldEndEverythingWhenWorkerIsBornAgainUnderItsId() {
+        order(1, "a");
+        worker.accept(worker.lastStart());
+        long tokenBefore = worker.lastLook().token();
+        worker.bornAgain(2);
+        worker.answerLook();
+
+        assertEquals(events.all(), List.of("1 LOST"));
+        assertTrue(worker.lastLook().token() > tokenBefore, "calls to the former life must be ignored by the new one");
+        assertFalse(runs.open().isPresent());
+        worker.answerLook();
+        assertTrue(runs.open().isPresent());
+    }
+
+    @Test
+    public void shouldIgnoreReportsOfAnEarlierLife() {
+        runs.reported(now, report("w2", 5, 1, 4_000, false));
+        runs.reported(now, report("w", 1, 9, 4_000, false));
+        worker.answerLook();
+        worker.bornAgain(5);
+        worker.answerLook();
+
+        assertEquals(runs.open().map(WorkerReport::id).orElse(""), "w2");
+    }
+
+    @Test
+    public void shouldIgnoreReportThatIsOlderThanTheLast() {
+        runs.reported(now, report("w", 1, 3, 4_000, true));
+        runs.reported(now, report("w", 1, 2, 4_000, false));
+
+        assertFalse(runs.open().isPresent());
+    }
+
+    @Test
+    public void shouldEndRunsWhenWorkerSaysThatItEnds() {
+        order(1, "a");
+        worker.accept(worker.lastStart());
+        runs.left(now, "w");
+
+        assertEquals(events.all(), List.of("1 LOST"));
+        order(2, "b");
+        assertEquals(events.all(), List.of("1 LOST", "2 NO_WORKER"));
+    }
+
+    @Test
+    public void shouldTakeNoNewWorkWhileWorkerDrains() {
+        order(1, "a");
+        worker.accept(worker.lastStart());
+        runs.reported(now, report("w", 1, 2, 4_000, true));
+        order(2, "b");
+
+        assertEquals(events.all(), List.of("2 NO_WORKER"));
+        assertEquals(runs.used(), half());
+    }
+
+    // -- a new agent beside a worker that runs on
+
+    @Test
+    public void shouldStopRunsOfFormerAgentBeforeTakingOrders() {
+        FakeWorker busy = new FakeWorker();
+        busy.appears(new RunId("old", 3));
+        WorkerRuns next = WorkerRuns.of(FIRST_TOKEN, busy, new Immediately(), events, new SilentLog());
+        next.reported(now, report("w", 1, 8, 4_000, false));
+        assertFalse(busy.lastLook().leaseUntil().isPresent(), "runs of a former agent must not be kept alive");
+        busy.answerLook();
+
+        assertFalse(next.open().isPresent());
+        assertEquals(busy.stops().get(0).run(), new RunId("old", 3));
+        busy.end(new RunId("old", 3), RunOutcome.STOPPED);
+        busy.answerLook();
+        assertTrue(next.open().isPresent());
+    }
+
+    @Test
+    public void shouldLeapOverTokenOfFormerAgentWhoseClockRanAhead() {
+        FakeWorker busy = new FakeWorker();
+        WorkerRuns next = WorkerRuns.of(FIRST_TOKEN, busy, new Immediately(), events, new SilentLog());
+        next.reported(now, report("w", 1, 8, 4_000, false));
+        long refused = busy.lastLook().token();
+        busy.lastLook().answer().complete(new LookResult.Fenced());
+        assertFalse(next.open().isPresent());
+
+        now = next.nextTickAt();
+        next.tick(now);
+        assertTrue(busy.lastLook().token() > refused + 1_000);
+    }
+
+    // -- a worker that is silent
+
+    @Test
+    public void shouldTakeNoOrdersFromTheFirstMissedLook() {
+        worker.missLook();
+
+        assertFalse(runs.open().isPresent());
+        order(1, "a");
+        assertEquals(events.all(), List.of("1 NO_WORKER"));
+    }
+
+    @Test
+    public void shouldSayThatRunsAreOverOnlyAfterTheLeaseHasSurelyRunOut() {
+        order(1, "a");
+        worker.accept(worker.lastStart());
+        worker.answerLook();
+        long renewedAt = now;
+        assertTrue(worker.lastLook().leaseUntil().isPresent());
+        worker.missLook();
+
+        now = LeaseTimes.certainEnd(renewedAt);
+        runs.tick(now);
+        worker.missLook();
+        assertEquals(events.all(), List.of());
+        assertFalse(worker.lastLook().leaseUntil().isPresent(), "a look that may arrive late must not renew the lease");
+
+        now += TimeUnit.MILLISECONDS.toNanos(50);
+        runs.tick(now);
+        worker.missLook();
+        assertEquals(events.all(), List.of("1 LOST"));
+    }
+
+    @Test
+    public void shouldStopEverythingOfSilentEntryAndNothingElse() {
+        order(1, "a");
+        runs.order(now, new RunRequest(new OrderId(OTHER_ENTRY, 1), new RunId("b", 1), "s", "", half(), now));
+        worker.starts().forEach(worker::accept);
+
+        assertEquals(runs.stopAll(now, ENTRY), 1);
+        assertEquals(worker.stops().size(), 1);
+        assertEquals(worker.stops().get(0).run(), new RunId("a", 1));
+    }
+
+    @Test
+    public void shouldStopRunWhoseStartIsAnsweredAfterTheStopWasWanted() {
+        order(1, "a");
+        runs.stop(now, id(1));
+        assertEquals(worker.stops().size(), 0);
+        worker.accept(worker.lastStart());
+
+        assertEquals(worker.stops().get(0).run(), new RunId("a", 1));
+    }
+
+    // -- fixture
+
+    private void order(long number, String task) {
+        runs.order(now, request(number, task, now + 1_000 * MILLI));
+    }
+
+    private static RunRequest request(long number, String task, long startBy) {
+        return new RunRequest(id(number), new RunId(task, 1), "s", "spec", half(), startBy);
+    }
+
+    private static OrderId id(long number) {
+        return new OrderId(ENTRY, number);
+    }
+
+    private static Amounts half() {
+        return Amounts.of(2_000, 10, 0);
+    }
+
+    private static WorkerReport report(String id, long bornMillis, long sequence, int cpu, boolean draining) {
+        InetSocketAddress address = new InetSocketAddress("127.0.0.1", 1);
+        Amounts capacity = Amounts.of(cpu, 1_000, 0);
+        return new WorkerReport(id, bornMillis, sequence, "s", address, "z", capacity, List.of(), draining);
+    }
+
+    private final class Immediately implements ControlThread {
+
+        @Override
+        public <T> void handle(CompletionStage<T> stage, BiConsumer<Long, T> handler) {
+            stage.thenAccept(result -> handler.accept(now, result));
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/teaselhook/core/route/RoutesTest.java
@@ -0,0 +1,58 @@
+package org.teaselhook.core.route;
+
+import java.util.List;
+import java.util.Set;
+
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertSame;
+
+public class RoutesTest {
+
+    private static final Routes HELD =
+            new Routes(50, 7, List.of(route("wide", "/a/"), route("narrow", "/a/b/")), Set.of("vidzeme-a"));
+
+    // -- find
+
+    @DataProvider
+    public Object[][] paths() {
+        return new Object[][] {
+            {"h.example", "/a/x", "wide"},
+            {"h.example", "/a/b/x", "narrow"},
+            {"H.EXAMPLE", "/a/x", "wide"},
+            {"h.example", "/c", "none"},
+            {"other.example", "/a/x", "none"},
+        };
+    }
+
+    @Test(dataProvider = "paths")
+    public void shouldFindRouteWithLongestPrefix(String host, String path, String expected) {
+        assertEquals(HELD.find(host, path).map(Route::name).orElse("none"), expected);
+    }
+
+    // -- newer
+
+    @Test
+    public void shouldKeepWhatIsHeldWhenStoreServesAnOldRead() {
+        assertSame(HELD.newer(new Routes(40, 8, List.of(), Set.of())), HELD);
+        assertSame(HELD.newer(new Routes(60, 6, List.of(), Set.of())), HELD);
+    }
+
+    @Test
+    public void shouldKeepWhatIsHeldWhenNothingHasChanged() {
+        assertSame(HELD.newer(new Routes(60, 7, HELD.routes(), HELD.zonesOut())), HELD);
+    }
+
+    @Test
+    public void shouldTakeOverZoneThatIsBackUnderTheSameConfiguration() {
+        Routes back = new Routes(60, 7, HELD.routes(), Set.of());
+
+        assertSame(HELD.newer(back), back);
+    }
+
+    private static Route route(String name, String prefix) {
+        return new Route(name, "h.example", prefix, "s", 0, 3, 1.6, 60, 1_500);
+    }
+}
--- a/node/src/main/java/org/teaselhook/node/agent/GrpcDialer.java
+++ b/node/src/main/java/org/teaselhook/node/agent/GrpcDialer.java
@@ -3,10 +3,8 @@
 import java.net.InetSocketAddress;
 
 import io.grpc.ManagedChannel;
-import io.grpc.netty.NettyChannelBuilder;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import org.teaselhook.net.http.EventLoops;
+import org.teaselhook.node.grpc.EntryChannels;
 import org.teaselhook.wire.EntryServiceGrpc;
 
 /**
@@ -15,7 +13,6 @@
 final class GrpcDialer implements Dialer {
 
     private static final int CONNECT_TIMEOUT_MILLIS = 2_000;
-    private static final int MAX_FRAME_BYTES = 72 * 1024 * 1024;
 
     private final EventLoops loops;
 
@@ -25,16 +22,7 @@
 
     @Override
     public EntryStream dial(InetSocketAddress address, StreamEvents events) {
-        ManagedChannel channel = NettyChannelBuilder.forAddress(address)
-                .eventLoopGroup(loops.group())
-                .channelType(NioSocketChannel.class)
-                .withOption(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                .withOption(ChannelOption.TCP_NODELAY, true)
-                .maxInboundMessageSize(MAX_FRAME_BYTES)
-                .usePlaintext()
-                .disableRetry()
-                .directExecutor()
-                .build();
+        ManagedChannel channel = EntryChannels.open(loops, address, CONNECT_TIMEOUT_MILLIS);
         GrpcEntryStream stream = new GrpcEntryStream(address, channel, events);
         stream.open(EntryServiceGrpc.newStub(channel));
         return stream;
--- /dev/null
+++ b/node/src/main/java/org/teaselhook/node/config/EntryAddresses.java
@@ -0,0 +1,42 @@
+package org.teaselhook.node.config;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.CompletionStage;
+
+import org.teaselhook.core.table.TableResult;
+import org.teaselhook.core.table.TableService;
+import org.teaselhook.net.log.LogLine;
+import org.teaselhook.node.settings.SocketAddresses;
+
+/**
+ * Finds entries by their rows in the table service.
+ */
+public final class EntryAddresses {
+
+    private static final int MAX_ENTRIES = 1_000;
+
+    private EntryAddresses() {}
+
+    /**
+     * Reads the gRPC addresses of all entries that have a row, dead ones included.
+     *
+     * @param table the table service
+     * @return the addresses; none if the table service does not answer
+     */
+    public static CompletionStage<List<InetSocketAddress>> scan(TableService table) {
+        return table.scan(ConfigKeys.ENTRIES_FROM, ConfigKeys.ENTRIES_TO, MAX_ENTRIES)
+                .thenApply(EntryAddresses::addresses);
+    }
+
+    private static List<InetSocketAddress> addresses(TableResult result) {
+        if (!(result instanceof TableResult.Rows rows)) {
+            LogLine.of("entries-unread").with("result", result).warn();
+            return List.of();
+        }
+        return rows.rows().stream()
+                .flatMap(row -> ConfigCodec.member(row).stream())
+                .flatMap(member -> SocketAddresses.parse(member.grpcAddress()).stream())
+                .toList();
+    }
+}
--- a/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryNode.java
@@ -38,6 +38,7 @@
 import org.teaselhook.node.config.EntryRegistry;
 import org.teaselhook.node.config.MemberListener;
 import org.teaselhook.node.control.ControlLoop;
+import org.teaselhook.node.grpc.EntryGrpcServer;
 import org.teaselhook.node.health.HealthPages;
 import org.teaselhook.node.peer.PeerChannels;
 import org.teaselhook.node.peer.Peers;
--- a/node/src/main/java/org/teaselhook/node/entry/EntryGrpcServer.java
+++ b/node/src/main/java/org/teaselhook/node/grpc/EntryGrpcServer.java
@@ -1,4 +1,4 @@
-package org.teaselhook.node.entry;
+package org.teaselhook.node.grpc;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -14,7 +14,7 @@
 /**
  * Starts the gRPC server for agents and other entries.
  */
-final class EntryGrpcServer {
+public final class EntryGrpcServer {
 
     private static final long KEEP_ALIVE_MIN_SECONDS = 1;
 
@@ -23,9 +23,15 @@
     /**
      * Starts a server.
      *
+     * @param loops the traffic threads
+     * @param bind the address to listen on
+     * @param service what is served
+     * @param maxMessageBytes the greatest size of a frame
+     * @return the running server
      * @throws IllegalStateException if the address cannot be bound
      */
-    static Server start(EventLoopGroup loops, InetSocketAddress bind, BindableService service, int maxMessageBytes) {
+    public static Server start(
+            EventLoopGroup loops, InetSocketAddress bind, BindableService service, int maxMessageBytes) {
         try {
             return NettyServerBuilder.forAddress(bind)
                     .channelType(NioServerSocketChannel.class)
--- /dev/null
+++ b/node/src/main/java/org/teaselhook/node/job/AgentSession.java
@@ -0,0 +1,76 @@
+package org.teaselhook.node.job;
+
+import io.grpc.stub.StreamObserver;
+import org.teaselhook.core.id.Incarnation;
+import org.teaselhook.node.session.SessionStreams;
+import org.teaselhook.wire.RunCommand;
+
+/**
+ * The connection of one agent.
+ */
+final class AgentSession {
+
+    private final Incarnation agent;
+    private final String name;
+    private final StreamObserver<RunCommand> stream;
+    private long agentNanos;
+    private long heardAt;
+    private long routesVersion;
+    private long routesSent;
+
+    AgentSession(Incarnation agent, String name, StreamObserver<RunCommand> stream, long nowNanos) {
+        this.agent = agent;
+        this.name = name;
+        this.stream = stream;
+        this.heardAt = nowNanos;
+    }
+
+    // -- accessors
+
+    Incarnation agent() {
+        return agent;
+    }
+
+    String name() {
+        return name;
+    }
+
+    StreamObserver<RunCommand> stream() {
+        return stream;
+    }
+
+    /** The newest time that the agent has told, on its own clock. */
+    long agentNanos() {
+        return agentNanos;
+    }
+
+    long heardAt() {
+        return heardAt;
+    }
+
+    /** Whether the agent holds older routes than the given ones, and was not sent them. */
+    boolean lacksRoutes(long version) {
+        return Math.max(routesVersion, routesSent) < version;
+    }
+
+    /** Converts an instant to the agent's clock; never later than the true time. */
+    long onAgentClock(long instantNanos) {
+        return agentNanos + instantNanos - heardAt;
+    }
+
+    // -- updates
+
+    void heard(long nowNanos, long newAgentNanos, long heldRoutes) {
+        agentNanos = newAgentNanos;
+        heardAt = nowNanos;
+        routesVersion = heldRoutes;
+    }
+
+    void routesSent(long version) {
+        routesSent = version;
+    }
+
+    void send(RunCommand command) {
+        SessionStreams.send(stream, command);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/teaselhook/node/job/AgentSessions.java
@@ -0,0 +1,172 @@
+package org.teaselhook.node.job;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+import io.grpc.stub.StreamObserver;
+import org.teaselhook.core.id.Incarnation;
+import org.teaselhook.core.job.JobDispatcher;
+import org.teaselhook.core.job.PlacedRun;
+import org.teaselhook.core.lease.LeaseTimes;
+import org.teaselhook.core.route.Routes;
+import org.teaselhook.net.log.LogLine;
+import org.teaselhook.node.route.RouteMessages;
+import org.teaselhook.node.session.SessionStreams;
+import org.teaselhook.wire.RunCommand;
+import org.teaselhook.wire.RunEnd;
+import org.teaselhook.wire.RunHello;
+import org.teaselhook.wire.RunRefusal;
+import org.teaselhook.wire.RunReport;
+import org.teaselhook.wire.WorkerState;
+
+/**
+ * The connections of agents. Confined to the control thread.
+ */
+final class AgentSessions {
+
+    /** An agent that is silent for so long has replaced the connection, in ns. */
+    private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(LeaseTimes.ENTRY_SILENCE_MILLIS);
+
+    private final String name;
+    private final Incarnation entry;
+    private final JobDispatcher dispatcher;
+    private final Supplier<Routes> routes;
+    private final Supplier<List<String>> entries;
+    private final Consumer<Routes> learned;
+    private final Map<Incarnation, AgentSession> sessions = new HashMap<>();
+    private boolean leaving;
+
+    AgentSessions(
+            String name,
+            Incarnation entry,
+            JobDispatcher dispatcher,
+            Supplier<Routes> routes,
+            Supplier<List<String>> entries,
+            Consumer<Routes> learned) {
+        this.name = Objects.requireNonNull(name, "name is null");
+        this.entry = Objects.requireNonNull(entry, "entry is null");
+        this.dispatcher = Objects.requireNonNull(dispatcher, "dispatcher is null");
+        this.routes = Objects.requireNonNull(routes, "routes is null");
+        this.entries = Objects.requireNonNull(entries, "entries is null");
+        this.learned = Objects.requireNonNull(learned, "learned is null");
+    }
+
+    // -- connections
+
+    void connected(long nowNanos, StreamObserver<RunCommand> stream, RunHello hello) {
+        Incarnation agent = Incarnation.of(hello.getIncarnation());
+        AgentSession session = new AgentSession(agent, hello.getName(), stream, nowNanos);
+        AgentSession older = sessions.put(agent, session);
+        if (older != null) {
+            SessionStreams.close(older.stream());
+        }
+        List<Long> orders = dispatcher.ordersAt(agent);
+        LogLine.of("agent-connected")
+                .with("agent", hello.getName())
+                .with("incarnation", agent)
+                .with("orders", orders.size())
+                .info();
+        session.send(JobFrames.greeting(name, entry, orders));
+        sendRoutes(session);
+        dispatcher.connected(nowNanos, agent, hello.getName(), hello.getZone());
+    }
+
+    void disconnected(long nowNanos, Incarnation agent, StreamObserver<RunCommand> stream) {
+        AgentSession session = sessions.get(agent);
+        if (session != null && session.stream() == stream) {
+            drop(nowNanos, session, "connection ended");
+        }
+    }
+
+    private void drop(long nowNanos, AgentSession session, String reason) {
+        sessions.remove(session.agent());
+        LogLine.of("agent-lost")
+                .with("agent", session.name())
+                .with("incarnation", session.agent())
+                .with("reason", reason)
+                .with("orders", dispatcher.ordersAt(session.agent()).size())
+                .warn();
+        SessionStreams.close(session.stream());
+        dispatcher.disconnected(nowNanos, session.agent());
+    }
+
+    void dropSilent(long nowNanos) {
+        List.copyOf(sessions.values()).stream()
+                .filter(session -> nowNanos - session.heardAt() > SILENCE_NANOS)
+                .forEach(session -> drop(nowNanos, session, "silent"));
+    }
+
+    // -- frames
+
+    void received(long nowNanos, Incarnation agent, StreamObserver<RunCommand> stream, RunReport report) {
+        AgentSession session = sessions.get(agent);
+        if (session == null || session.stream() != stream) {
+            return;
+        }
+        switch (report.getReportCase()) {
+            case STATE -> state(nowNanos, session, report.getState());
+            case END -> ended(nowNanos, report.getEnd());
+            case REFUSAL -> refused(nowNanos, report.getRefusal());
+            case ROUTES -> learned.accept(RouteMessages.routes(report.getRoutes()));
+            default ->
+                LogLine.of("frame-ignored")
+                        .with("frame", report.getReportCase())
+                        .warn();
+        }
+    }
+
+    private void state(long nowNanos, AgentSession session, WorkerState state) {
+        session.heard(nowNanos, state.getAgentNanos(), state.getRoutesVersion());
+        if (state.getHeartbeat()) {
+            sendRoutes(session);
+            session.send(JobFrames.pulse(state.getAgentNanos(), routes.get().version(), entries.get(), leaving));
+            dispatcher.entries(Math.max(1, state.getEntries()));
+        }
+        dispatcher.heard(nowNanos, session.agent(), JobFrames.view(state));
+    }
+
+    private void ended(long nowNanos, RunEnd end) {
+        dispatcher.ended(nowNanos, end.getOrder(), JobFrames.outcome(end.getOutcome()), end.getRunMillis());
+    }
+
+    private void refused(long nowNanos, RunRefusal refusal) {
+        dispatcher.refused(nowNanos, refusal.getOrder(), JobFrames.refusal(refusal.getReason()));
+    }
+
+    // -- sending
+
+    void order(PlacedRun run) {
+        AgentSession session = sessions.get(run.agent());
+        if (session != null) {
+            session.send(JobFrames.order(run, session.agentNanos(), session.onAgentClock(run.startBy())));
+        }
+    }
+
+    void stop(Incarnation agent, long number) {
+        AgentSession session = sessions.get(agent);
+        if (session != null) {
+            session.send(JobFrames.stop(number));
+        }
+    }
+
+    void pushRoutes() {
+        sessions.values().forEach(this::sendRoutes);
+    }
+
+    private void sendRoutes(AgentSession session) {
+        Routes held = routes.get();
+        if (held.isKnown() && session.lacksRoutes(held.version())) {
+            session.send(JobFrames.routes(held));
+            session.routesSent(held.version());
+        }
+    }
+
+    void leave() {
+        leaving = true;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/teaselhook/node/job/JobEntryControl.java
@@ -0,0 +1,150 @@
+package org.teaselhook.node.job;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+
+import org.teaselhook.core.id.Incarnation;
+import org.teaselhook.core.job.Job;
+import org.teaselhook.core.job.JobDecision;
+import org.teaselhook.core.job.JobDispatcher;
+import org.teaselhook.core.job.JobOutput;
+import org.teaselhook.core.job.JobResult;
+import org.teaselhook.core.job.PlacedRun;
+import org.teaselhook.core.route.Route;
+import org.teaselhook.core.route.Routes;
+import org.teaselhook.net.log.LogLine;
+
+/**
+ * The entry's state: its callers, its agents and its jobs. Confined to the control thread.
+ */
+final class JobEntryControl implements JobOutput {
+
+    private final JobDispatcher dispatcher;
+    private final AgentSessions sessions;
+    private final JobCallers callers = new JobCallers();
+    private final LongSupplier clock;
+    private Routes routes = Routes.none();
+
+    JobEntryControl(String name, String zone, Incarnation entry, Supplier<List<String>> entries, LongSupplier clock) {
+        this.dispatcher = JobDispatcher.of(zone, this);
+        this.sessions = new AgentSessions(name, entry, dispatcher, () -> routes, entries, this::learn);
+        this.clock = clock;
+    }
+
+    // -- accessors
+
+    AgentSessions sessions() {
+        return sessions;
+    }
+
+    Routes routes() {
+        return routes;
+    }
+
+    int jobs() {
+        return dispatcher.size();
+    }
+
+    int openWorkers() {
+        return dispatcher.openWorkers();
+    }
+
+    boolean isActive(String jobId) {
+        return dispatcher.isActive(jobId);
+    }
+
+    int queued(Route route) {
+        return dispatcher.queued(route.name());
+    }
+
+    // -- jobs
+
+    void submit(Job job, CompletableFuture<JobResult> caller, long nowNanos) {
+        callers.add(job.id(), caller);
+        dispatcher.submit(nowNanos, job);
+    }
+
+    /** A caller's connection has closed: if nobody else waits for the job, it is cancelled. */
+    void callerLeft(String jobId, CompletableFuture<JobResult> caller, long nowNanos) {
+        if (callers.remove(jobId, caller)) {
+            dispatcher.cancel(nowNanos, jobId);
+        }
+    }
+
+    boolean cancel(String jobId, long nowNanos) {
+        boolean active = dispatcher.isActive(jobId);
+        dispatcher.cancel(nowNanos, jobId);
+        callers.answer(jobId, new JobResult.GivenUp("cancelled"));
+        return active;
+    }
+
+    @Override
+    public void order(PlacedRun run) {
+        sessions.order(run);
+    }
+
+    @Override
+    public void stop(Incarnation agent, long number) {
+        sessions.stop(agent, number);
+    }
+
+    @Override
+    public void answered(long nowNanos, Job job, JobResult result) {
+        callers.answer(job.id(), result);
+    }
+
+    @Override
+    public void decided(JobDecision decision) {
+        LogLine line = LogLine.of("job-" + decision.kind().name().toLowerCase(java.util.Locale.ROOT))
+                .with("job", decision.job());
+        if (!decision.task().isEmpty()) {
+            line = line.with("task", decision.task());
+        }
+        for (int i = 0; i + 1 < decision.inputs().length; i += 2) {
+            line = line.with(String.valueOf(decision.inputs()[i]), decision.inputs()[i + 1]);
+        }
+        if (decision.kind().isRoutine()) {
+            line.debug();
+        } else {
+            line.info();
+        }
+    }
+
+    // -- operators' decisions
+
+    void learn(Routes offered) {
+        Routes next = routes.newer(offered);
+        if (next != routes) {
+            routes = next;
+            LogLine.of("routes-applied")
+                    .with("version", next.version())
+                    .with("config", next.configVersion())
+                    .with("routes", next.routes().size())
+                    .with("zones_out", next.zonesOut())
+                    .info();
+            sessions.pushRoutes();
+            dispatcher.routes(clock.getAsLong(), next);
+        }
+    }
+
+    // -- time
+
+    void tick(long nowNanos) {
+        sessions.dropSilent(nowNanos);
+        dispatcher.tick(nowNanos);
+    }
+
+    Optional<String> unready() {
+        if (!routes.isKnown()) {
+            return Optional.of("no routes were read yet");
+        }
+        return openWorkers() == 0 ? Optional.of("no worker takes work") : Optional.empty();
+    }
+
+    void leave() {
+        sessions.leave();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/teaselhook/node/job/JobEntryNode.java
@@ -0,0 +1,284 @@
+package org.teaselhook.node.job;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+
+import io.grpc.Server;
+import org.teaselhook.core.id.Incarnation;
+import org.teaselhook.core.job.Job;
+import org.teaselhook.core.job.JobResult;
+import org.teaselhook.core.job.Step;
+import org.teaselhook.core.member.Member;
+import org.teaselhook.core.route.Route;
+import org.teaselhook.core.route.RouteSource;
+import org.teaselhook.core.route.Routes;
+import org.teaselhook.core.table.TableService;
+import org.teaselhook.net.http.EventLoops;
+import org.teaselhook.net.http.HttpHandler;
+import org.teaselhook.net.http.HttpLimits;
+import org.teaselhook.net.http.HttpReply;
+import org.teaselhook.net.http.HttpServer;
+import org.teaselhook.net.log.LogLine;
+import org.teaselhook.node.config.EntryRegistry;
+import org.teaselhook.node.config.MemberListener;
+import org.teaselhook.node.control.ControlLoop;
+import org.teaselhook.node.grpc.EntryGrpcServer;
+import org.teaselhook.node.route.RoutePoller;
+import org.teaselhook.node.settings.JobEntrySettings;
+import org.teaselhook.node.settings.SocketAddresses;
+
+/**
+ * An entry for jobs whose tasks ask for amounts: one control thread and one traffic thread.
+ */
+public final class JobEntryNode implements AutoCloseable {
+
+    private static final long TICK_MILLIS = 20;
+    private static final long SLOW_TICK_MILLIS = 100;
+    private static final int MAX_FRAME_BYTES = 1024 * 1024;
+    private static final int MAX_BODY_BYTES = 256 * 1024;
+    private static final int MAX_CONNECTIONS = 3_000;
+    private static final long IDLE_MILLIS = 60_000;
+
+    /** How long connections stay open after SIGTERM, in ns: the balancer needs two failed checks, a second apart. */
+    private static final long UNREADY_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
+
+    /** How long jobs may go on after SIGTERM, in ns: less than the time until the process is killed. */
+    private static final long DRAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(5_000);
+
+    private final JobEntrySettings settings;
+    private final EventLoops loops;
+    private final ControlLoop loop;
+    private final JobEntryControl control;
+    private final RoutePoller poller;
+    private final EntryRegistry members;
+    private final Server grpc;
+    private final HttpServer ready;
+    private final HttpServer callers;
+    private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+    private volatile Routes routes = Routes.none();
+    private volatile Optional<String> unready = Optional.of("starting");
+    private long leftAt = Long.MAX_VALUE;
+
+    private JobEntryNode(
+            JobEntrySettings settings,
+            EventLoops loops,
+            TableService table,
+            RouteSource source,
+            Function<JobService, HttpHandler> front) {
+        this.settings = settings;
+        this.loops = loops;
+        this.loop = ControlLoop.start("entry-control", System::nanoTime, JobEntryNode::failed);
+        Incarnation incarnation = Incarnation.random(new Random());
+        this.control =
+                new JobEntryControl(settings.name(), settings.zone(), incarnation, this::knownEntries, loop::nowNanos);
+        this.poller = RoutePoller.of(source, loop, control::learn);
+        this.members = EntryRegistry.of(table, member(incarnation), new Members(), loop, new Random());
+        this.grpc = EntryGrpcServer.start(
+                loops.group(), settings.grpc(), new JobEntryGrpc(loop, control.sessions()), MAX_FRAME_BYTES);
+        HttpLimits limits = HttpLimits.of(MAX_BODY_BYTES, MAX_CONNECTIONS, IDLE_MILLIS);
+        this.callers = HttpServer.start(loops, settings.callers(), front.apply(new Jobs()), limits);
+        this.ready =
+                HttpServer.start(loops, settings.ready(), call -> CompletableFuture.completedFuture(ready()), limits);
+        loop.every(TICK_MILLIS, this::tick);
+        loop.every(SLOW_TICK_MILLIS, this::slowTick);
+        LogLine.of("entry-started")
+                .with("name", settings.name())
+                .with("incarnation", incarnation)
+                .with("zone", settings.zone())
+                .info();
+    }
+
+    // -- factories
+
+    /**
+     * Starts an entry.
+     *
+     * @param settings the settings
+     * @param loops the traffic threads, closed with the entry
+     * @param table the table service, where entries list themselves
+     * @param source where the operators' decisions are read
+     * @param front makes the handler of callers' requests
+     * @return the running entry
+     * @throws IllegalStateException if one of its addresses cannot be bound
+     */
+    public static JobEntryNode start(
+            JobEntrySettings settings,
+            EventLoops loops,
+            TableService table,
+            RouteSource source,
+            Function<JobService, HttpHandler> front) {
+        Objects.requireNonNull(settings, "settings is null");
+        return new JobEntryNode(settings, loops, table, source, front);
+    }
+
+    private Member member(Incarnation incarnation) {
+        String grpcAddress = SocketAddresses.format(settings.grpc());
+        String httpAddress = SocketAddresses.format(settings.callers());
+        return new Member(settings.name(), incarnation, settings.zone(), grpcAddress, httpAddress, 0);
+    }
+
+    /**
+     * Takes new settings over. None of an entry's settings can change while it runs; a difference is logged.
+     *
+     * @param changed the new settings
+     */
+    public void reload(JobEntrySettings changed) {
+        if (!changed.equals(settings)) {
+            LogLine.of("restart-needed").with("settings", changed).warn();
+        }
+    }
+
+    // -- stopping
+
+    /**
+     * Stops gracefully: the balancer is told to send no more, and jobs in progress end and are answered.
+     *
+     * @return a stage that completes when the entry is closed
+     */
+    public CompletionStage<Void> stop() {
+        loop.execute(this::leave);
+        return stopped;
+    }
+
+    private void leave() {
+        leftAt = loop.nowNanos();
+        unready = Optional.of("stopping");
+        LogLine.of("entry-stopping").with("jobs", control.jobs()).info();
+        control.leave();
+        members.leave();
+    }
+
+    private void closeIfDrained(long nowNanos) {
+        if (nowNanos - leftAt < UNREADY_NANOS) {
+            return;
+        }
+        callers.stopAccepting();
+        boolean drained =
+                control.jobs() == 0 && callers.drained().toCompletableFuture().isDone();
+        if ((drained || nowNanos - leftAt > DRAIN_NANOS) && !stopped.isDone()) {
+            LogLine.of("entry-stopped").with("drained", drained).info();
+            new Thread(this::close, "entry-close").start();
+        }
+    }
+
+    @Override
+    public void close() {
+        loop.close();
+        grpc.shutdownNow();
+        callers.close();
+        ready.close();
+        loops.close();
+        stopped.complete(null);
+    }
+
+    // -- events on the control thread
+
+    private void tick(long nowNanos) {
+        control.tick(nowNanos);
+        routes = control.routes();
+    }
+
+    private void slowTick(long nowNanos) {
+        poller.tick(nowNanos);
+        members.tick(nowNanos);
+        if (leftAt != Long.MAX_VALUE) {
+            closeIfDrained(nowNanos);
+        } else {
+            noteReadiness(control.unready());
+        }
+    }
+
+    private void noteReadiness(Optional<String> now) {
+        if (!now.equals(unready)) {
+            LogLine.of(now.isEmpty() ? "entry-ready" : "entry-unready")
+                    .with("reason", now.orElse(""))
+                    .info();
+        }
+        unready = now;
+    }
+
+    private List<String> knownEntries() {
+        return members.live().stream().map(Member::grpcAddress).toList();
+    }
+
+    private HttpReply ready() {
+        return unready.map(reason -> HttpReply.of(503, "text/plain", reason + "\n"))
+                .orElseGet(() -> HttpReply.of(200, "text/plain", "ready\n"));
+    }
+
+    private static void failed(Throwable failure) {
+        LogLine.of("internal-error").with("failure", failure).warn();
+        failure.printStackTrace();
+    }
+
+    /** The entries' rows are read for the addresses alone. */
+    private static final class Members implements MemberListener {
+
+        @Override
+        public void listed(List<Member> live, long sentNanos) {
+            // The list is asked for when it is needed.
+        }
+
+        @Override
+        public void changed(List<Member> live) {
+            LogLine.of("entries-changed").with("live", live.size()).info();
+        }
+    }
+
+    /** Hands callers' requests to the control thread. */
+    private final class Jobs implements JobService {
+
+        @Override
+        public Optional<String> unready() {
+            return unready;
+        }
+
+        @Override
+        public boolean knowsRoutes() {
+            return routes.isKnown();
+        }
+
+        @Override
+        public Optional<Route> route(String host, String path) {
+            return routes.find(host, path);
+        }
+
+        @Override
+        public CompletionStage<JobResult> submit(
+                Route route,
+                String jobId,
+                String spec,
+                List<Step> steps,
+                long timeoutMillis,
+                CompletionStage<Void> closed) {
+            CompletableFuture<JobResult> answer = new CompletableFuture<>();
+            long arrivedAt = loop.nowNanos();
+            long deadline = arrivedAt + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
+            Job job = new Job(jobId, route, spec, steps, arrivedAt, deadline);
+            loop.execute(() -> control.submit(job, answer, loop.nowNanos()));
+            closed.thenRun(() -> loop.execute(() -> control.callerLeft(jobId, answer, loop.nowNanos())));
+            return answer;
+        }
+
+        @Override
+        public CompletionStage<Boolean> cancel(String jobId) {
+            return CompletableFuture.supplyAsync(() -> control.cancel(jobId, loop.nowNanos()), loop);
+        }
+
+        @Override
+        public CompletionStage<Boolean> isActive(String jobId) {
+            return CompletableFuture.supplyAsync(() -> control.isActive(jobId), loop);
+        }
+
+        @Override
+        public CompletionStage<Integer> queued(Route route) {
+            return CompletableFuture.supplyAsync(() -> control.queued(route), loop);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/teaselhook/node/job/JobFrames.java
@@ -0,0 +1,105 @@
+package org.teaselhook.node.job;
+
+import java.util.List;
+
+import org.teaselhook.core.id.Incarnation;
+import org.teaselhook.core.job.PlacedRun;
+import org.teaselhook.core.job.WorkerView;
+import org.teaselhook.core.lease.RunOutcome;
+import org.teaselhook.core.lease.RunRefusal;
+import org.teaselhook.core.route.Routes;
+import org.teaselhook.node.route.AmountMessages;
+import org.teaselhook.node.route.RouteMessages;
+import org.teaselhook.wire.RunCommand;
+import org.teaselhook.wire.RunGreeting;
+import org.teaselhook.wire.RunOrder;
+import org.teaselhook.wire.RunPulse;
+import org.teaselhook.wire.RunRefusalReason;
+import org.teaselhook.wire.RunStop;
+import org.teaselhook.wire.WorkerState;
+
+/**
+ * The frames that an entry sends to agents, and what it reads from theirs.
+ */
+final class JobFrames {
+
+    private JobFrames() {}
+
+    // -- sent
+
+    static RunCommand greeting(String name, Incarnation entry, List<Long> inProgress) {
+        return RunCommand.newBuilder()
+                .setGreeting(RunGreeting.newBuilder()
+                        .setName(name)
+                        .setIncarnation(entry.value())
+                        .addAllInProgress(inProgress))
+                .build();
+    }
+
+    static RunCommand pulse(long echoNanos, long routesVersion, List<String> entries, boolean leaving) {
+        return RunCommand.newBuilder()
+                .setPulse(RunPulse.newBuilder()
+                        .setEchoAgentNanos(echoNanos)
+                        .setRoutesVersion(routesVersion)
+                        .addAllEntries(entries)
+                        .setLeaving(leaving))
+                .build();
+    }
+
+    static RunCommand routes(Routes routes) {
+        return RunCommand.newBuilder().setRoutes(RouteMessages.document(routes)).build();
+    }
+
+    static RunCommand order(PlacedRun run, long echoNanos, long startByAgentNanos) {
+        return RunCommand.newBuilder()
+                .setOrder(RunOrder.newBuilder()
+                        .setOrder(run.number())
+                        .setEchoAgentNanos(echoNanos)
+                        .setStartByAgentNanos(startByAgentNanos)
+                        .setTask(run.task())
+                        .setRun(run.run())
+                        .setService(run.service())
+                        .setSpec(run.spec())
+                        .setAmounts(AmountMessages.message(run.amounts())))
+                .build();
+    }
+
+    static RunCommand stop(long order) {
+        return RunCommand.newBuilder()
+                .setStop(RunStop.newBuilder().setOrder(order))
+                .build();
+    }
+
+    // -- received
+
+    static WorkerView view(WorkerState state) {
+        return new WorkerView(
+                state.getService(),
+                AmountMessages.amounts(state.getCapacity()),
+                AmountMessages.amounts(state.getUsed()),
+                state.getLabelsList(),
+                state.getSeenOrder());
+    }
+
+    static RunOutcome outcome(org.teaselhook.wire.RunOutcome outcome) {
+        return switch (outcome) {
+            case RUN_DONE -> RunOutcome.DONE;
+            case RUN_FAILED -> RunOutcome.FAILED;
+            case RUN_STOPPED -> RunOutcome.STOPPED;
+            default -> RunOutcome.LOST;
+        };
+    }
+
+    static RunRefusal refusal(RunRefusalReason reason) {
+        return switch (reason) {
+            case RUN_NO_ROOM -> RunRefusal.NO_ROOM;
+            case RUN_NEVER_ARRIVED -> RunRefusal.NEVER_ARRIVED;
+            case RUN_STALE_ENTRY -> RunRefusal.STALE_ENTRY;
+            case RUN_START_BY_PASSED -> RunRefusal.START_BY_PASSED;
+            case RUN_ZONE_OUT -> RunRefusal.ZONE_OUT;
+            case RUN_NO_WORKER -> RunRefusal.NO_WORKER;
+            case RUN_CANCELLED -> RunRefusal.CANCELLED;
+            default -> RunRefusal.WORKER_REFUSED;
+        };
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/teaselhook/node/lease/EntryLink.java
@@ -0,0 +1,115 @@
+package org.teaselhook.node.lease;
+
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import org.teaselhook.core.id.Incarnation;
+import org.teaselhook.core.lease.LeaseTimes;
+
+/**
+ * The connection to one address of an entry, and the word of the entry on it.
+ */
+final class EntryLink {
+
+    /** A stream without an echo for so long is replaced, in ns: half of the silence after which runs are stopped. */
+    private static final long REPLACED_NANOS = TimeUnit.MILLISECONDS.toNanos(LeaseTimes.ENTRY_SILENCE_MILLIS / 2);
+
+    private static final long SILENT_NANOS = TimeUnit.MILLISECONDS.toNanos(LeaseTimes.ENTRY_SILENCE_MILLIS);
+    private static final long MIN_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+    private static final long MAX_BACKOFF_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    private final InetSocketAddress address;
+    private Optional<CommandStream> stream = Optional.empty();
+    private Optional<Incarnation> entry = Optional.empty();
+    private long dialAt;
+    private long backoffNanos = MIN_BACKOFF_NANOS;
+    private long dialedAt;
+    private long echoedAt;
+    private boolean stateSent;
+    private boolean leaving;
+    private long routesVersion;
+
+    EntryLink(InetSocketAddress address, long nowNanos) {
+        this.address = address;
+        this.dialAt = nowNanos;
+    }
+
+    // -- accessors
+
+    InetSocketAddress address() {
+        return address;
+    }
+
+    Optional<CommandStream> stream() {
+        return stream;
+    }
+
+    /** Returns the entry that greeted on the present stream. */
+    Optional<Incarnation> entry() {
+        return entry;
+    }
+
+    boolean isOn(CommandStream other) {
+        return stream.filter(s -> s == other).isPresent();
+    }
+
+    boolean isDialDue(long nowNanos) {
+        return stream.isEmpty() && nowNanos - dialAt >= 0;
+    }
+
+    /** Whether the stream has carried no echo for too long. */
+    boolean isDead(long nowNanos) {
+        return stream.isPresent() && nowNanos - Math.max(dialedAt, echoedAt) > REPLACED_NANOS;
+    }
+
+    /** Whether the entry is known to have heard from this agent of late. */
+    boolean isHeard(long nowNanos) {
+        return nowNanos - echoedAt <= SILENT_NANOS;
+    }
+
+    boolean isLeaving() {
+        return leaving;
+    }
+
+    long routesVersion() {
+        return routesVersion;
+    }
+
+    boolean isStateSent() {
+        return stateSent;
+    }
+
+    // -- updates
+
+    void dialed(CommandStream opened, long nowNanos) {
+        stream = Optional.of(opened);
+        entry = Optional.empty();
+        dialedAt = nowNanos;
+        stateSent = false;
+    }
+
+    void greeted(Incarnation incarnation) {
+        entry = Optional.of(incarnation);
+        routesVersion = 0;
+        leaving = false;
+    }
+
+    void echoed(long echoNanos, long heldRoutes, boolean leaves) {
+        echoedAt = Math.max(echoedAt, echoNanos);
+        routesVersion = heldRoutes;
+        leaving = leaves;
+        backoffNanos = MIN_BACKOFF_NANOS;
+    }
+
+    void stateSent(boolean sent) {
+        stateSent = sent;
+    }
+
+    void dropped(long nowNanos) {
+        stream = Optional.empty();
+        entry = Optional.empty();
+        dialAt = nowNanos + backoffNanos;
+        backoffNanos = Math.min(MAX_BACKOFF_NANOS, 2 * backoffNanos);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/teaselhook/node/lease/EntryLinks.java
@@ -0,0 +1,106 @@
+package org.teaselhook.node.lease;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Function;
+
+import org.teaselhook.core.id.Incarnation;
+import org.teaselhook.net.log.LogLine;
+import org.teaselhook.wire.RunReport;
+
+/**
+ * The connections to every entry known. Confined to the control thread.
+ */
+final class EntryLinks {
+
+    private final Map<InetSocketAddress, EntryLink> links = new LinkedHashMap<>();
+    private final Function<InetSocketAddress, CommandStream> dialer;
+    private final RunReport hello;
+
+    EntryLinks(Function<InetSocketAddress, CommandStream> dialer, RunReport hello) {
+        this.dialer = Objects.requireNonNull(dialer, "dialer is null");
+        this.hello = Objects.requireNonNull(hello, "hello is null");
+    }
+
+    // -- accessors
+
+    List<EntryLink> all() {
+        return new ArrayList<>(links.values());
+    }
+
+    Optional<EntryLink> on(CommandStream stream) {
+        return Optional.ofNullable(links.get(stream.address())).filter(link -> link.isOn(stream));
+    }
+
+    /** Returns the link on which an entry greeted. */
+    Optional<EntryLink> to(Incarnation entry) {
+        return links.values().stream()
+                .filter(link -> link.entry().filter(entry::equals).isPresent())
+                .findFirst();
+    }
+
+    /** Tells whether an entry has heard from this agent of late. */
+    boolean isHeard(Incarnation entry, long nowNanos) {
+        return to(entry).filter(link -> link.isHeard(nowNanos)).isPresent();
+    }
+
+    int heard(long nowNanos) {
+        return Math.toIntExact(links.values().stream()
+                .filter(link -> link.entry().isPresent() && link.isHeard(nowNanos) && !link.isLeaving())
+                .count());
+    }
+
+    // -- updates
+
+    void know(Collection<InetSocketAddress> addresses, long nowNanos) {
+        addresses.forEach(address -> links.computeIfAbsent(address, a -> new EntryLink(a, nowNanos)));
+    }
+
+    void tick(long nowNanos) {
+        for (EntryLink link : all()) {
+            if (link.isDead(nowNanos)) {
+                drop(link, nowNanos, "no echo");
+            }
+            if (link.isDialDue(nowNanos)) {
+                CommandStream stream = dialer.apply(link.address());
+                link.dialed(stream, nowNanos);
+                stream.send(hello);
+            }
+        }
+    }
+
+    void dropAll(long nowNanos, String reason) {
+        all().forEach(link -> drop(link, nowNanos, reason));
+    }
+
+    void ended(CommandStream stream, String reason, long nowNanos) {
+        on(stream).ifPresent(link -> {
+            logLost(link, reason);
+            link.dropped(nowNanos);
+        });
+    }
+
+    private void drop(EntryLink link, long nowNanos, String reason) {
+        link.stream().ifPresent(stream -> {
+            logLost(link, reason);
+            link.dropped(nowNanos);
+            stream.abort(reason);
+        });
+    }
+
+    private static void logLost(EntryLink link, String reason) {
+        if (link.entry().isPresent()) {
+            LogLine.of("entry-lost")
+                    .with("address", link.address())
+                    .with("entry", link.entry().get())
+                    .with("reason", reason)
+                    .warn();
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/teaselhook/node/lease/LeaseAgentControl.java
@@ -0,0 +1,299 @@
+package org.teaselhook.node.lease;
+
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import org.teaselhook.core.amount.Amounts;
+import org.teaselhook.core.id.Incarnation;
+import org.teaselhook.core.lease.LeaseTimes;
+import org.teaselhook.core.lease.OrderId;
+import org.teaselhook.core.lease.RunEvents;
+import org.teaselhook.core.lease.RunId;
+import org.teaselhook.core.lease.RunOutcome;
+import org.teaselhook.core.lease.RunRefusal;
+import org.teaselhook.core.lease.RunRequest;
+import org.teaselhook.core.lease.WorkerReport;
+import org.teaselhook.core.lease.WorkerRuns;
+import org.teaselhook.core.route.Routes;
+import org.teaselhook.net.log.LogLine;
+import org.teaselhook.node.route.AmountMessages;
+import org.teaselhook.node.route.RouteMessages;
+import org.teaselhook.node.settings.SocketAddresses;
+import org.teaselhook.wire.RunCommand;
+import org.teaselhook.wire.RunGreeting;
+import org.teaselhook.wire.RunOrder;
+import org.teaselhook.wire.RunPulse;
+import org.teaselhook.wire.RunReport;
+import org.teaselhook.wire.WorkerState;
+
+/**
+ * The agent's state: which entries it serves, and what it tells them of its worker. Confined to the control thread.
+ */
+final class LeaseAgentControl implements RunEvents {
+
+    /** How long changes of the worker's state are gathered before entries are told, in ns: a fraction of a task. */
+    private static final long GATHER_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
+
+    private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(LeaseTimes.ENTRY_SILENCE_MILLIS);
+
+    private final String zone;
+    private final EntryLinks links;
+    private final KeptAnswers answers = new KeptAnswers();
+    private final Set<Incarnation> served = new HashSet<>();
+    private WorkerRuns runs;
+    private Routes routes = Routes.none();
+    private long flushAt = Long.MAX_VALUE;
+    private long now;
+    private boolean leaving;
+
+    LeaseAgentControl(String zone, EntryLinks links) {
+        this.zone = Objects.requireNonNull(zone, "zone is null");
+        this.links = Objects.requireNonNull(links, "links is null");
+    }
+
+    void connect(WorkerRuns workerRuns) {
+        runs = Objects.requireNonNull(workerRuns, "workerRuns is null");
+    }
+
+    // -- accessors
+
+    long flushAt() {
+        return flushAt;
+    }
+
+    boolean isIdle() {
+        return runs.size() == 0;
+    }
+
+    // -- the worker
+
+    void reported(WorkerReport report, long nowNanos) {
+        now = nowNanos;
+        runs.reported(nowNanos, report);
+    }
+
+    void left(String workerId, long nowNanos) {
+        now = nowNanos;
+        runs.left(nowNanos, workerId);
+    }
+
+    // -- entries
+
+    void ended(CommandStream stream, String reason, long nowNanos) {
+        now = nowNanos;
+        links.ended(stream, reason, nowNanos);
+    }
+
+    void received(CommandStream stream, RunCommand command, long nowNanos) {
+        now = nowNanos;
+        Optional<EntryLink> link = links.on(stream);
+        if (link.isEmpty()) {
+            return;
+        }
+        if (command.hasGreeting()) {
+            greeted(link.get(), command.getGreeting(), nowNanos);
+            return;
+        }
+        Optional<Incarnation> entry = link.get().entry();
+        if (entry.isEmpty()) {
+            return;
+        }
+        switch (command.getCommandCase()) {
+            case PULSE -> pulsed(link.get(), command.getPulse(), nowNanos);
+            case ORDER -> ordered(entry.get(), command.getOrder(), nowNanos);
+            case STOP -> stopped(entry.get(), command.getStop().getOrder(), nowNanos);
+            case ROUTES -> learn(RouteMessages.routes(command.getRoutes()));
+            default ->
+                LogLine.of("frame-ignored")
+                        .with("frame", command.getCommandCase())
+                        .warn();
+        }
+    }
+
+    private void greeted(EntryLink link, RunGreeting greeting, long nowNanos) {
+        Incarnation entry = Incarnation.of(greeting.getIncarnation());
+        link.greeted(entry);
+        served.add(entry);
+        LogLine.of("entry-connected")
+                .with("entry", greeting.getName())
+                .with("incarnation", entry)
+                .with("orders", greeting.getInProgressCount())
+                .info();
+        for (long number : greeting.getInProgressList()) {
+            settle(link, new OrderId(entry, number));
+        }
+        sendState(link, true, nowNanos);
+    }
+
+    /** Answers for an order that the entry believes to be in progress. */
+    private void settle(EntryLink link, OrderId order) {
+        if (runs.holds(order)) {
+            return;
+        }
+        RunReport answer =
+                answers.find(order).orElseGet(() -> LeaseFrames.refusal(order.number(), RunRefusal.NEVER_ARRIVED));
+        answers.seen(order);
+        link.stream().ifPresent(stream -> stream.send(answer));
+    }
+
+    private void pulsed(EntryLink link, RunPulse pulse, long nowNanos) {
+        link.echoed(pulse.getEchoAgentNanos(), pulse.getRoutesVersion(), pulse.getLeaving());
+        List<InetSocketAddress> named = pulse.getEntriesList().stream()
+                .flatMap(text -> SocketAddresses.parse(text).stream())
+                .toList();
+        links.know(named, nowNanos);
+        if (routes.isKnown() && pulse.getRoutesVersion() < routes.version()) {
+            link.stream().ifPresent(stream -> stream.send(LeaseFrames.routes(routes)));
+        }
+    }
+
+    private void learn(Routes offered) {
+        Routes next = routes.newer(offered);
+        if (next != routes) {
+            routes = next;
+            LogLine.of("routes-applied")
+                    .with("version", next.version())
+                    .with("config", next.configVersion())
+                    .with("zones_out", next.zonesOut())
+                    .info();
+            changed();
+        }
+    }
+
+    private void ordered(Incarnation entry, RunOrder order, long nowNanos) {
+        OrderId id = new OrderId(entry, order.getOrder());
+        answers.seen(id);
+        Optional<RunRefusal> refusal = refusal(order, nowNanos);
+        if (refusal.isPresent()) {
+            refused(id, refusal.get());
+            return;
+        }
+        Amounts amounts = AmountMessages.amounts(order.getAmounts());
+        RunId run = new RunId(order.getTask(), order.getRun());
+        runs.order(
+                nowNanos,
+                new RunRequest(id, run, order.getService(), order.getSpec(), amounts, order.getStartByAgentNanos()));
+        changed();
+    }
+
+    private Optional<RunRefusal> refusal(RunOrder order, long nowNanos) {
+        long age = nowNanos - order.getEchoAgentNanos();
+        if (age < 0 || age > SILENCE_NANOS) {
+            return Optional.of(RunRefusal.STALE_ENTRY);
+        }
+        if (routes.isOut(zone)) {
+            return Optional.of(RunRefusal.ZONE_OUT);
+        }
+        return leaving ? Optional.of(RunRefusal.NO_WORKER) : Optional.empty();
+    }
+
+    private void stopped(Incarnation entry, long number, long nowNanos) {
+        LogLine.of("stop-received").with("entry", entry).with("order", number).debug();
+        runs.stop(nowNanos, new OrderId(entry, number));
+    }
+
+    // -- what became of orders
+
+    @Override
+    public void ended(OrderId order, RunOutcome outcome, long runMillis) {
+        if (outcome != RunOutcome.DONE) {
+            logOrder("run-ended", order)
+                    .with("outcome", outcome)
+                    .with("ms", runMillis)
+                    .info();
+        }
+        answer(order, LeaseFrames.end(order.number(), outcome, runMillis));
+    }
+
+    @Override
+    public void refused(OrderId order, RunRefusal refusal) {
+        logOrder("order-refused", order)
+                .with("reason", refusal)
+                .with("used_cpu", runs.used().cpuMillis())
+                .info();
+        answer(order, LeaseFrames.refusal(order.number(), refusal));
+        changed();
+    }
+
+    private static LogLine logOrder(String event, OrderId order) {
+        return LogLine.of(event).with("entry", order.entry()).with("order", order.number());
+    }
+
+    private void answer(OrderId order, RunReport answer) {
+        answers.keep(order, answer);
+        links.to(order.entry()).flatMap(EntryLink::stream).ifPresent(stream -> stream.send(answer));
+    }
+
+    @Override
+    public void changed() {
+        if (flushAt == Long.MAX_VALUE) {
+            flushAt = now + GATHER_NANOS;
+        }
+    }
+
+    // -- telling entries
+
+    /** Tells every entry what has changed. */
+    void flush(long nowNanos) {
+        now = nowNanos;
+        flushAt = Long.MAX_VALUE;
+        links.all().forEach(link -> sendState(link, false, nowNanos));
+    }
+
+    /** Tells every entry the worker's state and asks for an echo. */
+    void heartbeat(long nowNanos) {
+        now = nowNanos;
+        links.all().forEach(link -> sendState(link, true, nowNanos));
+    }
+
+    private void sendState(EntryLink link, boolean heartbeat, long nowNanos) {
+        if (link.entry().isEmpty() || link.stream().isEmpty()) {
+            return;
+        }
+        Optional<WorkerReport> open = leaving ? Optional.empty() : runs.open();
+        WorkerState.Builder state = WorkerState.newBuilder()
+                .setAgentNanos(nowNanos)
+                .setRoutesVersion(routes.version())
+                .setSeenOrder(answers.highestSeen(link.entry().get()))
+                .setEntries(links.heard(nowNanos))
+                .setHeartbeat(heartbeat);
+        open.ifPresent(worker -> state.setService(worker.service())
+                .setCapacity(AmountMessages.message(worker.capacity()))
+                .setUsed(AmountMessages.message(runs.used()))
+                .addAllLabels(worker.labels()));
+        link.stream().get().send(LeaseFrames.state(state));
+    }
+
+    // -- time and stopping
+
+    void tick(long nowNanos) {
+        now = nowNanos;
+        links.tick(nowNanos);
+        served.removeIf(entry -> !links.isHeard(entry, nowNanos) && stopRunsOf(entry, nowNanos));
+    }
+
+    /** Stops what a silent entry runs here: its callers may send their jobs to other entries soon. */
+    private boolean stopRunsOf(Incarnation entry, long nowNanos) {
+        int stopped = runs.stopAll(nowNanos, entry);
+        LogLine.of("entry-silent").with("entry", entry).with("stopped", stopped).warn();
+        return true;
+    }
+
+    void leave(long nowNanos) {
+        now = nowNanos;
+        leaving = true;
+        LogLine.of("agent-leaving").with("runs", runs.size()).info();
+        flush(nowNanos);
+    }
+
+    /** Drops every connection: this process stood still, and what lies in buffers may be out of date. */
+    void resumedAfterPause(long nowNanos) {
+        now = nowNanos;
+        links.dropAll(nowNanos, "this process stood still, or the time of day was set");
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/teaselhook/node/lease/LeaseFrames.java
@@ -0,0 +1,76 @@
+package org.teaselhook.node.lease;
+
+import org.teaselhook.core.id.Incarnation;
+import org.teaselhook.core.lease.RunOutcome;
+import org.teaselhook.core.lease.RunRefusal;
+import org.teaselhook.core.route.Routes;
+import org.teaselhook.node.route.RouteMessages;
+import org.teaselhook.wire.RunEnd;
+import org.teaselhook.wire.RunHello;
+import org.teaselhook.wire.RunRefusalReason;
+import org.teaselhook.wire.RunReport;
+import org.teaselhook.wire.WorkerState;
+
+/**
+ * The frames that an agent sends.
+ */
+final class LeaseFrames {
+
+    private LeaseFrames() {}
+
+    static RunReport hello(String name, Incarnation agent, String zone) {
+        return RunReport.newBuilder()
+                .setHello(RunHello.newBuilder()
+                        .setName(name)
+                        .setIncarnation(agent.value())
+                        .setZone(zone))
+                .build();
+    }
+
+    static RunReport state(WorkerState.Builder state) {
+        return RunReport.newBuilder().setState(state).build();
+    }
+
+    static RunReport end(long order, RunOutcome outcome, long runMillis) {
+        return RunReport.newBuilder()
+                .setEnd(RunEnd.newBuilder()
+                        .setOrder(order)
+                        .setOutcome(outcome(outcome))
+                        .setRunMillis(runMillis))
+                .build();
+    }
+
+    static RunReport refusal(long order, RunRefusal refusal) {
+        return RunReport.newBuilder()
+                .setRefusal(org.teaselhook.wire.RunRefusal.newBuilder()
+                        .setOrder(order)
+                        .setReason(reason(refusal)))
+                .build();
+    }
+
+    static RunReport routes(Routes routes) {
+        return RunReport.newBuilder().setRoutes(RouteMessages.document(routes)).build();
+    }
+
+    private static org.teaselhook.wire.RunOutcome outcome(RunOutcome outcome) {
+        return switch (outcome) {
+            case DONE -> org.teaselhook.wire.RunOutcome.RUN_DONE;
+            case FAILED -> org.teaselhook.wire.RunOutcome.RUN_FAILED;
+            case STOPPED -> org.teaselhook.wire.RunOutcome.RUN_STOPPED;
+            case LOST -> org.teaselhook.wire.RunOutcome.RUN_LOST;
+        };
+    }
+
+    private static RunRefusalReason reason(RunRefusal refusal) {
+        return switch (refusal) {
+            case NO_ROOM -> RunRefusalReason.RUN_NO_ROOM;
+            case NEVER_ARRIVED -> RunRefusalReason.RUN_NEVER_ARRIVED;
+            case STALE_ENTRY -> RunRefusalReason.RUN_STALE_ENTRY;
+            case START_BY_PASSED -> RunRefusalReason.RUN_START_BY_PASSED;
+            case ZONE_OUT -> RunRefusalReason.RUN_ZONE_OUT;
+            case NO_WORKER -> RunRefusalReason.RUN_NO_WORKER;
+            case WORKER_REFUSED -> RunRefusalReason.RUN_WORKER_REFUSED;
+            case CANCELLED -> RunRefusalReason.RUN_CANCELLED;
+        };
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/teaselhook/node/lease/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The agent of a worker that runs tasks under leases: its connections to the entries, and the worker's reports.
+ */
+package org.teaselhook.node.lease;
--- /dev/null
+++ b/node/src/main/java/org/teaselhook/node/settings/JobEntrySettings.java
@@ -0,0 +1,51 @@
+package org.teaselhook.node.settings;
+
+import java.net.InetSocketAddress;
+
+/**
+ * Settings of an entry that takes jobs whose tasks ask for amounts.
+ *
+ * <pre>{@code
+ * name: edge-thrissur-1
+ * zone: thrissur
+ * callers: 10.2.0.3:8161
+ * ready: 10.2.0.3:8167
+ * grpc: 10.2.0.3:7720
+ * table: 10.200.1.7:8169
+ * }</pre>
+ *
+ * @param name the entry's name, unique among entries
+ * @param zone the availability zone
+ * @param callers where callers' requests are taken
+ * @param ready where the balancer asks whether the entry is ready
+ * @param grpc where agents are served
+ * @param table the table service
+ */
+public record JobEntrySettings(
+        String name,
+        String zone,
+        InetSocketAddress callers,
+        InetSocketAddress ready,
+        InetSocketAddress grpc,
+        InetSocketAddress table) {
+
+    /**
+     * Reads settings.
+     *
+     * @param yaml the text of the settings file
+     * @return the settings, or every fault
+     */
+    public static SettingsResult<JobEntrySettings> parse(String yaml) {
+        return SettingsNode.parse(yaml, JobEntrySettings::read);
+    }
+
+    private static JobEntrySettings read(SettingsNode root) {
+        return new JobEntrySettings(
+                root.name("name"),
+                root.name("zone"),
+                root.address("callers"),
+                root.address("ready"),
+                root.address("grpc"),
+                root.address("table"));
+    }
+}
