--- a/app/src/main/java/org/teaselhook/app/JobEntryCommand.java
+++ b/app/src/main/java/org/teaselhook/app/JobEntryCommand.java
@@ -6,6 +6,7 @@
 import org.teaselhook.node.job.JobEntryNode;
 import org.teaselhook.node.settings.JobEntrySettings;
 import org.teaselhook.platform.Platform;
+import org.tinylog.jul.JulTinylogBridge;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 
@@ -23,6 +24,7 @@
 
     @Override
     public Integer call() throws Exception {
+        JulTinylogBridge.activate();
         Optional<JobEntrySettings> read = settings.read(JobEntrySettings::parse);
         if (read.isEmpty()) {
             return 2;
--- a/app/src/main/java/org/teaselhook/app/LeaseAgentCommand.java
+++ b/app/src/main/java/org/teaselhook/app/LeaseAgentCommand.java
@@ -6,6 +6,7 @@
 import org.teaselhook.node.lease.LeaseAgentNode;
 import org.teaselhook.node.settings.LeaseAgentSettings;
 import org.teaselhook.platform.Platform;
+import org.tinylog.jul.JulTinylogBridge;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 
@@ -23,6 +24,7 @@
 
     @Override
     public Integer call() throws Exception {
+        JulTinylogBridge.activate();
         Optional<LeaseAgentSettings> read = settings.read(LeaseAgentSettings::parse);
         if (read.isEmpty()) {
             return 2;
--- a/core/src/main/java/org/teaselhook/core/job/JobDecision.java
+++ b/core/src/main/java/org/teaselhook/core/job/JobDecision.java
@@ -1,5 +1,7 @@
 package org.teaselhook.core.job;
 
+import java.util.Locale;
+
 /**
  * One decision on a job or task, with the inputs that decided it.
  *
@@ -33,6 +35,15 @@
         /** The job is complete. */
         COMPLETED;
 
+        /**
+         * Returns the name of the log line's event.
+         *
+         * @return such as {@code job-accepted}
+         */
+        public String event() {
+            return "job-" + name().toLowerCase(Locale.ROOT).replace('_', '-');
+        }
+
         /**
          * Tells whether this happens with every job that is served.
          *
--- a/core/src/main/java/org/teaselhook/core/job/JobDispatcher.java
+++ b/core/src/main/java/org/teaselhook/core/job/JobDispatcher.java
@@ -1,12 +1,8 @@
 package org.teaselhook.core.job;
 
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 
 import org.teaselhook.core.id.Incarnation;
@@ -33,8 +29,7 @@
     private final WorkerFleet fleet = new WorkerFleet();
     private final JobAdmission admission = new JobAdmission(fleet, runTimes);
     private final JobPlanner planner = new JobPlanner(runTimes);
-    private final Map<String, ActiveJob> jobs = new HashMap<>();
-    private final TreeSet<ActiveJob> waiting = new TreeSet<>(ActiveJob.TURN);
+    private final ActiveJobs jobs = new ActiveJobs();
     private Routes routes = Routes.none();
     private int entries = 1;
 
@@ -65,9 +60,7 @@
      * @return the number
      */
     public int queued(String route) {
-        return Math.toIntExact(jobs.values().stream()
-                .filter(job -> !job.hasBegun() && job.job().route().name().equals(route))
-                .count());
+        return jobs.queued(route);
     }
 
     /**
@@ -86,7 +79,7 @@
      * @return true if so
      */
     public boolean isActive(String jobId) {
-        return jobs.containsKey(jobId);
+        return jobs.contains(jobId);
     }
 
     /**
@@ -121,14 +114,13 @@
      */
     public void submit(long nowNanos, Job job) {
         Optional<JobResult> known = recent.find(job.id());
-        if (known.isPresent() || jobs.containsKey(job.id())) {
+        if (known.isPresent() || jobs.contains(job.id())) {
             decided(JobDecision.Kind.DUPLICATE, job.id(), "", "answered", known.isPresent());
             known.ifPresent(result -> output.answered(nowNanos, job, result));
             return;
         }
         ActiveJob active = planner.plan(job);
-        Optional<Problem> refusal =
-                admission.refusal(nowNanos, active, waiting.headSet(active), entries, routes::isOut);
+        Optional<Problem> refusal = admission.refusal(nowNanos, active, jobs.ahead(active), entries, routes::isOut);
         if (refusal.isPresent()) {
             decided(
                     JobDecision.Kind.REFUSED,
@@ -139,8 +131,7 @@
             output.answered(nowNanos, job, new JobResult.NotRun(refusal.get()));
             return;
         }
-        jobs.put(job.id(), active);
-        waiting.add(active);
+        jobs.add(active);
         drain(nowNanos);
     }
 
@@ -151,7 +142,7 @@
      * @param jobId the job's id
      */
     public void cancel(long nowNanos, String jobId) {
-        ActiveJob active = jobs.get(jobId);
+        ActiveJob active = jobs.find(jobId);
         if (active != null) {
             decided(JobDecision.Kind.GIVEN_UP, jobId, "", "reason", "cancelled");
             remove(active);
@@ -235,7 +226,7 @@
         if (outcome == RunOutcome.FAILED) {
             failed(nowNanos, placement);
         }
-        if (jobs.get(task.job().job().id()) == task.job()) {
+        if (jobs.isCurrent(task)) {
             progress(nowNanos, task, outcome);
         }
     }
@@ -274,7 +265,7 @@
             decided(JobDecision.Kind.COMPLETED, active.job().id(), "", "ms", elapsed(nowNanos, active));
             finish(nowNanos, active, new JobResult.Completed());
         } else {
-            enqueue(active);
+            jobs.refresh(active);
         }
     }
 
@@ -305,8 +296,8 @@
         } else if (refusal != RunRefusal.CANCELLED) {
             placement.worker().avoid(nowNanos + TURNED_DOWN_NANOS);
         }
-        if (jobs.get(task.job().job().id()) == task.job()) {
-            enqueue(task.job());
+        if (jobs.isCurrent(task)) {
+            jobs.refresh(task.job());
         }
         drain(nowNanos);
     }
@@ -342,7 +333,7 @@
      */
     public void tick(long nowNanos) {
         fleet.surelyOver(nowNanos).forEach(worker -> gone(nowNanos, worker));
-        List.copyOf(jobs.values()).forEach(active -> giveUpIfUseless(nowNanos, active));
+        jobs.all().forEach(active -> giveUpIfUseless(nowNanos, active));
         fleet.placements().forEach(placement -> moveIfOverdue(nowNanos, placement));
         drain(nowNanos);
     }
@@ -363,7 +354,7 @@
         double expected = placement.expectedMillis();
         placement.worker().late(nowNanos, elapsed / expected);
         ActiveTask task = placement.task();
-        boolean current = jobs.get(task.job().job().id()) == task.job()
+        boolean current = jobs.isCurrent(task)
                 && task.placement().filter(p -> p == placement).isPresent();
         if (!current
                 || task.moves() >= MAX_MOVES
@@ -387,7 +378,7 @@
     // -- starting tasks
 
     private void drain(long nowNanos) {
-        for (ActiveJob active : new ArrayList<>(waiting)) {
+        for (ActiveJob active : jobs.inTurn()) {
             if (!active.hasBegun() && nowNanos - active.latestStart() > 0) {
                 continue;
             }
@@ -412,9 +403,7 @@
             }
             worker.ifPresent(chosen -> place(nowNanos, task, chosen));
         }
-        if (active.ready().isEmpty()) {
-            waiting.remove(active);
-        }
+        jobs.refresh(active);
         return true;
     }
 
@@ -422,9 +411,7 @@
         ActiveJob active = task.job();
         Job job = active.job();
         if (!active.hasBegun()) {
-            waiting.remove(active);
-            active.begin();
-            waiting.add(active);
+            jobs.begin(active);
             decided(JobDecision.Kind.ACCEPTED, job.id(), "", "waited_ms", elapsed(nowNanos, active));
         }
         double expected =
@@ -440,7 +427,7 @@
                 job.spec(),
                 task.step().amounts(),
                 active.giveUpAt());
-        decided(JobDecision.Kind.PLACED, job.id(), task.name(), "worker", worker.name(), "order", run.number());
+        decided(JobDecision.Kind.PLACED, job.id(), task.name(), placement.inputs(nowNanos, routes.version()));
         output.order(run);
     }
 
@@ -465,19 +452,12 @@
     }
 
     private void remove(ActiveJob active) {
-        waiting.remove(active);
-        jobs.remove(active.job().id());
+        jobs.remove(active);
         active.tasks().stream()
                 .flatMap(task -> task.placement().stream())
                 .forEach(p -> output.stop(p.worker().agent(), p.number()));
     }
 
-    private void enqueue(ActiveJob active) {
-        if (!active.ready().isEmpty()) {
-            waiting.add(active);
-        }
-    }
-
     private void decided(JobDecision.Kind kind, String job, String task, Object... inputs) {
         output.decided(new JobDecision(kind, job, task, inputs));
     }
--- a/core/src/main/java/org/teaselhook/core/job/Placement.java
+++ b/core/src/main/java/org/teaselhook/core/job/Placement.java
@@ -1,5 +1,7 @@
 package org.teaselhook.core.job;
 
+import java.util.concurrent.TimeUnit;
+
 import org.teaselhook.core.amount.Amounts;
 
 /**
@@ -32,4 +34,22 @@
     boolean isOverdue(long nowNanos) {
         return expectedMillis > 0 && elapsedMillis(nowNanos) >= OVERDUE_RATIO * expectedMillis + OVERDUE_MARGIN_MILLIS;
     }
+
+    /** Returns what decided on the worker, as pairs of key and value. */
+    Object[] inputs(long nowNanos, long routesVersion) {
+        return new Object[] {
+            "worker",
+            worker.name(),
+            "order",
+            number,
+            "free_cpu",
+            worker.free().cpuMillis(),
+            "view_age_ms",
+            TimeUnit.NANOSECONDS.toMillis(nowNanos - worker.heardAt()),
+            "slowness",
+            Math.round(100 * worker.slowness(nowNanos)) / 100.0,
+            "routes_version",
+            routesVersion
+        };
+    }
 }
--- a/core/src/main/java/org/teaselhook/core/lease/RunEvents.java
+++ b/core/src/main/java/org/teaselhook/core/lease/RunEvents.java
@@ -8,19 +8,19 @@
     /**
      * A run has certainly ended.
      *
-     * @param order the order
+     * @param request the order
      * @param outcome how it ended
      * @param runMillis how long it ran, in milliseconds
      */
-    void ended(OrderId order, RunOutcome outcome, long runMillis);
+    void ended(RunRequest request, RunOutcome outcome, long runMillis);
 
     /**
      * A run has not begun and never will under this order.
      *
-     * @param order the order
+     * @param request the order
      * @param refusal the reason
      */
-    void refused(OrderId order, RunRefusal refusal);
+    void refused(RunRequest request, RunRefusal refusal);
 
     /** What is free, or whether the worker takes work, has changed. */
     void changed();
--- a/core/src/main/java/org/teaselhook/core/lease/WorkerRuns.java
+++ b/core/src/main/java/org/teaselhook/core/lease/WorkerRuns.java
@@ -188,7 +188,7 @@
     public void order(long nowNanos, RunRequest request) {
         Optional<RunRefusal> refusal = refusal(nowNanos, request);
         if (refusal.isPresent()) {
-            events.refused(request.order(), refusal.get());
+            events.refused(request, refusal.get());
             return;
         }
         Run run = new Run(request, numbers.next(request.run()), nowNanos);
@@ -468,9 +468,9 @@
         runs.remove(run);
         if (run.hasBegun()) {
             long millis = TimeUnit.NANOSECONDS.toMillis(nowNanos - run.orderedAt());
-            events.ended(run.request().order(), outcome, millis);
+            events.ended(run.request(), outcome, millis);
         } else {
-            events.refused(run.request().order(), refusalOf(run));
+            events.refused(run.request(), refusalOf(run));
         }
         events.changed();
     }
@@ -481,7 +481,7 @@
 
     private void refuse(Run run, RunRefusal refusal) {
         runs.remove(run);
-        events.refused(run.request().order(), run.isStopWanted() ? RunRefusal.CANCELLED : refusal);
+        events.refused(run.request(), run.isStopWanted() ? RunRefusal.CANCELLED : refusal);
         events.changed();
     }
 }
--- a/core/src/test/java/org/teaselhook/core/lease/RecordingEvents.java
+++ b/core/src/test/java/org/teaselhook/core/lease/RecordingEvents.java
@@ -11,13 +11,13 @@
     private final List<String> events = new ArrayList<>();
 
     @Override
-    public void ended(OrderId order, RunOutcome outcome, long runMillis) {
-        events.add(order.number() + " " + outcome);
+    public void ended(RunRequest request, RunOutcome outcome, long runMillis) {
+        events.add(request.order().number() + " " + outcome);
     }
 
     @Override
-    public void refused(OrderId order, RunRefusal refusal) {
-        events.add(order.number() + " " + refusal);
+    public void refused(RunRequest request, RunRefusal refusal) {
+        events.add(request.order().number() + " " + refusal);
     }
 
     @Override
--- a/node/src/main/java/org/teaselhook/node/job/JobEntryControl.java
+++ b/node/src/main/java/org/teaselhook/node/job/JobEntryControl.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
@@ -26,12 +27,21 @@
     private final AgentSessions sessions;
     private final JobCallers callers = new JobCallers();
     private final LongSupplier clock;
+    private final JobMetrics metrics;
     private Routes routes = Routes.none();
-
-    JobEntryControl(String name, String zone, Incarnation entry, Supplier<List<String>> entries, LongSupplier clock) {
+    private long routesReadAt;
+
+    JobEntryControl(
+            String name,
+            String zone,
+            Incarnation entry,
+            Supplier<List<String>> entries,
+            LongSupplier clock,
+            JobMetrics metrics) {
         this.dispatcher = JobDispatcher.of(zone, this);
         this.sessions = new AgentSessions(name, entry, dispatcher, () -> routes, entries, this::learn);
         this.clock = clock;
+        this.metrics = metrics;
     }
 
     // -- accessors
@@ -60,6 +70,14 @@
         return dispatcher.queued(route.name());
     }
 
+    JobMetrics.Status status(long nowNanos) {
+        int queued = routes.routes().stream()
+                .mapToInt(route -> dispatcher.queued(route.name()))
+                .sum();
+        long ageMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - routesReadAt);
+        return new JobMetrics.Status(jobs(), openWorkers(), queued, routes.configVersion(), ageMillis);
+    }
+
     // -- jobs
 
     void submit(Job job, CompletableFuture<JobResult> caller, long nowNanos) {
@@ -93,13 +111,14 @@
 
     @Override
     public void answered(long nowNanos, Job job, JobResult result) {
+        metrics.answered(job.route().name(), result, (nowNanos - job.arrivedAt()) / 1e9);
         callers.answer(job.id(), result);
     }
 
     @Override
     public void decided(JobDecision decision) {
-        LogLine line = LogLine.of("job-" + decision.kind().name().toLowerCase(java.util.Locale.ROOT))
-                .with("job", decision.job());
+        metrics.decided(decision);
+        LogLine line = LogLine.of(decision.kind().event()).with("job", decision.job());
         if (!decision.task().isEmpty()) {
             line = line.with("task", decision.task());
         }
@@ -107,14 +126,20 @@
             line = line.with(String.valueOf(decision.inputs()[i]), decision.inputs()[i + 1]);
         }
         if (decision.kind().isRoutine()) {
-            line.debug();
-        } else {
             line.info();
+        } else {
+            line.warn();
         }
     }
 
     // -- operators' decisions
 
+    /** Takes what was read from the store. */
+    void read(Routes offered) {
+        routesReadAt = clock.getAsLong();
+        learn(offered);
+    }
+
     void learn(Routes offered) {
         Routes next = routes.newer(offered);
         if (next != routes) {
--- a/node/src/main/java/org/teaselhook/node/job/JobEntryNode.java
+++ b/node/src/main/java/org/teaselhook/node/job/JobEntryNode.java
@@ -29,6 +29,7 @@
 import org.teaselhook.node.config.MemberListener;
 import org.teaselhook.node.control.ControlLoop;
 import org.teaselhook.node.grpc.EntryGrpcServer;
+import org.teaselhook.node.health.MetricsServer;
 import org.teaselhook.node.route.RoutePoller;
 import org.teaselhook.node.settings.JobEntrySettings;
 import org.teaselhook.node.settings.SocketAddresses;
@@ -60,8 +61,11 @@
     private final Server grpc;
     private final HttpServer ready;
     private final HttpServer callers;
+    private final JobMetrics metrics = new JobMetrics(this::status);
+    private final MetricsServer metricsServer;
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
     private volatile Routes routes = Routes.none();
+    private volatile JobMetrics.Status status = JobMetrics.Status.INITIAL;
     private volatile Optional<String> unready = Optional.of("starting");
     private long leftAt = Long.MAX_VALUE;
 
@@ -75,9 +79,9 @@
         this.loops = loops;
         this.loop = ControlLoop.start("entry-control", System::nanoTime, JobEntryNode::failed);
         Incarnation incarnation = Incarnation.random(new Random());
-        this.control =
-                new JobEntryControl(settings.name(), settings.zone(), incarnation, this::knownEntries, loop::nowNanos);
-        this.poller = RoutePoller.of(source, loop, control::learn);
+        this.control = new JobEntryControl(
+                settings.name(), settings.zone(), incarnation, this::knownEntries, loop::nowNanos, metrics);
+        this.poller = RoutePoller.of(source, loop, control::read);
         this.members = EntryRegistry.of(table, member(incarnation), new Members(), loop, new Random());
         this.grpc = EntryGrpcServer.start(
                 loops.group(), settings.grpc(), new JobEntryGrpc(loop, control.sessions()), MAX_FRAME_BYTES);
@@ -85,6 +89,7 @@
         this.callers = HttpServer.start(loops, settings.callers(), front.apply(new Jobs()), limits);
         this.ready =
                 HttpServer.start(loops, settings.ready(), call -> CompletableFuture.completedFuture(ready()), limits);
+        this.metricsServer = MetricsServer.start(loops, settings.metrics(), metrics.registry());
         loop.every(TICK_MILLIS, this::tick);
         loop.every(SLOW_TICK_MILLIS, this::slowTick);
         LogLine.of("entry-started")
@@ -173,6 +178,7 @@
         grpc.shutdownNow();
         callers.close();
         ready.close();
+        metricsServer.close();
         loops.close();
         stopped.complete(null);
     }
@@ -186,6 +192,7 @@
 
     private void slowTick(long nowNanos) {
         poller.tick(nowNanos);
+        status = control.status(nowNanos);
         members.tick(nowNanos);
         if (leftAt != Long.MAX_VALUE) {
             closeIfDrained(nowNanos);
@@ -203,6 +210,10 @@
         unready = now;
     }
 
+    private JobMetrics.Status status() {
+        return status;
+    }
+
     private List<String> knownEntries() {
         return members.live().stream().map(Member::grpcAddress).toList();
     }
--- a/node/src/main/java/org/teaselhook/node/lease/LeaseAgentControl.java
+++ b/node/src/main/java/org/teaselhook/node/lease/LeaseAgentControl.java
@@ -8,7 +8,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
-import org.teaselhook.core.amount.Amounts;
 import org.teaselhook.core.id.Incarnation;
 import org.teaselhook.core.lease.LeaseTimes;
 import org.teaselhook.core.lease.OrderId;
@@ -43,6 +42,7 @@
 
     private final String zone;
     private final EntryLinks links;
+    private final LeaseMetrics metrics;
     private final KeptAnswers answers = new KeptAnswers();
     private final Set<Incarnation> served = new HashSet<>();
     private WorkerRuns runs;
@@ -51,7 +51,8 @@
     private long now;
     private boolean leaving;
 
-    LeaseAgentControl(String zone, EntryLinks links) {
+    LeaseAgentControl(String zone, EntryLinks links, LeaseMetrics metrics) {
+        this.metrics = Objects.requireNonNull(metrics, "metrics is null");
         this.zone = Objects.requireNonNull(zone, "zone is null");
         this.links = Objects.requireNonNull(links, "links is null");
     }
@@ -70,6 +71,13 @@
         return runs.size() == 0;
     }
 
+    LeaseMetrics.Status status(long nowNanos) {
+        int used = runs.used().cpuMillis();
+        int free = runs.open().map(w -> w.capacity().cpuMillis() - used).orElse(0);
+        return new LeaseMetrics.Status(
+                runs.size(), used, free, links.heard(nowNanos), runs.open().isPresent(), routes.configVersion());
+    }
+
     // -- the worker
 
     void reported(WorkerReport report, long nowNanos) {
@@ -168,17 +176,20 @@
     private void ordered(Incarnation entry, RunOrder order, long nowNanos) {
         OrderId id = new OrderId(entry, order.getOrder());
         answers.seen(id);
+        RunRequest request = new RunRequest(
+                id,
+                new RunId(order.getTask(), order.getRun()),
+                order.getService(),
+                order.getSpec(),
+                AmountMessages.amounts(order.getAmounts()),
+                order.getStartByAgentNanos());
         Optional<RunRefusal> refusal = refusal(order, nowNanos);
         if (refusal.isPresent()) {
-            refused(id, refusal.get());
-            return;
+            refused(request, refusal.get());
+        } else {
+            runs.order(nowNanos, request);
+            changed();
         }
-        Amounts amounts = AmountMessages.amounts(order.getAmounts());
-        RunId run = new RunId(order.getTask(), order.getRun());
-        runs.order(
-                nowNanos,
-                new RunRequest(id, run, order.getService(), order.getSpec(), amounts, order.getStartByAgentNanos()));
-        changed();
     }
 
     private Optional<RunRefusal> refusal(RunOrder order, long nowNanos) {
@@ -200,28 +211,36 @@
     // -- what became of orders
 
     @Override
-    public void ended(OrderId order, RunOutcome outcome, long runMillis) {
-        if (outcome != RunOutcome.DONE) {
-            logOrder("run-ended", order)
-                    .with("outcome", outcome)
-                    .with("ms", runMillis)
-                    .info();
+    public void ended(RunRequest request, RunOutcome outcome, long runMillis) {
+        metrics.ended(outcome, runMillis);
+        LogLine line = line("run-ended", request).with("outcome", outcome).with("ms", runMillis);
+        if (outcome == RunOutcome.DONE) {
+            line.info();
+        } else {
+            line.warn();
         }
-        answer(order, LeaseFrames.end(order.number(), outcome, runMillis));
+        answer(request.order(), LeaseFrames.end(request.order().number(), outcome, runMillis));
     }
 
     @Override
-    public void refused(OrderId order, RunRefusal refusal) {
-        logOrder("order-refused", order)
+    public void refused(RunRequest request, RunRefusal refusal) {
+        metrics.refused(refusal);
+        int free = runs.open().map(worker -> worker.capacity().cpuMillis()).orElse(0)
+                - runs.used().cpuMillis();
+        line("order-refused", request)
                 .with("reason", refusal)
-                .with("used_cpu", runs.used().cpuMillis())
-                .info();
-        answer(order, LeaseFrames.refusal(order.number(), refusal));
+                .with("free_cpu", free)
+                .with("routes_version", routes.version())
+                .warn();
+        answer(request.order(), LeaseFrames.refusal(request.order().number(), refusal));
         changed();
     }
 
-    private static LogLine logOrder(String event, OrderId order) {
-        return LogLine.of(event).with("entry", order.entry()).with("order", order.number());
+    private static LogLine line(String event, RunRequest request) {
+        return LogLine.of(event)
+                .with("task", request.run().task())
+                .with("entry", request.order().entry())
+                .with("order", request.order().number());
     }
 
     private void answer(OrderId order, RunReport answer) {
--- a/node/src/main/java/org/teaselhook/node/lease/LeaseAgentNode.java
+++ b/node/src/main/java/org/teaselhook/node/lease/LeaseAgentNode.java
@@ -24,6 +24,7 @@
 import org.teaselhook.node.config.EntryAddresses;
 import org.teaselhook.node.control.ControlLoop;
 import org.teaselhook.node.grpc.EntryChannels;
+import org.teaselhook.node.health.MetricsServer;
 import org.teaselhook.node.settings.LeaseAgentSettings;
 import org.teaselhook.wire.RunCommand;
 
@@ -57,8 +58,11 @@
     private final LeaseAgentControl control;
     private final WorkerRuns runs;
     private final HttpServer server;
+    private final LeaseMetrics metrics = new LeaseMetrics(this::status);
+    private final MetricsServer metricsServer;
     private final TableService table;
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+    private volatile LeaseMetrics.Status status = LeaseMetrics.Status.INITIAL;
     private long lookupAt;
     private long clockDifferenceMillis = clockDifference();
     private long leftAt = Long.MAX_VALUE;
@@ -75,7 +79,7 @@
         this.loop = ControlLoop.start("agent-control", System::nanoTime, LeaseAgentNode::failed);
         Incarnation incarnation = Incarnation.random(new Random());
         this.links = new EntryLinks(this::dial, LeaseFrames.hello(settings.name(), incarnation, settings.zone()));
-        this.control = new LeaseAgentControl(settings.zone(), links);
+        this.control = new LeaseAgentControl(settings.zone(), links, metrics);
         this.runs = WorkerRuns.of(System.currentTimeMillis(), calls, new OnLoop(), control, new RunLog());
         control.connect(runs);
         this.server = HttpServer.start(
@@ -83,6 +87,7 @@
                 settings.registrations(),
                 registrations.apply(new Registry()),
                 HttpLimits.of(MAX_REPORT_BYTES, MAX_CONNECTIONS, IDLE_MILLIS));
+        this.metricsServer = MetricsServer.start(loops, settings.metrics(), metrics.registry());
         loop.execute(() -> links.know(settings.entries(), loop.nowNanos()));
         loop.every(TICK_MILLIS, this::tick);
         loop.every(HEARTBEAT_MILLIS, control::heartbeat);
@@ -146,6 +151,7 @@
     public void close() {
         loop.close();
         server.close();
+        metricsServer.close();
         loops.close();
         stopped.complete(null);
     }
@@ -155,6 +161,7 @@
     private void tick(long nowNanos) {
         noticePause(nowNanos);
         control.tick(nowNanos);
+        status = control.status(nowNanos);
         lookUpEntries(nowNanos);
         boolean drained = leftAt != Long.MAX_VALUE && (control.isIdle() || nowNanos - leftAt > DRAIN_NANOS);
         if (drained && !stopped.isDone()) {
@@ -171,6 +178,10 @@
         EntryAddresses.scan(table).thenAccept(found -> loop.execute(() -> links.know(found, loop.nowNanos())));
     }
 
+    private LeaseMetrics.Status status() {
+        return status;
+    }
+
     private static long clockDifference() {
         return System.currentTimeMillis() - TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
--- a/node/src/main/java/org/teaselhook/node/lease/RunLog.java
+++ b/node/src/main/java/org/teaselhook/node/lease/RunLog.java
@@ -46,7 +46,7 @@
                 .with("order", order.number())
                 .with("result", result);
         if (result == StartResult.STARTED) {
-            line.debug();
+            line.info();
         } else {
             line.warn();
         }
--- a/node/src/main/java/org/teaselhook/node/settings/JobEntrySettings.java
+++ b/node/src/main/java/org/teaselhook/node/settings/JobEntrySettings.java
@@ -1,6 +1,7 @@
 package org.teaselhook.node.settings;
 
 import java.net.InetSocketAddress;
+import java.util.Optional;
 
 /**
  * Settings of an entry that takes jobs whose tasks ask for amounts.
@@ -12,6 +13,7 @@
  * ready: 10.2.0.3:8167
  * grpc: 10.2.0.3:7720
  * table: 10.200.1.7:8169
+ * metrics: 10.2.0.3:9464           # optional
  * }</pre>
  *
  * @param name the entry's name, unique among entries
@@ -20,6 +22,7 @@
  * @param ready where the balancer asks whether the entry is ready
  * @param grpc where agents are served
  * @param table the table service
+ * @param metrics where metrics are served, or empty
  */
 public record JobEntrySettings(
         String name,
@@ -27,7 +30,8 @@
         InetSocketAddress callers,
         InetSocketAddress ready,
         InetSocketAddress grpc,
-        InetSocketAddress table) {
+        InetSocketAddress table,
+        Optional<InetSocketAddress> metrics) {
 
     /**
      * Reads settings.
@@ -46,6 +50,7 @@
                 root.address("callers"),
                 root.address("ready"),
                 root.address("grpc"),
-                root.address("table"));
+                root.address("table"),
+                root.optionalAddress("metrics"));
     }
 }
--- a/node/src/main/java/org/teaselhook/node/settings/LeaseAgentSettings.java
+++ b/node/src/main/java/org/teaselhook/node/settings/LeaseAgentSettings.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Settings of an agent whose worker runs tasks under leases.
@@ -13,6 +14,7 @@
  * table: 10.200.1.7:8169
  * entries: [10.2.0.3:7720]           # where entries may be found before the table service has been read
  * entries-port: 7720                 # replaces the port of each address in entries
+ * metrics: 10.2.0.4:9464             # optional
  * }</pre>
  *
  * @param name the agent's name, unique among agents
@@ -20,13 +22,15 @@
  * @param registrations where the worker's reports of itself are taken
  * @param table the table service
  * @param entries gRPC addresses of entries, possibly none or out of date
+ * @param metrics where metrics are served, or empty
  */
 public record LeaseAgentSettings(
         String name,
         String zone,
         InetSocketAddress registrations,
         InetSocketAddress table,
-        List<InetSocketAddress> entries) {
+        List<InetSocketAddress> entries,
+        Optional<InetSocketAddress> metrics) {
 
     /** Copies the list. */
     public LeaseAgentSettings {
@@ -49,6 +53,11 @@
                 .map(address -> port == 0 ? address : new InetSocketAddress(address.getAddress(), port))
                 .toList();
         return new LeaseAgentSettings(
-                root.name("name"), root.name("zone"), root.address("registrations"), root.address("table"), entries);
+                root.name("name"),
+                root.name("zone"),
+                root.address("registrations"),
+                root.address("table"),
+                entries,
+                root.optionalAddress("metrics"));
     }
 }
--- a/node/src/main/java/org/teaselhook/node/settings/SettingsNode.java
+++ b/node/src/main/java/org/teaselhook/node/settings/SettingsNode.java
@@ -70,6 +70,10 @@
         return optional(key).map(value -> checkedAddress(key, value)).orElse(fallback);
     }
 
+    Optional<InetSocketAddress> optionalAddress(String key) {
+        return optional(key).map(value -> checkedAddress(key, value));
+    }
+
     List<InetSocketAddress> addresses(String key, int least) {
         Optional<JsonNode> list = least > 0 ? required(key) : optional(key);
         if (list.isEmpty()) {
