--- a/core/src/main/java/org/teaselhook/core/job/ActiveTask.java
+++ b/core/src/main/java/org/teaselhook/core/job/ActiveTask.java
@@ -94,8 +94,11 @@
         avoided.add(agent);
     }
 
-    void moved(Incarnation agent) {
+    void moved() {
         moves++;
+    }
+
+    void avoid(Incarnation agent) {
         avoided.add(agent);
     }
 
--- a/core/src/main/java/org/teaselhook/core/job/JobDispatcher.java
+++ b/core/src/main/java/org/teaselhook/core/job/JobDispatcher.java
@@ -1,11 +1,13 @@
 package org.teaselhook.core.job;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import org.teaselhook.core.id.Incarnation;
+import org.teaselhook.core.lease.RunForecast;
 import org.teaselhook.core.lease.RunOutcome;
 import org.teaselhook.core.lease.RunRefusal;
 import org.teaselhook.core.outcome.Problem;
@@ -334,7 +336,6 @@
     public void tick(long nowNanos) {
         fleet.surelyOver(nowNanos).forEach(worker -> gone(nowNanos, worker));
         jobs.all().forEach(active -> giveUpIfUseless(nowNanos, active));
-        fleet.placements().forEach(placement -> moveIfOverdue(nowNanos, placement));
         drain(nowNanos);
     }
 
@@ -346,33 +347,43 @@
         }
     }
 
-    private void moveIfOverdue(long nowNanos, Placement placement) {
-        if (!placement.isOverdue(nowNanos)) {
+    /**
+     * Takes what the progress of runs foretells, and moves those that end sooner elsewhere.
+     *
+     * @param nowNanos the present time
+     * @param forecasts the forecasts by order number
+     */
+    public void progress(long nowNanos, Map<Long, RunForecast> forecasts) {
+        forecasts.forEach((number, forecast) ->
+                fleet.find(number).ifPresent(placement -> moveIfSlow(nowNanos, placement, forecast)));
+    }
+
+    private void moveIfSlow(long nowNanos, Placement placement, RunForecast forecast) {
+        ActiveTask task = placement.task();
+        WorkerRecord worker = placement.worker();
+        double slowness = worker.slowness(nowNanos);
+        boolean moving = task.avoids(worker.agent());
+        if (moving || !jobs.isCurrent(task) || task.moves() >= MAX_MOVES || !Relocation.pays(forecast, slowness)) {
             return;
         }
-        double elapsed = placement.elapsedMillis(nowNanos);
-        double expected = placement.expectedMillis();
-        placement.worker().late(nowNanos, elapsed / expected);
-        ActiveTask task = placement.task();
-        boolean current = jobs.isCurrent(task)
-                && task.placement().filter(p -> p == placement).isPresent();
-        if (!current
-                || task.moves() >= MAX_MOVES
-                || task.avoids(placement.worker().agent())) {
+        task.avoid(worker.agent());
+        if (choice.choose(nowNanos, task, fleet.all(), routes::isOut).isEmpty()) {
+            task.avoidNone();
             return;
         }
-        task.moved(placement.worker().agent());
-        decided(
-                JobDecision.Kind.MOVED,
-                task.job().job().id(),
-                task.name(),
-                "worker",
-                placement.worker().name(),
-                "elapsed_ms",
-                Math.round(elapsed),
-                "expected_ms",
-                Math.round(expected));
-        output.stop(placement.worker().agent(), placement.number());
+        task.moved();
+        Object[] inputs = {
+            "worker",
+            worker.name(),
+            "slowness",
+            Math.round(10 * slowness) / 10.0,
+            "elapsed_ms",
+            forecast.elapsedMillis(),
+            "total_ms",
+            forecast.totalMillis()
+        };
+        decided(JobDecision.Kind.MOVED, task.job().job().id(), task.name(), inputs);
+        output.stop(worker.agent(), placement.number());
     }
 
     // -- starting tasks
@@ -426,6 +437,7 @@
                 job.route().service(),
                 job.spec(),
                 task.step().amounts(),
+                Math.round(expected),
                 active.giveUpAt());
         decided(JobDecision.Kind.PLACED, job.id(), task.name(), placement.inputs(nowNanos, routes.version()));
         output.order(run);
--- a/core/src/main/java/org/teaselhook/core/job/JobPlanner.java
+++ b/core/src/main/java/org/teaselhook/core/job/JobPlanner.java
@@ -8,6 +8,9 @@
     /** A job that takes longer than this many objectives is of no use to its caller. */
     private static final double USELESS_OBJECTIVES = 3;
 
+    /** How many times its estimate a job may take: work in progress is not thrown away for a wrong estimate. */
+    private static final double ESTIMATE_ERROR = 2;
+
     private static final double NANOS_PER_MILLI = 1e6;
 
     private final RunTimes runTimes;
@@ -26,7 +29,7 @@
         double work = job.chainMillis() * runTimes.ratio(job.route().name());
         double objective = job.route().objectiveMillis(work);
         long latestStart = job.arrivedAt() + nanos(objective - work);
-        long useless = job.arrivedAt() + nanos(objective * USELESS_OBJECTIVES);
+        long useless = job.arrivedAt() + nanos(objective * ESTIMATE_ERROR * USELESS_OBJECTIVES);
         long giveUpAt = useless - job.deadline() < 0 ? useless : job.deadline();
         return new ActiveJob(job, lastSequence, latestStart, giveUpAt);
     }
--- a/core/src/main/java/org/teaselhook/core/job/PlacedRun.java
+++ b/core/src/main/java/org/teaselhook/core/job/PlacedRun.java
@@ -13,6 +13,7 @@
  * @param service the service
  * @param spec the text that the worker is given
  * @param amounts what the run uses
+ * @param estimateMillis how long it probably takes; 0 if nobody knows
  * @param startBy the last useful start
  */
 public record PlacedRun(
@@ -23,4 +24,5 @@
         String service,
         String spec,
         Amounts amounts,
+        long estimateMillis,
         long startBy) {}
--- a/core/src/main/java/org/teaselhook/core/job/Placement.java
+++ b/core/src/main/java/org/teaselhook/core/job/Placement.java
@@ -15,26 +15,10 @@
  */
 record Placement(long number, ActiveTask task, WorkerRecord worker, long placedAt, double expectedMillis) {
 
-    /** A run that takes so many times as long as expected is overdue; estimates are off by up to half. */
-    private static final double OVERDUE_RATIO = 2.5;
-
-    /** Added to {@link #OVERDUE_RATIO}, in ms: what calls and frames take when machines are busy. */
-    private static final double OVERDUE_MARGIN_MILLIS = 60;
-
-    private static final double NANOS_PER_MILLI = 1e6;
-
     Amounts amounts() {
         return task.step().amounts();
     }
 
-    double elapsedMillis(long nowNanos) {
-        return (nowNanos - placedAt) / NANOS_PER_MILLI;
-    }
-
-    boolean isOverdue(long nowNanos) {
-        return expectedMillis > 0 && elapsedMillis(nowNanos) >= OVERDUE_RATIO * expectedMillis + OVERDUE_MARGIN_MILLIS;
-    }
-
     /** Returns what decided on the worker, as pairs of key and value. */
     Object[] inputs(long nowNanos, long routesVersion) {
         return new Object[] {
--- a/core/src/main/java/org/teaselhook/core/job/WorkerFleet.java
+++ b/core/src/main/java/org/teaselhook/core/job/WorkerFleet.java
@@ -38,10 +38,6 @@
         return Optional.ofNullable(placements.get(order));
     }
 
-    List<Placement> placements() {
-        return List.copyOf(placements.values());
-    }
-
     /** Whether an order for a task of this name is in progress, perhaps of an earlier copy of its job. */
     boolean isPlaced(String task) {
         return byTask.containsKey(task);
--- a/core/src/main/java/org/teaselhook/core/job/WorkerRecord.java
+++ b/core/src/main/java/org/teaselhook/core/job/WorkerRecord.java
@@ -14,6 +14,9 @@
     /** Weight of the newest run in the average of a worker's slowness. */
     private static final double SLOWNESS_WEIGHT = 0.25;
 
+    /** Over how long the pace that agents tell is averaged, in ns: several heartbeats. */
+    private static final double PACE_MEMORY_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
     /** How fast an old impression fades, so that a recovered worker is tried again, in ns. */
     private static final double SLOWNESS_FADE_NANOS = TimeUnit.SECONDS.toNanos(4);
 
@@ -109,6 +112,7 @@
     }
 
     void heard(long nowNanos, WorkerView newView) {
+        notePace(nowNanos, newView.pace());
         heardAt = nowNanos;
         view = newView;
         full = false;
@@ -144,10 +148,13 @@
         slownessAt = nowNanos;
     }
 
-    /** Notes a run that has already taken so many times as long as it should. */
-    void late(long nowNanos, double ratio) {
-        slowness = Math.max(slowness(nowNanos), Math.min(ratio, MAX_SLOWNESS));
-        slownessAt = nowNanos;
+    /** Follows the pace that the agent tells, so that one odd report does not decide. */
+    private void notePace(long nowNanos, double pace) {
+        if (pace > 0) {
+            double kept = Math.exp(-(nowNanos - heardAt) / PACE_MEMORY_NANOS);
+            slowness = slowness(nowNanos) * kept + Math.min(pace, MAX_SLOWNESS) * (1 - kept);
+            slownessAt = nowNanos;
+        }
     }
 
     /** Notes a failed run, and tells whether the worker is avoided from now on. */
--- a/core/src/main/java/org/teaselhook/core/lease/Run.java
+++ b/core/src/main/java/org/teaselhook/core/lease/Run.java
@@ -1,5 +1,7 @@
 package org.teaselhook.core.lease;
 
+import java.util.Optional;
+
 /**
  * One run that has not certainly ended: its amounts count as used.
  */
@@ -26,6 +28,8 @@
     private int startCalls;
     private long settledAt;
     private long stopAgainAt = Long.MAX_VALUE;
+    private int percent;
+    private long seenAt;
 
     Run(RunRequest request, RunId id, long orderedAt) {
         this.request = request;
@@ -51,6 +55,11 @@
         return orderedAt;
     }
 
+    /** Returns what its progress foretells, as of the last list; empty while that is too early to say. */
+    Optional<RunForecast> forecast() {
+        return begun ? RunForecast.of(seenAt - orderedAt, percent) : Optional.empty();
+    }
+
     /** Whether the worker is known to have begun it. */
     boolean hasBegun() {
         return begun;
@@ -79,8 +88,19 @@
         return settled && askedAt - settledAt > 0;
     }
 
+    /** Why its order is said to be refused when the worker is lost before the run is known to have begun. */
+    RunRefusal refusalIfLost() {
+        return state == State.STARTING ? RunRefusal.NO_WORKER : RunRefusal.WORKER_REFUSED;
+    }
+
     // -- updates
 
+    void seen(long nowNanos, int percentDone) {
+        begun(nowNanos);
+        percent = percentDone;
+        seenAt = nowNanos;
+    }
+
     void startCalled(RunId withId) {
         id = withId;
         startCalls++;
--- a/core/src/main/java/org/teaselhook/core/lease/RunTable.java
+++ b/core/src/main/java/org/teaselhook/core/lease/RunTable.java
@@ -8,6 +8,7 @@
 import java.util.function.Predicate;
 
 import org.teaselhook.core.amount.Amounts;
+import org.teaselhook.core.id.Incarnation;
 
 /**
  * The runs that have not certainly ended, and the sum of what they use.
@@ -40,6 +41,16 @@
         return byId.values().stream().filter(filter).toList();
     }
 
+    Map<Long, RunForecast> forecasts(Incarnation entry) {
+        Map<Long, RunForecast> result = new HashMap<>();
+        byOrder.forEach((order, run) -> {
+            if (order.entry().equals(entry)) {
+                run.forecast().ifPresent(forecast -> result.put(order.number(), forecast));
+            }
+        });
+        return result;
+    }
+
     int size() {
         return byId.size();
     }
--- a/core/src/main/java/org/teaselhook/core/lease/WorkerLook.java
+++ b/core/src/main/java/org/teaselhook/core/lease/WorkerLook.java
@@ -7,10 +7,10 @@
  *
  * @param startedAtMillis the Unix time of the worker's start; 0 if it did not say
  * @param clockMillis the worker's clock when it answered
- * @param running what runs
+ * @param running what runs, with its progress
  * @param ended what has ended and was not acknowledged, at most some hundreds at a time
  */
-public record WorkerLook(long startedAtMillis, long clockMillis, List<RunId> running, List<Ended> ended) {
+public record WorkerLook(long startedAtMillis, long clockMillis, List<Running> running, List<Ended> ended) {
 
     /** Copies the lists. */
     public WorkerLook {
@@ -18,6 +18,14 @@
         ended = List.copyOf(ended);
     }
 
+    /**
+     * A run that is there.
+     *
+     * @param run the run
+     * @param percent how much of its work is done, from 0 to 100
+     */
+    public record Running(RunId run, int percent) {}
+
     /**
      * The end of a run.
      *
--- a/core/src/main/java/org/teaselhook/core/lease/WorkerRuns.java
+++ b/core/src/main/java/org/teaselhook/core/lease/WorkerRuns.java
@@ -2,11 +2,14 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 import org.teaselhook.core.amount.Amounts;
 import org.teaselhook.core.id.Incarnation;
@@ -36,14 +39,11 @@
     private final RunTable runs = new RunTable();
     private final Set<RunId> strays = new HashSet<>();
     private final RunNumbers numbers = new RunNumbers();
+    private final Lease lease = new Lease();
     private Optional<WorkerReport> worker = Optional.empty();
-    private Optional<WorkerClock> clock = Optional.empty();
     private long token;
     private long acknowledged;
     private long life;
-    private boolean sealed;
-    private boolean answering;
-    private long renewedAt;
     private long lookDueAt = Long.MAX_VALUE;
 
     private WorkerRuns(long firstToken, WorkerCalls calls, ControlThread control, RunEvents events, LeaseLog log) {
@@ -79,7 +79,7 @@
      * @return its last report, or empty
      */
     public Optional<WorkerReport> open() {
-        return worker.filter(w -> sealed && answering && strays.isEmpty() && !w.draining());
+        return worker.filter(w -> lease.isHeld() && strays.isEmpty() && !w.draining());
     }
 
     /**
@@ -119,6 +119,25 @@
         return runs.all().stream().mapToLong(Run::stopDueAt).reduce(lookDueAt, Math::min);
     }
 
+    /**
+     * Returns how long runs take beside their estimates, by the progress of those that run now.
+     *
+     * @return 1 where estimates are right; empty if too few run
+     */
+    public OptionalDouble pace() {
+        return WorkerPace.of(runs.all());
+    }
+
+    /**
+     * Returns what the progress of an entry's runs foretells.
+     *
+     * @param entry the run of the entry
+     * @return the forecasts by order number
+     */
+    public Map<Long, RunForecast> forecasts(Incarnation entry) {
+        return runs.forecasts(entry);
+    }
+
     // -- the worker's word
 
     /**
@@ -169,9 +188,7 @@
         life++;
         token++;
         acknowledged = 0;
-        sealed = false;
-        answering = false;
-        clock = Optional.empty();
+        lease.reset();
         strays.clear();
         runs.all().forEach(run -> over(nowNanos, run, RunOutcome.LOST));
         events.changed();
@@ -198,7 +215,7 @@
 
     private Optional<RunRefusal> refusal(long nowNanos, RunRequest request) {
         Optional<WorkerReport> ready = open().filter(w -> w.service().equals(request.service()));
-        if (ready.isEmpty() || clock.isEmpty()) {
+        if (ready.isEmpty()) {
             return Optional.of(RunRefusal.NO_WORKER);
         }
         if (nowNanos - request.startBy() > 0) {
@@ -221,9 +238,8 @@
     private void callStart(long nowNanos, Run run, RunId id) {
         runs.renumber(run, id);
         numbers.used(id);
-        renewedAt = nowNanos;
         long calledInLife = life;
-        long until = clock.orElseThrow().leaseUntil(nowNanos);
+        long until = lease.renewForStart(nowNanos);
         control.handle(calls.start(worker.orElseThrow(), id, run.request().spec(), until, token), (now, result) -> {
             if (calledInLife == life && runs.holds(id, run) && run.state() == Run.State.STARTING) {
                 started(now, run, result);
@@ -264,7 +280,7 @@
 
     private void fenced() {
         token += TOKEN_LEAP;
-        sealed = false;
+        lease.unseal();
         log.fenced(token);
         events.changed();
     }
@@ -346,13 +362,9 @@
 
     private void look(long nowNanos) {
         lookDueAt = Long.MAX_VALUE;
-        boolean renews = sealed && answering && clock.isPresent();
-        OptionalLong until = renews ? OptionalLong.of(clock.orElseThrow().leaseUntil(nowNanos)) : OptionalLong.empty();
-        if (renews) {
-            renewedAt = nowNanos;
-        }
+        OptionalLong until = lease.renewForLook(nowNanos);
         long calledInLife = life;
-        long wait = renews ? LeaseTimes.LOOK_WAIT_MILLIS : 0;
+        long wait = until.isPresent() ? LeaseTimes.LOOK_WAIT_MILLIS : 0;
         control.handle(calls.look(worker.orElseThrow(), until, token, acknowledged, wait), (now, result) -> {
             if (calledInLife == life) {
                 looked(now, nowNanos, result);
@@ -388,12 +400,10 @@
             anotherLife(nowNanos, look);
             return;
         }
-        clock = Optional.of(new WorkerClock(look.clockMillis(), nowNanos));
         boolean wasOpen = open().isPresent();
         look.ended().forEach(ended -> ended(nowNanos, ended));
         reconcile(nowNanos, askedAt, look.running());
-        answering = true;
-        sealed = true;
+        lease.answered(nowNanos, look.clockMillis());
         if (open().isPresent() != wasOpen) {
             log.openChanged(open().isPresent(), strays.size());
             events.changed();
@@ -433,13 +443,14 @@
     }
 
     /** Compares what runs with what should: stops strays, and ends what has vanished. */
-    private void reconcile(long nowNanos, long askedAt, List<RunId> running) {
-        Set<RunId> present = new HashSet<>(running);
+    private void reconcile(long nowNanos, long askedAt, List<WorkerLook.Running> running) {
+        Set<RunId> present = running.stream().map(WorkerLook.Running::run).collect(Collectors.toSet());
         strays.retainAll(present);
-        for (RunId id : present) {
+        for (WorkerLook.Running seen : running) {
+            RunId id = seen.run();
             Optional<Run> run = runs.find(id);
             if (run.isPresent()) {
-                run.get().begun(nowNanos);
+                run.get().seen(nowNanos, seen.percent());
             } else {
                 strays.add(id);
                 numbers.used(id);
@@ -452,12 +463,11 @@
     }
 
     private void missed(long nowNanos, LookResult result) {
-        if (answering) {
+        if (lease.missed()) {
             log.missed(result);
-            answering = false;
             events.changed();
         }
-        if (nowNanos - LeaseTimes.certainEnd(renewedAt) > 0) {
+        if (lease.isSurelyOver(nowNanos)) {
             runs.all(Run::hasBegun).forEach(run -> over(nowNanos, run, RunOutcome.LOST));
         }
     }
@@ -470,15 +480,11 @@
             long millis = TimeUnit.NANOSECONDS.toMillis(nowNanos - run.orderedAt());
             events.ended(run.request(), outcome, millis);
         } else {
-            events.refused(run.request(), refusalOf(run));
+            events.refused(run.request(), run.refusalIfLost());
         }
         events.changed();
     }
 
-    private static RunRefusal refusalOf(Run run) {
-        return run.state() == Run.State.STARTING ? RunRefusal.NO_WORKER : RunRefusal.WORKER_REFUSED;
-    }
-
     private void refuse(Run run, RunRefusal refusal) {
         runs.remove(run);
         events.refused(run.request(), run.isStopWanted() ? RunRefusal.CANCELLED : refusal);
--- a/node/src/main/java/org/teaselhook/node/job/AgentSessions.java
+++ b/node/src/main/java/org/teaselhook/node/job/AgentSessions.java
@@ -128,6 +128,9 @@
             dispatcher.entries(Math.max(1, state.getEntries()));
         }
         dispatcher.heard(nowNanos, session.agent(), JobFrames.view(state));
+        if (state.getProgressCount() > 0) {
+            dispatcher.progress(nowNanos, JobFrames.forecasts(state));
+        }
     }
 
     private void ended(long nowNanos, RunEnd end) {
--- a/node/src/main/java/org/teaselhook/node/job/JobFrames.java
+++ b/node/src/main/java/org/teaselhook/node/job/JobFrames.java
@@ -1,10 +1,13 @@
 package org.teaselhook.node.job;
 
 import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
 
 import org.teaselhook.core.id.Incarnation;
 import org.teaselhook.core.job.PlacedRun;
 import org.teaselhook.core.job.WorkerView;
+import org.teaselhook.core.lease.RunForecast;
 import org.teaselhook.core.lease.RunOutcome;
 import org.teaselhook.core.lease.RunRefusal;
 import org.teaselhook.core.route.Routes;
@@ -13,6 +16,7 @@
 import org.teaselhook.wire.RunCommand;
 import org.teaselhook.wire.RunGreeting;
 import org.teaselhook.wire.RunOrder;
+import org.teaselhook.wire.RunProgress;
 import org.teaselhook.wire.RunPulse;
 import org.teaselhook.wire.RunRefusalReason;
 import org.teaselhook.wire.RunStop;
@@ -23,6 +27,8 @@
  */
 final class JobFrames {
 
+    private static final double PERCENT = 100;
+
     private JobFrames() {}
 
     // -- sent
@@ -60,7 +66,8 @@
                         .setRun(run.run())
                         .setService(run.service())
                         .setSpec(run.spec())
-                        .setAmounts(AmountMessages.message(run.amounts())))
+                        .setAmounts(AmountMessages.message(run.amounts()))
+                        .setEstimateMillis(run.estimateMillis()))
                 .build();
     }
 
@@ -78,7 +85,14 @@
                 AmountMessages.amounts(state.getCapacity()),
                 AmountMessages.amounts(state.getUsed()),
                 state.getLabelsList(),
-                state.getSeenOrder());
+                state.getSeenOrder(),
+                state.getPacePercent() / PERCENT);
+    }
+
+    static Map<Long, RunForecast> forecasts(WorkerState state) {
+        return state.getProgressList().stream()
+                .collect(Collectors.toMap(
+                        RunProgress::getOrder, p -> new RunForecast(p.getElapsedMillis(), p.getTotalMillis())));
     }
 
     static RunOutcome outcome(org.teaselhook.wire.RunOutcome outcome) {
--- a/node/src/main/java/org/teaselhook/node/lease/CommandStream.java
+++ b/node/src/main/java/org/teaselhook/node/lease/CommandStream.java
@@ -73,7 +73,9 @@
 
     @Override
     public void onError(Throwable failure) {
-        end(String.valueOf(Status.fromThrowable(failure)));
+        Status status = Status.fromThrowable(failure);
+        String cause = status.getCause() == null ? "" : ": " + status.getCause().getMessage();
+        end(status.getCode() + " " + status.getDescription() + cause);
     }
 
     @Override
--- a/node/src/main/java/org/teaselhook/node/lease/LeaseAgentControl.java
+++ b/node/src/main/java/org/teaselhook/node/lease/LeaseAgentControl.java
@@ -38,6 +38,9 @@
     /** How long changes of the worker's state are gathered before entries are told, in ns: a fraction of a task. */
     private static final long GATHER_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
 
+    /** The greatest pace told: a worker this slow is of no use, whatever the exact figure. */
+    private static final double MAX_PACE = 1_000;
+
     private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(LeaseTimes.ENTRY_SILENCE_MILLIS);
 
     private final String zone;
@@ -182,6 +185,7 @@
                 order.getService(),
                 order.getSpec(),
                 AmountMessages.amounts(order.getAmounts()),
+                order.getEstimateMillis(),
                 order.getStartByAgentNanos());
         Optional<RunRefusal> refusal = refusal(order, nowNanos);
         if (refusal.isPresent()) {
@@ -285,6 +289,11 @@
                 .setCapacity(AmountMessages.message(worker.capacity()))
                 .setUsed(AmountMessages.message(runs.used()))
                 .addAllLabels(worker.labels()));
+        runs.pace().ifPresent(pace -> state.setPacePercent((int) Math.round(Math.min(pace, MAX_PACE) * 100)));
+        if (heartbeat) {
+            runs.forecasts(link.entry().get())
+                    .forEach((order, forecast) -> state.addProgress(LeaseFrames.progress(order, forecast)));
+        }
         link.stream().get().send(LeaseFrames.state(state));
     }
 
--- a/node/src/main/java/org/teaselhook/node/lease/LeaseFrames.java
+++ b/node/src/main/java/org/teaselhook/node/lease/LeaseFrames.java
@@ -1,12 +1,14 @@
 package org.teaselhook.node.lease;
 
 import org.teaselhook.core.id.Incarnation;
+import org.teaselhook.core.lease.RunForecast;
 import org.teaselhook.core.lease.RunOutcome;
 import org.teaselhook.core.lease.RunRefusal;
 import org.teaselhook.core.route.Routes;
 import org.teaselhook.node.route.RouteMessages;
 import org.teaselhook.wire.RunEnd;
 import org.teaselhook.wire.RunHello;
+import org.teaselhook.wire.RunProgress;
 import org.teaselhook.wire.RunRefusalReason;
 import org.teaselhook.wire.RunReport;
 import org.teaselhook.wire.WorkerState;
@@ -31,6 +33,14 @@
         return RunReport.newBuilder().setState(state).build();
     }
 
+    static RunProgress progress(long order, RunForecast forecast) {
+        return RunProgress.newBuilder()
+                .setOrder(order)
+                .setTotalMillis(forecast.totalMillis())
+                .setElapsedMillis(forecast.elapsedMillis())
+                .build();
+    }
+
     static RunReport end(long order, RunOutcome outcome, long runMillis) {
         return RunReport.newBuilder()
                 .setEnd(RunEnd.newBuilder()
--- a/wire/src/main/java/org/teaselhook/wire/RunOrder.java
+++ b/wire/src/main/java/org/teaselhook/wire/RunOrder.java
@@ -247,6 +247,21 @@
     return amounts_ == null ? org.teaselhook.wire.AmountsMessage.getDefaultInstance() : amounts_;
   }
 
+  public static final int ESTIMATE_MILLIS_FIELD_NUMBER = 9;
+  private long estimateMillis_ = 0L;
+  /**
+   * <pre>
+   * How long it probably takes; 0 if nobody knows.
+   * </pre>
+   *
+   * <code>uint64 estimate_millis = 9;</code>
+   * @return The estimateMillis.
+   */
+  @java.lang.Override
+  public long getEstimateMillis() {
+    return estimateMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -285,6 +300,9 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(8, getAmounts());
     }
+    if (estimateMillis_ != 0L) {
+      output.writeUInt64(9, estimateMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -318,6 +336,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(8, getAmounts());
     }
+    if (estimateMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(9, estimateMillis_);
+    }
     return size;
   }
   @java.lang.Override
@@ -361,6 +383,8 @@
       if (!getAmounts()
           .equals(other.getAmounts())) return false;
     }
+    if (getEstimateMillis()
+        != other.getEstimateMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -393,6 +417,9 @@
       hash = (37 * hash) + AMOUNTS_FIELD_NUMBER;
       hash = (53 * hash) + getAmounts().hashCode();
     }
+    hash = (37 * hash) + ESTIMATE_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getEstimateMillis());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -542,6 +569,7 @@
         amountsBuilder_.dispose();
         amountsBuilder_ = null;
       }
+      estimateMillis_ = 0L;
       return this;
     }
 
@@ -603,6 +631,9 @@
             : amountsBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.estimateMillis_ = estimateMillis_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -648,6 +679,9 @@
       if (other.hasAmounts()) {
         mergeAmounts(other.getAmounts());
       }
+      if (other.getEstimateMillis() != 0L) {
+        setEstimateMillis(other.getEstimateMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -714,6 +748,11 @@
               bitField0_ |= 0x00000080;
               break;
             } // case 66
+            case 72: {
+              estimateMillis_ = input.readUInt64();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 72
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1218,6 +1257,50 @@
       return amountsBuilder_;
     }
 
+    private long estimateMillis_ ;
+    /**
+     * <pre>
+     * How long it probably takes; 0 if nobody knows.
+     * </pre>
+     *
+     * <code>uint64 estimate_millis = 9;</code>
+     * @return The estimateMillis.
+     */
+    @java.lang.Override
+    public long getEstimateMillis() {
+      return estimateMillis_;
+    }
+    /**
+     * <pre>
+     * How long it probably takes; 0 if nobody knows.
+     * </pre>
+     *
+     * <code>uint64 estimate_millis = 9;</code>
+     * @param value The estimateMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEstimateMillis(long value) {
+
+      estimateMillis_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * How long it probably takes; 0 if nobody knows.
+     * </pre>
+     *
+     * <code>uint64 estimate_millis = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEstimateMillis() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      estimateMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:teaselhook.v1.RunOrder)
   }
 
--- a/wire/src/main/java/org/teaselhook/wire/RunOrderOrBuilder.java
+++ b/wire/src/main/java/org/teaselhook/wire/RunOrderOrBuilder.java
@@ -92,4 +92,14 @@
    * <code>.teaselhook.v1.AmountsMessage amounts = 8;</code>
    */
   org.teaselhook.wire.AmountsMessageOrBuilder getAmountsOrBuilder();
+
+  /**
+   * <pre>
+   * How long it probably takes; 0 if nobody knows.
+   * </pre>
+   *
+   * <code>uint64 estimate_millis = 9;</code>
+   * @return The estimateMillis.
+   */
+  long getEstimateMillis();
 }
--- a/wire/src/main/java/org/teaselhook/wire/Teaselhook.java
+++ b/wire/src/main/java/org/teaselhook/wire/Teaselhook.java
@@ -176,6 +176,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_teaselhook_v1_WorkerState_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_teaselhook_v1_RunProgress_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_teaselhook_v1_RunProgress_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_teaselhook_v1_AmountsMessage_descriptor;
   static final 
@@ -334,72 +339,76 @@
       "nRefusalH\000\022.\n\006routes\030\005 \001(\0132\034.teaselhook." +
       "v1.RouteDocumentH\000B\010\n\006report\";\n\010RunHello" +
       "\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\014\n\004z" +
-      "one\030\003 \001(\t\"\361\001\n\013WorkerState\022\023\n\013agent_nanos" +
+      "one\030\003 \001(\t\"\265\002\n\013WorkerState\022\023\n\013agent_nanos" +
       "\030\001 \001(\006\022\026\n\016routes_version\030\002 \001(\004\022\017\n\007servic" +
       "e\030\003 \001(\t\022/\n\010capacity\030\004 \001(\0132\035.teaselhook.v" +
       "1.AmountsMessage\022+\n\004used\030\005 \001(\0132\035.teaselh" +
       "ook.v1.AmountsMessage\022\016\n\006labels\030\006 \003(\t\022\022\n" +
       "\nseen_order\030\007 \001(\004\022\021\n\theartbeat\030\010 \001(\010\022\017\n\007" +
-      "entries\030\t \001(\r\"E\n\016AmountsMessage\022\022\n\ncpu_m" +
-      "illis\030\001 \001(\r\022\021\n\tmemory_mb\030\002 \001(\r\022\014\n\004gpus\030\003" +
-      " \001(\r\"W\n\006RunEnd\022\r\n\005order\030\001 \001(\004\022*\n\007outcome" +
-      "\030\002 \001(\0162\031.teaselhook.v1.RunOutcome\022\022\n\nrun" +
-      "_millis\030\003 \001(\004\"L\n\nRunRefusal\022\r\n\005order\030\001 \001" +
-      "(\004\022/\n\006reason\030\002 \001(\0162\037.teaselhook.v1.RunRe" +
-      "fusalReason\"\363\001\n\nRunCommand\022.\n\010greeting\030\001" +
-      " \001(\0132\032.teaselhook.v1.RunGreetingH\000\022(\n\005pu" +
-      "lse\030\002 \001(\0132\027.teaselhook.v1.RunPulseH\000\022(\n\005" +
-      "order\030\003 \001(\0132\027.teaselhook.v1.RunOrderH\000\022&" +
-      "\n\004stop\030\004 \001(\0132\026.teaselhook.v1.RunStopH\000\022." +
-      "\n\006routes\030\005 \001(\0132\034.teaselhook.v1.RouteDocu" +
-      "mentH\000B\t\n\007command\"E\n\013RunGreeting\022\014\n\004name" +
-      "\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\023\n\013in_progre" +
-      "ss\030\003 \003(\004\"^\n\010RunPulse\022\030\n\020echo_agent_nanos" +
-      "\030\001 \001(\006\022\026\n\016routes_version\030\002 \001(\004\022\017\n\007entrie" +
-      "s\030\003 \003(\t\022\017\n\007leaving\030\004 \001(\010\"\273\001\n\010RunOrder\022\r\n" +
-      "\005order\030\001 \001(\004\022\030\n\020echo_agent_nanos\030\002 \001(\006\022\034" +
-      "\n\024start_by_agent_nanos\030\003 \001(\006\022\014\n\004task\030\004 \001" +
-      "(\t\022\013\n\003run\030\005 \001(\r\022\017\n\007service\030\006 \001(\t\022\014\n\004spec" +
-      "\030\007 \001(\t\022.\n\007amounts\030\010 \001(\0132\035.teaselhook.v1." +
-      "AmountsMessage\"\030\n\007RunStop\022\r\n\005order\030\001 \001(\004" +
-      "\"x\n\rRouteDocument\022\017\n\007version\030\001 \001(\004\022\026\n\016co" +
-      "nfig_version\030\002 \001(\004\022+\n\006routes\030\003 \003(\0132\033.tea" +
-      "selhook.v1.RouteMessage\022\021\n\tzones_out\030\004 \003" +
-      "(\t\"\300\001\n\014RouteMessage\022\014\n\004name\030\001 \001(\t\022\014\n\004hos" +
-      "t\030\002 \001(\t\022\023\n\013path_prefix\030\003 \001(\t\022\017\n\007service\030" +
-      "\004 \001(\t\022\020\n\010priority\030\005 \001(\r\022\024\n\014max_attempts\030" +
-      "\006 \001(\r\022\017\n\007stretch\030\007 \001(\001\022\035\n\025target_latency" +
-      "_millis\030\010 \001(\004\022\026\n\016timeout_millis\030\t \001(\004*V\n" +
-      "\nTaskStatus\022\033\n\027TASK_STATUS_UNSPECIFIED\020\000" +
-      "\022\014\n\010COMPLETE\020\001\022\020\n\014TARGET_ERROR\020\002\022\013\n\007UNKN" +
-      "OWN\020\003*\204\002\n\rRefusalReason\022\036\n\032REFUSAL_REASO" +
-      "N_UNSPECIFIED\020\000\022\020\n\014NO_FREE_SLOT\020\001\022\020\n\014ALR" +
-      "EADY_SEEN\020\002\022\023\n\017START_BY_PASSED\020\003\022\014\n\010ZONE" +
-      "_OUT\020\004\022\013\n\007LEAVING\020\005\022\r\n\tNO_TARGET\020\006\022\017\n\013ST" +
-      "ALE_ENTRY\020\007\022\025\n\021WRONG_INCARNATION\020\010\022\021\n\rNE" +
-      "VER_ARRIVED\020\t\022\r\n\tCANCELLED\020\n\022\022\n\016CONNECT_" +
-      "FAILED\020\013\022\022\n\016CONFIG_UNKNOWN\020\014*v\n\016ForwardO" +
-      "utcome\022\037\n\033FORWARD_OUTCOME_UNSPECIFIED\020\000\022" +
-      "\024\n\020FORWARD_COMPLETE\020\001\022\023\n\017FORWARD_NOT_RUN" +
-      "\020\002\022\030\n\024FORWARD_MAY_HAVE_RUN\020\003*f\n\nRunOutco" +
-      "me\022\033\n\027RUN_OUTCOME_UNSPECIFIED\020\000\022\014\n\010RUN_D" +
-      "ONE\020\001\022\016\n\nRUN_FAILED\020\002\022\017\n\013RUN_STOPPED\020\003\022\014" +
-      "\n\010RUN_LOST\020\004*\334\001\n\020RunRefusalReason\022\"\n\036RUN" +
-      "_REFUSAL_REASON_UNSPECIFIED\020\000\022\017\n\013RUN_NO_" +
-      "ROOM\020\001\022\025\n\021RUN_NEVER_ARRIVED\020\002\022\023\n\017RUN_STA" +
-      "LE_ENTRY\020\003\022\027\n\023RUN_START_BY_PASSED\020\004\022\020\n\014R" +
-      "UN_ZONE_OUT\020\005\022\021\n\rRUN_NO_WORKER\020\006\022\026\n\022RUN_" +
-      "WORKER_REFUSED\020\007\022\021\n\rRUN_CANCELLED\020\0102\337\002\n\014" +
-      "EntryService\022C\n\007Session\022\031.teaselhook.v1." +
-      "AgentFrame\032\031.teaselhook.v1.EntryFrame(\0010" +
-      "\001\022>\n\004Peer\022\030.teaselhook.v1.PeerFrame\032\030.te" +
-      "aselhook.v1.PeerFrame(\0010\001\022E\n\007Forward\022\035.t" +
-      "easelhook.v1.ForwardRequest\032\033.teaselhook" +
-      ".v1.ForwardReply\022B\n\006Agents\022\034.teaselhook." +
-      "v1.AgentsRequest\032\032.teaselhook.v1.AgentsR" +
-      "eply\022?\n\004Runs\022\030.teaselhook.v1.RunReport\032\031" +
-      ".teaselhook.v1.RunCommand(\0010\001B\027\n\023org.tea" +
-      "selhook.wireP\001b\006proto3"
+      "entries\030\t \001(\r\022\024\n\014pace_percent\030\n \001(\r\022,\n\010p" +
+      "rogress\030\013 \003(\0132\032.teaselhook.v1.RunProgres" +
+      "s\"J\n\013RunProgress\022\r\n\005order\030\001 \001(\004\022\024\n\014total" +
+      "_millis\030\002 \001(\004\022\026\n\016elapsed_millis\030\003 \001(\004\"E\n" +
+      "\016AmountsMessage\022\022\n\ncpu_millis\030\001 \001(\r\022\021\n\tm" +
+      "emory_mb\030\002 \001(\r\022\014\n\004gpus\030\003 \001(\r\"W\n\006RunEnd\022\r" +
+      "\n\005order\030\001 \001(\004\022*\n\007outcome\030\002 \001(\0162\031.teaselh" +
+      "ook.v1.RunOutcome\022\022\n\nrun_millis\030\003 \001(\004\"L\n" +
+      "\nRunRefusal\022\r\n\005order\030\001 \001(\004\022/\n\006reason\030\002 \001" +
+      "(\0162\037.teaselhook.v1.RunRefusalReason\"\363\001\n\n" +
+      "RunCommand\022.\n\010greeting\030\001 \001(\0132\032.teaselhoo" +
+      "k.v1.RunGreetingH\000\022(\n\005pulse\030\002 \001(\0132\027.teas" +
+      "elhook.v1.RunPulseH\000\022(\n\005order\030\003 \001(\0132\027.te" +
+      "aselhook.v1.RunOrderH\000\022&\n\004stop\030\004 \001(\0132\026.t" +
+      "easelhook.v1.RunStopH\000\022.\n\006routes\030\005 \001(\0132\034" +
+      ".teaselhook.v1.RouteDocumentH\000B\t\n\007comman" +
+      "d\"E\n\013RunGreeting\022\014\n\004name\030\001 \001(\t\022\023\n\013incarn" +
+      "ation\030\002 \001(\006\022\023\n\013in_progress\030\003 \003(\004\"^\n\010RunP" +
+      "ulse\022\030\n\020echo_agent_nanos\030\001 \001(\006\022\026\n\016routes" +
+      "_version\030\002 \001(\004\022\017\n\007entries\030\003 \003(\t\022\017\n\007leavi" +
+      "ng\030\004 \001(\010\"\324\001\n\010RunOrder\022\r\n\005order\030\001 \001(\004\022\030\n\020" +
+      "echo_agent_nanos\030\002 \001(\006\022\034\n\024start_by_agent" +
+      "_nanos\030\003 \001(\006\022\014\n\004task\030\004 \001(\t\022\013\n\003run\030\005 \001(\r\022" +
+      "\017\n\007service\030\006 \001(\t\022\014\n\004spec\030\007 \001(\t\022.\n\007amount" +
+      "s\030\010 \001(\0132\035.teaselhook.v1.AmountsMessage\022\027" +
+      "\n\017estimate_millis\030\t \001(\004\"\030\n\007RunStop\022\r\n\005or" +
+      "der\030\001 \001(\004\"x\n\rRouteDocument\022\017\n\007version\030\001 " +
+      "\001(\004\022\026\n\016config_version\030\002 \001(\004\022+\n\006routes\030\003 " +
+      "\003(\0132\033.teaselhook.v1.RouteMessage\022\021\n\tzone" +
+      "s_out\030\004 \003(\t\"\300\001\n\014RouteMessage\022\014\n\004name\030\001 \001" +
+      "(\t\022\014\n\004host\030\002 \001(\t\022\023\n\013path_prefix\030\003 \001(\t\022\017\n" +
+      "\007service\030\004 \001(\t\022\020\n\010priority\030\005 \001(\r\022\024\n\014max_" +
+      "attempts\030\006 \001(\r\022\017\n\007stretch\030\007 \001(\001\022\035\n\025targe" +
+      "t_latency_millis\030\010 \001(\004\022\026\n\016timeout_millis" +
+      "\030\t \001(\004*V\n\nTaskStatus\022\033\n\027TASK_STATUS_UNSP" +
+      "ECIFIED\020\000\022\014\n\010COMPLETE\020\001\022\020\n\014TARGET_ERROR\020" +
+      "\002\022\013\n\007UNKNOWN\020\003*\204\002\n\rRefusalReason\022\036\n\032REFU" +
+      "SAL_REASON_UNSPECIFIED\020\000\022\020\n\014NO_FREE_SLOT" +
+      "\020\001\022\020\n\014ALREADY_SEEN\020\002\022\023\n\017START_BY_PASSED\020" +
+      "\003\022\014\n\010ZONE_OUT\020\004\022\013\n\007LEAVING\020\005\022\r\n\tNO_TARGE" +
+      "T\020\006\022\017\n\013STALE_ENTRY\020\007\022\025\n\021WRONG_INCARNATIO" +
+      "N\020\010\022\021\n\rNEVER_ARRIVED\020\t\022\r\n\tCANCELLED\020\n\022\022\n" +
+      "\016CONNECT_FAILED\020\013\022\022\n\016CONFIG_UNKNOWN\020\014*v\n" +
+      "\016ForwardOutcome\022\037\n\033FORWARD_OUTCOME_UNSPE" +
+      "CIFIED\020\000\022\024\n\020FORWARD_COMPLETE\020\001\022\023\n\017FORWAR" +
+      "D_NOT_RUN\020\002\022\030\n\024FORWARD_MAY_HAVE_RUN\020\003*f\n" +
+      "\nRunOutcome\022\033\n\027RUN_OUTCOME_UNSPECIFIED\020\000" +
+      "\022\014\n\010RUN_DONE\020\001\022\016\n\nRUN_FAILED\020\002\022\017\n\013RUN_ST" +
+      "OPPED\020\003\022\014\n\010RUN_LOST\020\004*\334\001\n\020RunRefusalReas" +
+      "on\022\"\n\036RUN_REFUSAL_REASON_UNSPECIFIED\020\000\022\017" +
+      "\n\013RUN_NO_ROOM\020\001\022\025\n\021RUN_NEVER_ARRIVED\020\002\022\023" +
+      "\n\017RUN_STALE_ENTRY\020\003\022\027\n\023RUN_START_BY_PASS" +
+      "ED\020\004\022\020\n\014RUN_ZONE_OUT\020\005\022\021\n\rRUN_NO_WORKER\020" +
+      "\006\022\026\n\022RUN_WORKER_REFUSED\020\007\022\021\n\rRUN_CANCELL" +
+      "ED\020\0102\337\002\n\014EntryService\022C\n\007Session\022\031.tease" +
+      "lhook.v1.AgentFrame\032\031.teaselhook.v1.Entr" +
+      "yFrame(\0010\001\022>\n\004Peer\022\030.teaselhook.v1.PeerF" +
+      "rame\032\030.teaselhook.v1.PeerFrame(\0010\001\022E\n\007Fo" +
+      "rward\022\035.teaselhook.v1.ForwardRequest\032\033.t" +
+      "easelhook.v1.ForwardReply\022B\n\006Agents\022\034.te" +
+      "aselhook.v1.AgentsRequest\032\032.teaselhook.v" +
+      "1.AgentsReply\022?\n\004Runs\022\030.teaselhook.v1.Ru" +
+      "nReport\032\031.teaselhook.v1.RunCommand(\0010\001B\027" +
+      "\n\023org.teaselhook.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -584,63 +593,69 @@
     internal_static_teaselhook_v1_WorkerState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_WorkerState_descriptor,
-        new java.lang.String[] { "AgentNanos", "RoutesVersion", "Service", "Capacity", "Used", "Labels", "SeenOrder", "Heartbeat", "Entries", });
-    internal_static_teaselhook_v1_AmountsMessage_descriptor =
+        new java.lang.String[] { "AgentNanos", "RoutesVersion", "Service", "Capacity", "Used", "Labels", "SeenOrder", "Heartbeat", "Entries", "PacePercent", "Progress", });
+    internal_static_teaselhook_v1_RunProgress_descriptor =
       getDescriptor().getMessageType(30);
+    internal_static_teaselhook_v1_RunProgress_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_teaselhook_v1_RunProgress_descriptor,
+        new java.lang.String[] { "Order", "TotalMillis", "ElapsedMillis", });
+    internal_static_teaselhook_v1_AmountsMessage_descriptor =
+      getDescriptor().getMessageType(31);
     internal_static_teaselhook_v1_AmountsMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_AmountsMessage_descriptor,
         new java.lang.String[] { "CpuMillis", "MemoryMb", "Gpus", });
     internal_static_teaselhook_v1_RunEnd_descriptor =
-      getDescriptor().getMessageType(31);
+      getDescriptor().getMessageType(32);
     internal_static_teaselhook_v1_RunEnd_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_RunEnd_descriptor,
         new java.lang.String[] { "Order", "Outcome", "RunMillis", });
     internal_static_teaselhook_v1_RunRefusal_descriptor =
-      getDescriptor().getMessageType(32);
+      getDescriptor().getMessageType(33);
     internal_static_teaselhook_v1_RunRefusal_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_RunRefusal_descriptor,
         new java.lang.String[] { "Order", "Reason", });
     internal_static_teaselhook_v1_RunCommand_descriptor =
-      getDescriptor().getMessageType(33);
+      getDescriptor().getMessageType(34);
     internal_static_teaselhook_v1_RunCommand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_RunCommand_descriptor,
         new java.lang.String[] { "Greeting", "Pulse", "Order", "Stop", "Routes", "Command", });
     internal_static_teaselhook_v1_RunGreeting_descriptor =
-      getDescriptor().getMessageType(34);
+      getDescriptor().getMessageType(35);
     internal_static_teaselhook_v1_RunGreeting_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_RunGreeting_descriptor,
         new java.lang.String[] { "Name", "Incarnation", "InProgress", });
     internal_static_teaselhook_v1_RunPulse_descriptor =
-      getDescriptor().getMessageType(35);
+      getDescriptor().getMessageType(36);
     internal_static_teaselhook_v1_RunPulse_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_RunPulse_descriptor,
         new java.lang.String[] { "EchoAgentNanos", "RoutesVersion", "Entries", "Leaving", });
     internal_static_teaselhook_v1_RunOrder_descriptor =
-      getDescriptor().getMessageType(36);
+      getDescriptor().getMessageType(37);
     internal_static_teaselhook_v1_RunOrder_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_RunOrder_descriptor,
-        new java.lang.String[] { "Order", "EchoAgentNanos", "StartByAgentNanos", "Task", "Run", "Service", "Spec", "Amounts", });
+        new java.lang.String[] { "Order", "EchoAgentNanos", "StartByAgentNanos", "Task", "Run", "Service", "Spec", "Amounts", "EstimateMillis", });
     internal_static_teaselhook_v1_RunStop_descriptor =
-      getDescriptor().getMessageType(37);
+      getDescriptor().getMessageType(38);
     internal_static_teaselhook_v1_RunStop_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_RunStop_descriptor,
         new java.lang.String[] { "Order", });
     internal_static_teaselhook_v1_RouteDocument_descriptor =
-      getDescriptor().getMessageType(38);
+      getDescriptor().getMessageType(39);
     internal_static_teaselhook_v1_RouteDocument_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_RouteDocument_descriptor,
         new java.lang.String[] { "Version", "ConfigVersion", "Routes", "ZonesOut", });
     internal_static_teaselhook_v1_RouteMessage_descriptor =
-      getDescriptor().getMessageType(39);
+      getDescriptor().getMessageType(40);
     internal_static_teaselhook_v1_RouteMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_RouteMessage_descriptor,
--- a/wire/src/main/java/org/teaselhook/wire/WorkerState.java
+++ b/wire/src/main/java/org/teaselhook/wire/WorkerState.java
@@ -31,6 +31,7 @@
     service_ = "";
     labels_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
+    progress_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -271,6 +272,82 @@
     return entries_;
   }
 
+  public static final int PACE_PERCENT_FIELD_NUMBER = 10;
+  private int pacePercent_ = 0;
+  /**
+   * <pre>
+   * How long runs take here beside their estimates, in percent, by the progress of those that run now; 0 if too few run.
+   * </pre>
+   *
+   * <code>uint32 pace_percent = 10;</code>
+   * @return The pacePercent.
+   */
+  @java.lang.Override
+  public int getPacePercent() {
+    return pacePercent_;
+  }
+
+  public static final int PROGRESS_FIELD_NUMBER = 11;
+  @SuppressWarnings("serial")
+  private java.util.List<org.teaselhook.wire.RunProgress> progress_;
+  /**
+   * <pre>
+   * The progress of the receiver's runs. Only in heartbeats.
+   * </pre>
+   *
+   * <code>repeated .teaselhook.v1.RunProgress progress = 11;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.teaselhook.wire.RunProgress> getProgressList() {
+    return progress_;
+  }
+  /**
+   * <pre>
+   * The progress of the receiver's runs. Only in heartbeats.
+   * </pre>
+   *
+   * <code>repeated .teaselhook.v1.RunProgress progress = 11;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.teaselhook.wire.RunProgressOrBuilder> 
+      getProgressOrBuilderList() {
+    return progress_;
+  }
+  /**
+   * <pre>
+   * The progress of the receiver's runs. Only in heartbeats.
+   * </pre>
+   *
+   * <code>repeated .teaselhook.v1.RunProgress progress = 11;</code>
+   */
+  @java.lang.Override
+  public int getProgressCount() {
+    return progress_.size();
+  }
+  /**
+   * <pre>
+   * The progress of the receiver's runs. Only in heartbeats.
+   * </pre>
+   *
+   * <code>repeated .teaselhook.v1.RunProgress progress = 11;</code>
+   */
+  @java.lang.Override
+  public org.teaselhook.wire.RunProgress getProgress(int index) {
+    return progress_.get(index);
+  }
+  /**
+   * <pre>
+   * The progress of the receiver's runs. Only in heartbeats.
+   * </pre>
+   *
+   * <code>repeated .teaselhook.v1.RunProgress progress = 11;</code>
+   */
+  @java.lang.Override
+  public org.teaselhook.wire.RunProgressOrBuilder getProgressOrBuilder(
+      int index) {
+    return progress_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -312,6 +389,12 @@
     if (entries_ != 0) {
       output.writeUInt32(9, entries_);
     }
+    if (pacePercent_ != 0) {
+      output.writeUInt32(10, pacePercent_);
+    }
+    for (int i = 0; i < progress_.size(); i++) {
+      output.writeMessage(11, progress_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -355,6 +438,19 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(9, entries_);
     }
+    if (pacePercent_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(10, pacePercent_);
+    }
+
+        {
+          final int count = progress_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(progress_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -403,6 +499,10 @@
         != other.getHeartbeat()) return false;
     if (getEntries()
         != other.getEntries()) return false;
+    if (getPacePercent()
+        != other.getPacePercent()) return false;
+    if (!getProgressList()
+        .equals(other.getProgressList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -442,6 +542,12 @@
         getHeartbeat());
     hash = (37 * hash) + ENTRIES_FIELD_NUMBER;
     hash = (53 * hash) + getEntries();
+    hash = (37 * hash) + PACE_PERCENT_FIELD_NUMBER;
+    hash = (53 * hash) + getPacePercent();
+    if (getProgressCount() > 0) {
+      hash = (37 * hash) + PROGRESS_FIELD_NUMBER;
+      hash = (53 * hash) + getProgressList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -574,6 +680,7 @@
               .alwaysUseFieldBuilders) {
         internalGetCapacityFieldBuilder();
         internalGetUsedFieldBuilder();
+        internalGetProgressFieldBuilder();
       }
     }
     @java.lang.Override
@@ -598,6 +705,14 @@
       seenOrder_ = 0L;
       heartbeat_ = false;
       entries_ = 0;
+      pacePercent_ = 0;
+      if (progressBuilder_ == null) {
+        progress_ = java.util.Collections.emptyList();
+      } else {
+        progress_ = null;
+        progressBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000400);
       return this;
     }
 
@@ -624,11 +739,24 @@
     @java.lang.Override
     public org.teaselhook.wire.WorkerState buildPartial() {
       org.teaselhook.wire.WorkerState result = new org.teaselhook.wire.WorkerState(this);
+      buildPartialRepeatedFields(result);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
+    private void buildPartialRepeatedFields(org.teaselhook.wire.WorkerState result) {
+      if (progressBuilder_ == null) {
+        if (((bitField0_ & 0x00000400) != 0)) {
+          progress_ = java.util.Collections.unmodifiableList(progress_);
+          bitField0_ = (bitField0_ & ~0x00000400);
+        }
+        result.progress_ = progress_;
+      } else {
+        result.progress_ = progressBuilder_.build();
+      }
+    }
+
     private void buildPartial0(org.teaselhook.wire.WorkerState result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
@@ -666,6 +794,9 @@
       if (((from_bitField0_ & 0x00000100) != 0)) {
         result.entries_ = entries_;
       }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.pacePercent_ = pacePercent_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -717,6 +848,35 @@
       if (other.getEntries() != 0) {
         setEntries(other.getEntries());
       }
+      if (other.getPacePercent() != 0) {
+        setPacePercent(other.getPacePercent());
+      }
+      if (progressBuilder_ == null) {
+        if (!other.progress_.isEmpty()) {
+          if (progress_.isEmpty()) {
+            progress_ = other.progress_;
+            bitField0_ = (bitField0_ & ~0x00000400);
+          } else {
+            ensureProgressIsMutable();
+            progress_.addAll(other.progress_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.progress_.isEmpty()) {
+          if (progressBuilder_.isEmpty()) {
+            progressBuilder_.dispose();
+            progressBuilder_ = null;
+            progress_ = other.progress_;
+            bitField0_ = (bitField0_ & ~0x00000400);
+            progressBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetProgressFieldBuilder() : null;
+          } else {
+            progressBuilder_.addAllMessages(other.progress_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -790,6 +950,24 @@
               bitField0_ |= 0x00000100;
               break;
             } // case 72
+            case 80: {
+              pacePercent_ = input.readUInt32();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 80
+            case 90: {
+              org.teaselhook.wire.RunProgress m =
+                  input.readMessage(
+                      org.teaselhook.wire.RunProgress.parser(),
+                      extensionRegistry);
+              if (progressBuilder_ == null) {
+                ensureProgressIsMutable();
+                progress_.add(m);
+              } else {
+                progressBuilder_.addMessage(m);
+              }
+              break;
+            } // case 90
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1492,6 +1670,356 @@
       return this;
     }
 
+    private int pacePercent_ ;
+    /**
+     * <pre>
+     * How long runs take here beside their estimates, in percent, by the progress of those that run now; 0 if too few run.
+     * </pre>
+     *
+     * <code>uint32 pace_percent = 10;</code>
+     * @return The pacePercent.
+     */
+    @java.lang.Override
+    public int getPacePercent() {
+      return pacePercent_;
+    }
+    /**
+     * <pre>
+     * How long runs take here beside their estimates, in percent, by the progress of those that run now; 0 if too few run.
+     * </pre>
+     *
+     * <code>uint32 pace_percent = 10;</code>
+     * @param value The pacePercent to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPacePercent(int value) {
+
+      pacePercent_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * How long runs take here beside their estimates, in percent, by the progress of those that run now; 0 if too few run.
+     * </pre>
+     *
+     * <code>uint32 pace_percent = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPacePercent() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      pacePercent_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private java.util.List<org.teaselhook.wire.RunProgress> progress_ =
+      java.util.Collections.emptyList();
+    private void ensureProgressIsMutable() {
+      if (!((bitField0_ & 0x00000400) != 0)) {
+        progress_ = new java.util.ArrayList<org.teaselhook.wire.RunProgress>(progress_);
+        bitField0_ |= 0x00000400;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.teaselhook.wire.RunProgress, org.teaselhook.wire.RunProgress.Builder, org.teaselhook.wire.RunProgressOrBuilder> progressBuilder_;
+
+    /**
+     * <pre>
+     * The progress of the receiver's runs. Only in heartbeats.
+     * </pre>
+     *
+     * <code>repeated .teaselhook.v1.RunProgress progress = 11;</code>
+     */
+    public java.util.List<org.teaselhook.wire.RunProgress> getProgressList() {
+      if (progressBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(progress_);
+      } else {
+        return progressBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * The progress of the receiver's runs. Only in heartbeats.
+     * </pre>
+     *
+     * <code>repeated .teaselhook.v1.RunProgress progress = 11;</code>
+     */
+    public int getProgressCount() {
+      if (progressBuilder_ == null) {
+        return progress_.size();
+      } else {
+        return progressBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * The progress of the receiver's runs. Only in heartbeats.
+     * </pre>
+     *
+     * <code>repeated .teaselhook.v1.RunProgress progress = 11;</code>
+     */
+    public org.teaselhook.wire.RunProgress getProgress(int index) {
+      if (progressBuilder_ == null) {
+        return progress_.get(index);
+      } else {
+        return progressBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * The progress of the receiver's runs. Only in heartbeats.
+     * </pre>
+     *
+     * <code>repeated .teaselhook.v1.RunProgress progress = 11;</code>
+     */
+    public Builder setProgress(
+        int index, org.teaselhook.wire.RunProgress value) {
+      if (progressBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureProgressIsMutable();
+        progress_.set(index, value);
+        onChanged();
+      } else {
+        progressBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The progress of the receiver's runs. Only in heartbeats.
+     * </pre>
+     *
+     * <code>repeated .teaselhook.v1.RunProgress progress = 11;</code>
+     */
+    public Builder setProgress(
+        int index, org.teaselhook.wire.RunProgress.Builder builderForValue) {
+      if (progressBuilder_ == null) {
+        ensureProgressIsMutable();
+        progress_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        progressBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The progress of the receiver's runs. Only in heartbeats.
+     * </pre>
+     *
+     * <code>repeated .teaselhook.v1.RunProgress progress = 11;</code>
+     */
+    public Builder addProgress(org.teaselhook.wire.RunProgress value) {
+      if (progressBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureProgressIsMutable();
+        progress_.add(value);
+        onChanged();
+      } else {
+        progressBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The progress of the receiver's runs. Only in heartbeats.
+     * </pre>
+     *
+     * <code>repeated .teaselhook.v1.RunProgress progress = 11;</code>
+     */
+    public Builder addProgress(
+        int index, org.teaselhook.wire.RunProgress value) {
+      if (progressBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureProgressIsMutable();
+        progress_.add(index, value);
+        onChanged();
+      } else {
+        progressBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The progress of the receiver's runs. Only in heartbeats.
+     * </pre>
+     *
+     * <code>repeated .teaselhook.v1.RunProgress progress = 11;</code>
+     */
+    public Builder addProgress(
+        org.teaselhook.wire.RunProgress.Builder builderForValue) {
+      if (progressBuilder_ == null) {
+        ensureProgressIsMutable();
+        progress_.add(builderForValue.build());
+        onChanged();
+      } else {
+        progressBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The progress of the receiver's runs. Only in heartbeats.
+     * </pre>
+     *
+     * <code>repeated .teaselhook.v1.RunProgress progress = 11;</code>
+     */
+    public Builder addProgress(
+        int index, org.teaselhook.wire.RunProgress.Builder builderForValue) {
+      if (progressBuilder_ == null) {
+        ensureProgressIsMutable();
+        progress_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        progressBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The progress of the receiver's runs. Only in heartbeats.
+     * </pre>
+     *
+     * <code>repeated .teaselhook.v1.RunProgress progress = 11;</code>
+     */
+    public Builder addAllProgress(
+        java.lang.Iterable<? extends org.teaselhook.wire.RunProgress> values) {
+      if (progressBuilder_ == null) {
+        ensureProgressIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, progress_);
+        onChanged();
+      } else {
+        progressBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The progress of the receiver's runs. Only in heartbeats.
+     * </pre>
+     *
+     * <code>repeated .teaselhook.v1.RunProgress progress = 11;</code>
+     */
+    public Builder clearProgress() {
+      if (progressBuilder_ == null) {
+        progress_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000400);
+        onChanged();
+      } else {
+        progressBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The progress of the receiver's runs. Only in heartbeats.
+     * </pre>
+     *
+     * <code>repeated .teaselhook.v1.RunProgress progress = 11;</code>
+     */
+    public Builder removeProgress(int index) {
+      if (progressBuilder_ == null) {
+        ensureProgressIsMutable();
+        progress_.remove(index);
+        onChanged();
+      } else {
+        progressBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The progress of the receiver's runs. Only in heartbeats.
+     * </pre>
+     *
+     * <code>repeated .teaselhook.v1.RunProgress progress = 11;</code>
+     */
+    public org.teaselhook.wire.RunProgress.Builder getProgressBuilder(
+        int index) {
+      return internalGetProgressFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * The progress of the receiver's runs. Only in heartbeats.
+     * </pre>
+     *
+     * <code>repeated .teaselhook.v1.RunProgress progress = 11;</code>
+     */
+    public org.teaselhook.wire.RunProgressOrBuilder getProgressOrBuilder(
+        int index) {
+      if (progressBuilder_ == null) {
+        return progress_.get(index);  } else {
+        return progressBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * The progress of the receiver's runs. Only in heartbeats.
+     * </pre>
+     *
+     * <code>repeated .teaselhook.v1.RunProgress progress = 11;</code>
+     */
+    public java.util.List<? extends org.teaselhook.wire.RunProgressOrBuilder> 
+         getProgressOrBuilderList() {
+      if (progressBuilder_ != null) {
+        return progressBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(progress_);
+      }
+    }
+    /**
+     * <pre>
+     * The progress of the receiver's runs. Only in heartbeats.
+     * </pre>
+     *
+     * <code>repeated .teaselhook.v1.RunProgress progress = 11;</code>
+     */
+    public org.teaselhook.wire.RunProgress.Builder addProgressBuilder() {
+      return internalGetProgressFieldBuilder().addBuilder(
+          org.teaselhook.wire.RunProgress.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * The progress of the receiver's runs. Only in heartbeats.
+     * </pre>
+     *
+     * <code>repeated .teaselhook.v1.RunProgress progress = 11;</code>
+     */
+    public org.teaselhook.wire.RunProgress.Builder addProgressBuilder(
+        int index) {
+      return internalGetProgressFieldBuilder().addBuilder(
+          index, org.teaselhook.wire.RunProgress.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * The progress of the receiver's runs. Only in heartbeats.
+     * </pre>
+     *
+     * <code>repeated .teaselhook.v1.RunProgress progress = 11;</code>
+     */
+    public java.util.List<org.teaselhook.wire.RunProgress.Builder> 
+         getProgressBuilderList() {
+      return internalGetProgressFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.teaselhook.wire.RunProgress, org.teaselhook.wire.RunProgress.Builder, org.teaselhook.wire.RunProgressOrBuilder> 
+        internalGetProgressFieldBuilder() {
+      if (progressBuilder_ == null) {
+        progressBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.teaselhook.wire.RunProgress, org.teaselhook.wire.RunProgress.Builder, org.teaselhook.wire.RunProgressOrBuilder>(
+                progress_,
+                ((bitField0_ & 0x00000400) != 0),
+                getParentForChildren(),
+                isClean());
+        progress_ = null;
+      }
+      return progressBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:teaselhook.v1.WorkerState)
   }
 
--- a/wire/src/main/java/org/teaselhook/wire/WorkerStateOrBuilder.java
+++ b/wire/src/main/java/org/teaselhook/wire/WorkerStateOrBuilder.java
@@ -142,4 +142,58 @@
    * @return The entries.
    */
   int getEntries();
+
+  /**
+   * <pre>
+   * How long runs take here beside their estimates, in percent, by the progress of those that run now; 0 if too few run.
+   * </pre>
+   *
+   * <code>uint32 pace_percent = 10;</code>
+   * @return The pacePercent.
+   */
+  int getPacePercent();
+
+  /**
+   * <pre>
+   * The progress of the receiver's runs. Only in heartbeats.
+   * </pre>
+   *
+   * <code>repeated .teaselhook.v1.RunProgress progress = 11;</code>
+   */
+  java.util.List<org.teaselhook.wire.RunProgress> 
+      getProgressList();
+  /**
+   * <pre>
+   * The progress of the receiver's runs. Only in heartbeats.
+   * </pre>
+   *
+   * <code>repeated .teaselhook.v1.RunProgress progress = 11;</code>
+   */
+  org.teaselhook.wire.RunProgress getProgress(int index);
+  /**
+   * <pre>
+   * The progress of the receiver's runs. Only in heartbeats.
+   * </pre>
+   *
+   * <code>repeated .teaselhook.v1.RunProgress progress = 11;</code>
+   */
+  int getProgressCount();
+  /**
+   * <pre>
+   * The progress of the receiver's runs. Only in heartbeats.
+   * </pre>
+   *
+   * <code>repeated .teaselhook.v1.RunProgress progress = 11;</code>
+   */
+  java.util.List<? extends org.teaselhook.wire.RunProgressOrBuilder> 
+      getProgressOrBuilderList();
+  /**
+   * <pre>
+   * The progress of the receiver's runs. Only in heartbeats.
+   * </pre>
+   *
+   * <code>repeated .teaselhook.v1.RunProgress progress = 11;</code>
+   */
+  org.teaselhook.wire.RunProgressOrBuilder getProgressOrBuilder(
+      int index);
 }
