--- a/app/src/main/java/org/teaselhook/app/Main.java
+++ b/app/src/main/java/org/teaselhook/app/Main.java
@@ -20,6 +20,7 @@
             JobEntryCommand.class,
             LeaseAgentCommand.class,
             TableCommand.class,
+            ExplainCommand.class,
             LocalCommand.class,
             org.teaselhook.app.ctl.CtlCommand.class
         })
--- /dev/null
+++ b/app/src/test/java/org/teaselhook/app/explain/LogStoryTest.java
@@ -0,0 +1,54 @@
+package org.teaselhook.app.explain;
+
+import java.util.List;
+
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+public class LogStoryTest {
+
+    private static final String DAY = "2026-12-04T07:00:";
+
+    @Test
+    public void shouldTellLinesOfRequestAndCausesAroundThemInOrderOfTime() {
+        LogStory story = LogStory.of("ab12");
+        story.add("edge-1", DAY + "01.000 level=INFO thread=c event=job-placed job=ab12 task=ab12.0.0.0 worker=side-2");
+        story.add("edge-1", DAY + "01.900 level=WARN thread=c event=agent-lost agent=side-2 reason=silent");
+        story.add("side-2", DAY + "01.005 level=INFO thread=c event=run-start task=ab12.0.0.0 result=STARTED");
+        story.add("edge-1", DAY + "02.500 level=WARN thread=c event=job-given-up job=ab12 reason=\"not done\"");
+
+        assertEquals(
+                story.tell(2_000).stream().map(line -> line.substring(0, 8)).toList(),
+                List.of("* edge-1", "* side-2", "  edge-1", "* edge-1"));
+    }
+
+    @Test
+    public void shouldLeaveOutOtherProcessesOtherTimesAndOtherRequests() {
+        LogStory story = LogStory.of("ab12");
+        story.add("edge-1", DAY + "01.000 level=INFO thread=c event=job-placed job=ab12 worker=side-2");
+        story.add("edge-1", DAY + "30.000 level=WARN thread=c event=store-lost reason=x");
+        story.add("edge-3", DAY + "01.000 level=WARN thread=c event=store-lost reason=x");
+        story.add("edge-1", DAY + "01.000 level=INFO thread=c event=job-placed job=cd34 worker=side-2");
+
+        assertEquals(story.tell(2_000).size(), 1);
+    }
+
+    @Test
+    public void shouldCountUnreadableLines() {
+        LogStory story = LogStory.of("ab12");
+        story.add("edge-1", "\u0000\u0001 not a line ab12");
+        story.add("edge-1", "2026-99-99T07:00:01 level=INFO thread=c event=x ab12");
+        story.add("edge-1", "   7.1 edge-1 " + DAY + "01.000 level=INFO thread=c event=job-placed job=ab12");
+
+        assertEquals(story.unreadable(), 2);
+        assertEquals(story.lines(), 3);
+        assertEquals(story.tell(0).size(), 1);
+    }
+
+    @Test
+    public void shouldTellNothingOfUnknownRequest() {
+        assertTrue(LogStory.of("ab12").tell(1_000).isEmpty());
+    }
+}
