Bear one lost look, hold back after a pause, keep jobs while agents of a new entry connect

An entry that wakes reads requests of callers who have left and sent their jobs elsewhere, and learns of that just after. An entry that starts turned jobs away that could wait for the first agent. Change: two misses close a worker, a look waits 60 ms; after a pause nothing is placed for 100 ms; a new entry keeps jobs until their latest useful start. PauseDetector serves entry and agent.

--- a/core/src/main/java/org/teaselhook/core/job/ActiveJob.java
+++ b/core/src/main/java/org/teaselhook/core/job/ActiveJob.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 
 /**
@@ -105,6 +106,22 @@
                 .count());
     }
 
+    /** Returns what was known of it when it began, as pairs of key and value. */
+    Object[] inputs(long nowNanos) {
+        return new Object[] {
+            "route",
+            job.route().name(),
+            "tasks",
+            tasks.size(),
+            "estimate_ms",
+            job.chainMillis(),
+            "slack_ms",
+            TimeUnit.NANOSECONDS.toMillis(latestStart - job.arrivedAt()),
+            "waited_ms",
+            TimeUnit.NANOSECONDS.toMillis(nowNanos - job.arrivedAt())
+        };
+    }
+
     // -- updates
 
     void begin() {
--- a/core/src/main/java/org/teaselhook/core/job/JobAdmission.java
+++ b/core/src/main/java/org/teaselhook/core/job/JobAdmission.java
@@ -44,7 +44,7 @@
                 .filter(w -> w.serves(service) && !zoneOut.test(w.zone()) && !w.isAvoided(nowNanos))
                 .toList();
         if (serving.isEmpty()) {
-            return problem(ProblemKind.NO_WORKER, "service=" + service);
+            return fleet.isForming() ? Optional.empty() : problem(ProblemKind.NO_WORKER, "service=" + service);
         }
         if (!fits(job, serving)) {
             return problem(ProblemKind.NO_WORKER, "no worker is large enough for a task");
--- a/core/src/main/java/org/teaselhook/core/job/JobDispatcher.java
+++ b/core/src/main/java/org/teaselhook/core/job/JobDispatcher.java
@@ -21,6 +21,9 @@
 
     private static final int MAX_MOVES = 2;
 
+    /** How long it takes to read what has gathered while this process stood still, in ns. */
+    private static final long CATCH_UP_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
     /** How long a worker that turned a start down is left alone, in ns. */
     private static final long TURNED_DOWN_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
@@ -34,6 +37,7 @@
     private final ActiveJobs jobs = new ActiveJobs();
     private Routes routes = Routes.none();
     private int entries = 1;
+    private long placeNothingUntil = Long.MIN_VALUE;
 
     private JobDispatcher(String zone, JobOutput output) {
         this.output = Objects.requireNonNull(output, "output is null");
@@ -190,6 +194,7 @@
         }
         worker.get().heard(nowNanos, view);
         if (!view.service().isEmpty()) {
+            fleet.opened();
             fleet.earlierRuns(worker.get()).forEach(earlier -> gone(nowNanos, earlier));
         }
         drain(nowNanos);
@@ -328,6 +333,16 @@
 
     // -- time
 
+    /**
+     * Notes that this process stood still: what is read from its buffers now may be out of date, and the callers of
+     * jobs among it may have gone and sent them elsewhere. Nothing is placed until that was read as well.
+     *
+     * @param nowNanos the present time
+     */
+    public void resumedAfterPause(long nowNanos) {
+        placeNothingUntil = nowNanos + CATCH_UP_NANOS;
+    }
+
     /**
      * Does what has fallen due.
      *
@@ -389,6 +404,9 @@
     // -- starting tasks
 
     private void drain(long nowNanos) {
+        if (placeNothingUntil != Long.MIN_VALUE && nowNanos - placeNothingUntil < 0) {
+            return;
+        }
         for (ActiveJob active : jobs.inTurn()) {
             if (!active.hasBegun() && nowNanos - active.latestStart() > 0) {
                 continue;
@@ -423,7 +441,7 @@
         Job job = active.job();
         if (!active.hasBegun()) {
             jobs.begin(active);
-            decided(JobDecision.Kind.ACCEPTED, job.id(), "", "waited_ms", elapsed(nowNanos, active));
+            decided(JobDecision.Kind.ACCEPTED, job.id(), "", active.inputs(nowNanos));
         }
         double expected =
                 task.step().estimateMillis() * runTimes.ratio(job.route().name());
--- a/core/src/main/java/org/teaselhook/core/job/WorkerFleet.java
+++ b/core/src/main/java/org/teaselhook/core/job/WorkerFleet.java
@@ -23,6 +23,7 @@
     private final Map<Long, Placement> placements = new HashMap<>();
     private final Map<String, Placement> byTask = new HashMap<>();
     private long lastNumber;
+    private boolean opened;
 
     // -- accessors
 
@@ -49,6 +50,13 @@
         return workers.values().stream().filter(w -> w.serves(service)).allMatch(w -> task.avoids(w.agent()));
     }
 
+    /**
+     * Whether this entry has just started, and its agents are only connecting: a job that can wait may still be served.
+     */
+    boolean isForming() {
+        return !opened;
+    }
+
     int open() {
         return Math.toIntExact(workers.values().stream()
                 .filter(worker -> worker.serves(worker.view().service()))
@@ -76,6 +84,11 @@
                 .connected(nowNanos);
     }
 
+    /** Notes that a worker takes work. */
+    void opened() {
+        opened = true;
+    }
+
     void remove(WorkerRecord worker) {
         workers.remove(worker.agent());
     }
--- a/core/src/main/java/org/teaselhook/core/lease/Lease.java
+++ b/core/src/main/java/org/teaselhook/core/lease/Lease.java
@@ -8,16 +8,19 @@
  */
 final class Lease {
 
+    /** Looks in a row without an answer after which a worker takes no work: one alone may have been lost on its way. */
+    private static final int MISSES_TO_CLOSE = 2;
+
     private Optional<WorkerClock> clock = Optional.empty();
     private boolean sealed;
-    private boolean answering;
+    private int misses = MISSES_TO_CLOSE;
     private long renewedAt;
 
     // -- accessors
 
     /** Whether the worker answers, and ignores every call of an earlier agent or life. */
     boolean isHeld() {
-        return sealed && answering;
+        return sealed && misses < MISSES_TO_CLOSE;
     }
 
     /** Whether whatever ran under it has ended, though the worker does not answer. */
@@ -33,22 +36,21 @@
         return clock.orElseThrow().leaseUntil(nowNanos);
     }
 
-    /** Returns the new end of the lease for a look; empty while it must not be renewed. */
+    /** Returns the new end of the lease for a look; empty after a miss, as calls may take effect late. */
     OptionalLong renewForLook(long nowNanos) {
-        return isHeld() ? OptionalLong.of(renewForStart(nowNanos)) : OptionalLong.empty();
+        return sealed && misses == 0 ? OptionalLong.of(renewForStart(nowNanos)) : OptionalLong.empty();
     }
 
     void answered(long nowNanos, long clockMillis) {
         clock = Optional.of(new WorkerClock(clockMillis, nowNanos));
         sealed = true;
-        answering = true;
+        misses = 0;
     }
 
-    /** Notes that the worker did not answer, and tells whether it had before. */
+    /** Notes that the worker did not answer, and tells whether it takes no work from now on. */
     boolean missed() {
-        boolean before = answering;
-        answering = false;
-        return before;
+        misses++;
+        return misses == MISSES_TO_CLOSE;
     }
 
     void unseal() {
@@ -59,6 +61,6 @@
     void reset() {
         clock = Optional.empty();
         sealed = false;
-        answering = false;
+        misses = MISSES_TO_CLOSE;
     }
 }
--- a/core/src/main/java/org/teaselhook/core/lease/LeaseTimes.java
+++ b/core/src/main/java/org/teaselhook/core/lease/LeaseTimes.java
@@ -18,8 +18,8 @@
     /** How much slower than this process's clock the worker's may be, as a ratio. */
     public static final double CLOCK_ERROR = 1.02;
 
-    /** How long a worker may wait for an end before it answers a look, in ms: a fraction of a lease. */
-    public static final long LOOK_WAIT_MILLIS = 150;
+    /** How long a worker may wait for an end before it answers a look, in ms: what a lost look delays ends by. */
+    public static final long LOOK_WAIT_MILLIS = 60;
 
     private LeaseTimes() {}
 
--- a/core/src/test/java/org/teaselhook/core/job/JobDispatcherTest.java
+++ b/core/src/test/java/org/teaselhook/core/job/JobDispatcherTest.java
@@ -71,11 +71,26 @@
 
     @Test
     public void shouldTurnJobAwayAtOnceWhenNoWorkerServesItsService() {
+        join(1, 10);
+        dispatcher.heard(now, agent(1), WorkerView.CLOSED);
         submit("a", 1, 200);
 
         assertTrue(output.answers().get("a") instanceof JobResult.NotRun);
     }
 
+    /** After all machines were lost, callers are there before the first agent: those that can wait are served. */
+    @Test
+    public void shouldKeepJobThatCanWaitWhileAgentsOfNewEntryAreConnecting() {
+        submit("a", 1, 500);
+        submit("b", 1, 100);
+        now += 200 * MILLI;
+        dispatcher.tick(now);
+        assertEquals(output.answers().keySet(), Set.of("b"), "one that can wait no longer is told at once");
+
+        join(1, 10);
+        assertEquals(output.orderedTasks(), List.of("a.0.0.0"));
+    }
+
     @Test
     public void shouldTurnJobAwayAtOnceWhenTaskFitsNoWorker() {
         join(1, 1);
@@ -380,6 +395,20 @@
         assertFalse(output.answers().containsKey("a"));
     }
 
+    /** A frozen entry wakes to requests whose callers have left, and learns of that a moment after the requests. */
+    @Test
+    public void shouldPlaceNothingOfCallersThatLeftWhileThisProcessStoodStill() {
+        join(1, 10);
+        dispatcher.resumedAfterPause(now);
+        submit("left", 1, 500);
+        submit("waits", 1, 500);
+        dispatcher.cancel(now, "left");
+        now += 100 * MILLI;
+        dispatcher.tick(now);
+
+        assertEquals(output.orderedTasks(), List.of("waits.0.0.0"));
+    }
+
     @DataProvider
     public Object[][] labels() {
         return new Object[][] {{Optional.of("a"), 1}, {Optional.of("b"), 0}, {Optional.empty(), 1}};
--- a/node/src/main/java/org/teaselhook/node/job/JobEntryControl.java
+++ b/node/src/main/java/org/teaselhook/node/job/JobEntryControl.java
@@ -169,6 +169,10 @@
         return openWorkers() == 0 ? Optional.of("no worker takes work") : Optional.empty();
     }
 
+    void resumedAfterPause(long nowNanos) {
+        dispatcher.resumedAfterPause(nowNanos);
+    }
+
     void leave() {
         sessions.leave();
     }
--- a/node/src/main/java/org/teaselhook/node/job/JobEntryNode.java
+++ b/node/src/main/java/org/teaselhook/node/job/JobEntryNode.java
@@ -28,6 +28,7 @@
 import org.teaselhook.node.config.EntryRegistry;
 import org.teaselhook.node.config.MemberListener;
 import org.teaselhook.node.control.ControlLoop;
+import org.teaselhook.node.control.PauseDetector;
 import org.teaselhook.node.grpc.EntryGrpcServer;
 import org.teaselhook.node.health.MetricsServer;
 import org.teaselhook.node.route.RoutePoller;
@@ -50,7 +51,7 @@
     private static final long UNREADY_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
 
     /** How long jobs may go on after SIGTERM, in ns: less than the time until the process is killed. */
-    private static final long DRAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(5_000);
+    private static final long DRAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(5_300);
 
     private final JobEntrySettings settings;
     private final EventLoops loops;
@@ -65,6 +66,7 @@
     private final MetricsServer metricsServer;
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
     private volatile Routes routes = Routes.none();
+    private final PauseDetector pauses = PauseDetector.startingAt(System.nanoTime(), System.currentTimeMillis());
     private volatile JobMetrics.Status status = JobMetrics.Status.INITIAL;
     private volatile Optional<String> unready = Optional.of("starting");
     private long leftAt = Long.MAX_VALUE;
@@ -185,7 +187,15 @@
 
     // -- events on the control thread
 
+    private void noticePause(long nowNanos) {
+        if (pauses.hasPaused(nowNanos, System.currentTimeMillis())) {
+            LogLine.of("entry-paused").warn();
+            control.resumedAfterPause(nowNanos);
+        }
+    }
+
     private void tick(long nowNanos) {
+        noticePause(nowNanos);
         control.tick(nowNanos);
         routes = control.routes();
     }
@@ -272,7 +282,10 @@
             long arrivedAt = loop.nowNanos();
             long deadline = arrivedAt + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
             Job job = new Job(jobId, route, spec, steps, arrivedAt, deadline);
-            loop.execute(() -> control.submit(job, answer, loop.nowNanos()));
+            loop.execute(() -> {
+                noticePause(loop.nowNanos());
+                control.submit(job, answer, loop.nowNanos());
+            });
             closed.thenRun(() -> loop.execute(() -> control.callerLeft(jobId, answer, loop.nowNanos())));
             return answer;
         }
--- a/node/src/main/java/org/teaselhook/node/lease/LeaseAgentNode.java
+++ b/node/src/main/java/org/teaselhook/node/lease/LeaseAgentNode.java
@@ -23,6 +23,7 @@
 import org.teaselhook.net.log.LogLine;
 import org.teaselhook.node.config.EntryAddresses;
 import org.teaselhook.node.control.ControlLoop;
+import org.teaselhook.node.control.PauseDetector;
 import org.teaselhook.node.grpc.EntryChannels;
 import org.teaselhook.node.health.MetricsServer;
 import org.teaselhook.node.settings.LeaseAgentSettings;
@@ -41,9 +42,6 @@
     /** How long entries are looked up in the table service while none is connected, in ns. */
     private static final long LOOKUP_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-    /** A difference between the clocks that shows that this process stood still, in ms: less than a lease. */
-    private static final long PAUSE_MILLIS = 300;
-
     /** How long runs may go on after SIGTERM, in ns: less than the time until the process is killed. */
     private static final long DRAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(4_500);
 
@@ -62,9 +60,9 @@
     private final MetricsServer metricsServer;
     private final TableService table;
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+    private final PauseDetector pauses = PauseDetector.startingAt(System.nanoTime(), System.currentTimeMillis());
     private volatile LeaseMetrics.Status status = LeaseMetrics.Status.INITIAL;
     private long lookupAt;
-    private long clockDifferenceMillis = clockDifference();
     private long leftAt = Long.MAX_VALUE;
 
     private LeaseAgentNode(
@@ -182,17 +180,9 @@
         return status;
     }
 
-    private static long clockDifference() {
-        return System.currentTimeMillis() - TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-    }
-
-    /** The monotonic clock leaves out the time for which the machine was suspended; the time of day does not. */
     private void noticePause(long nowNanos) {
-        long difference = clockDifference();
-        long changed = difference - clockDifferenceMillis;
-        clockDifferenceMillis = difference;
-        if (Math.abs(changed) > PAUSE_MILLIS) {
-            LogLine.of("agent-paused").with("clock_change_ms", changed).warn();
+        if (pauses.hasPaused(nowNanos, System.currentTimeMillis())) {
+            LogLine.of("agent-paused").warn();
             control.resumedAfterPause(nowNanos);
         }
     }
