--- a/core/src/main/java/org/teaselhook/core/job/JobDispatcher.java
+++ b/core/src/main/java/org/teaselhook/core/job/JobDispatcher.java
@@ -300,7 +300,7 @@
         fleet.release(placement);
         if (refusal == RunRefusal.NO_ROOM) {
             placement.worker().full();
-        } else if (refusal != RunRefusal.CANCELLED) {
+        } else if (refusal.isOfWorker()) {
             placement.worker().avoid(nowNanos + TURNED_DOWN_NANOS);
         }
         if (jobs.isCurrent(task)) {
--- a/core/src/main/java/org/teaselhook/core/lease/Lease.java
+++ b/core/src/main/java/org/teaselhook/core/lease/Lease.java
@@ -28,6 +28,11 @@
         return nowNanos - LeaseTimes.certainEnd(renewedAt) > 0;
     }
 
+    /** Whether an answer was given before the newest one that has arrived. */
+    boolean isOlder(long clockMillis) {
+        return clock.filter(known -> clockMillis < known.millis()).isPresent();
+    }
+
     // -- updates
 
     /** Returns the new end of the lease for a call that starts a run; the clock has been read. */
@@ -42,7 +47,9 @@
     }
 
     void answered(long nowNanos, long clockMillis) {
-        clock = Optional.of(new WorkerClock(clockMillis, nowNanos));
+        if (!isOlder(clockMillis)) {
+            clock = Optional.of(new WorkerClock(clockMillis, nowNanos));
+        }
         sealed = true;
         misses = 0;
     }
--- a/core/src/main/java/org/teaselhook/core/lease/Run.java
+++ b/core/src/main/java/org/teaselhook/core/lease/Run.java
@@ -90,7 +90,7 @@
 
     /** Why its order is said to be refused when the worker is lost before the run is known to have begun. */
     RunRefusal refusalIfLost() {
-        return state == State.STARTING ? RunRefusal.NO_WORKER : RunRefusal.WORKER_REFUSED;
+        return state == State.STARTING ? RunRefusal.NO_WORKER : RunRefusal.UNANSWERED;
     }
 
     // -- updates
--- a/core/src/main/java/org/teaselhook/core/lease/RunRefusal.java
+++ b/core/src/main/java/org/teaselhook/core/lease/RunRefusal.java
@@ -16,8 +16,19 @@
     ZONE_OUT,
     /** There is no worker of the service that takes work. */
     NO_WORKER,
-    /** The worker turned the start down, or did not answer it and was kept from acting on it later. */
+    /** The worker turned the start down. */
     WORKER_REFUSED,
+    /** The worker did not answer the start, and was kept from acting on it later. */
+    UNANSWERED,
     /** The entry withdrew the order before the run began. */
-    CANCELLED
+    CANCELLED;
+
+    /**
+     * Tells whether the next order there would probably fare no better for a while.
+     *
+     * @return false where the reason lies with this one order, or with its call
+     */
+    public boolean isOfWorker() {
+        return this == WORKER_REFUSED || this == NO_WORKER || this == ZONE_OUT || this == STALE_ENTRY;
+    }
 }
--- a/core/src/main/java/org/teaselhook/core/lease/StartResult.java
+++ b/core/src/main/java/org/teaselhook/core/lease/StartResult.java
@@ -21,5 +21,19 @@
     /** It was never sent. */
     NOT_SENT,
     /** There was no answer: it may have been carried out, or may be later. */
-    UNKNOWN
+    UNKNOWN;
+
+    /**
+     * Returns what the entry is told when the run is given up after this result.
+     *
+     * @return the reason
+     */
+    public RunRefusal refusal() {
+        return switch (this) {
+            case NO_ROOM -> RunRefusal.NO_ROOM;
+            case OTHER_WORKER -> RunRefusal.NO_WORKER;
+            case UNKNOWN -> RunRefusal.UNANSWERED;
+            default -> RunRefusal.WORKER_REFUSED;
+        };
+    }
 }
--- a/core/src/main/java/org/teaselhook/core/lease/WorkerReport.java
+++ b/core/src/main/java/org/teaselhook/core/lease/WorkerReport.java
@@ -38,6 +38,11 @@
         labels = List.copyOf(labels);
     }
 
+    /** Returns what is known of the same worker in a later life that has not reported yet. */
+    WorkerReport startedAgain(long atMillis) {
+        return new WorkerReport(id, atMillis, 0, service, address, zone, capacity, labels, false);
+    }
+
     boolean isSameLife(WorkerReport other) {
         return id.equals(other.id) && startedAtMillis == other.startedAtMillis;
     }
--- a/core/src/main/java/org/teaselhook/core/lease/WorkerRuns.java
+++ b/core/src/main/java/org/teaselhook/core/lease/WorkerRuns.java
@@ -254,12 +254,10 @@
             case OLD_RUN -> startAgain(nowNanos, run);
             case UNKNOWN -> stopNow(nowNanos, run);
             case FENCED -> {
-                refuse(run, RunRefusal.WORKER_REFUSED);
+                refuse(run, result.refusal());
                 fenced();
             }
-            case OTHER_WORKER -> refuse(run, RunRefusal.NO_WORKER);
-            case NO_ROOM -> refuse(run, RunRefusal.NO_ROOM);
-            default -> refuse(run, RunRefusal.WORKER_REFUSED);
+            default -> refuse(run, result.refusal());
         }
     }
 
@@ -332,7 +330,12 @@
 
     private void stopAnswered(long nowNanos, Run run, StopResult result) {
         switch (result) {
-            case STOPPED -> run.stopped(nowNanos);
+            case STOPPED -> {
+                run.stopped(nowNanos);
+                if (!run.hasBegun()) {
+                    lookOnce(nowNanos);
+                }
+            }
             case FENCED -> {
                 fenced();
                 stopNow(nowNanos, run);
@@ -341,11 +344,6 @@
         }
     }
 
-    /** Stops a run that nobody here ordered. If that goes unanswered, the next look finds the run again. */
-    private void stopStray(RunId stray) {
-        calls.stop(worker.orElseThrow(), stray, token);
-    }
-
     /**
      * Repeats calls that went unanswered and are due again.
      *
@@ -360,6 +358,17 @@
 
     // -- looks
 
+    /** Looks beside the look that waits for an end, to settle soon what became of an unanswered start. */
+    private void lookOnce(long nowNanos) {
+        long calledInLife = life;
+        OptionalLong noRenewal = OptionalLong.empty();
+        control.handle(calls.look(worker.orElseThrow(), noRenewal, token, acknowledged, 0), (now, result) -> {
+            if (calledInLife == life && result instanceof LookResult.Seen seen) {
+                seen(now, nowNanos + 1, seen.look());
+            }
+        });
+    }
+
     private void look(long nowNanos) {
         lookDueAt = Long.MAX_VALUE;
         OptionalLong until = lease.renewForLook(nowNanos);
@@ -402,7 +411,10 @@
         }
         boolean wasOpen = open().isPresent();
         look.ended().forEach(ended -> ended(nowNanos, ended));
-        reconcile(nowNanos, askedAt, look.running());
+        // Two answers may overtake each other; what an older one lists as running may have ended since.
+        if (!lease.isOlder(look.clockMillis())) {
+            reconcile(nowNanos, askedAt, look.running());
+        }
         lease.answered(nowNanos, look.clockMillis());
         if (open().isPresent() != wasOpen) {
             log.openChanged(open().isPresent(), strays.size());
@@ -410,20 +422,11 @@
         }
     }
 
-    /** The worker was started again under its id: nothing of before runs. Waits for the report of the new life. */
+    /** The worker was started again under its id: nothing of before runs. */
     private void anotherLife(long nowNanos, WorkerLook look) {
         WorkerReport old = worker.orElseThrow();
-        WorkerReport next = new WorkerReport(
-                old.id(),
-                look.startedAtMillis(),
-                0,
-                old.service(),
-                old.address(),
-                old.zone(),
-                old.capacity(),
-                old.labels(),
-                false);
         if (look.startedAtMillis() > old.startedAtMillis()) {
+            WorkerReport next = old.startedAgain(look.startedAtMillis());
             worker = Optional.of(next);
             begin(nowNanos, next);
         }
@@ -455,7 +458,8 @@
                 strays.add(id);
                 numbers.used(id);
                 log.stray(id);
-                stopStray(id);
+                // If that goes unanswered, the next look finds the run again.
+                calls.stop(worker.orElseThrow(), id, token);
             }
         }
         runs.all(run -> !present.contains(run.id()) && run.isOverIfMissing(askedAt))
--- a/core/src/test/java/org/teaselhook/core/job/JobDispatcherTest.java
+++ b/core/src/test/java/org/teaselhook/core/job/JobDispatcherTest.java
@@ -215,6 +215,16 @@
         assertEquals(output.orders().size(), 2);
     }
 
+    /** While one order in five is carried out late, every worker has unanswered starts, and all of them are sound. */
+    @Test
+    public void shouldGoOnUsingWorkerThatDidNotAnswerOneStart() {
+        join(1, 10);
+        submit("a", 1, 1_000);
+        dispatcher.refused(now, 1, RunRefusal.UNANSWERED);
+
+        assertEquals(output.orders().size(), 2);
+    }
+
     /** Workers that fail everything at once look empty, and would draw all work to themselves. */
     @Test
     public void shouldAvoidWorkerThatFailsInARow() {
--- a/node/src/main/java/org/teaselhook/node/job/JobFrames.java
+++ b/node/src/main/java/org/teaselhook/node/job/JobFrames.java
@@ -113,6 +113,7 @@
             case RUN_ZONE_OUT -> RunRefusal.ZONE_OUT;
             case RUN_NO_WORKER -> RunRefusal.NO_WORKER;
             case RUN_CANCELLED -> RunRefusal.CANCELLED;
+            case RUN_UNANSWERED -> RunRefusal.UNANSWERED;
             default -> RunRefusal.WORKER_REFUSED;
         };
     }
--- a/node/src/main/java/org/teaselhook/node/lease/LeaseFrames.java
+++ b/node/src/main/java/org/teaselhook/node/lease/LeaseFrames.java
@@ -80,6 +80,7 @@
             case ZONE_OUT -> RunRefusalReason.RUN_ZONE_OUT;
             case NO_WORKER -> RunRefusalReason.RUN_NO_WORKER;
             case WORKER_REFUSED -> RunRefusalReason.RUN_WORKER_REFUSED;
+            case UNANSWERED -> RunRefusalReason.RUN_UNANSWERED;
             case CANCELLED -> RunRefusalReason.RUN_CANCELLED;
         };
     }
--- a/wire/src/main/java/org/teaselhook/wire/RunRefusalReason.java
+++ b/wire/src/main/java/org/teaselhook/wire/RunRefusalReason.java
@@ -47,6 +47,10 @@
    * <code>RUN_CANCELLED = 8;</code>
    */
   RUN_CANCELLED(8),
+  /**
+   * <code>RUN_UNANSWERED = 9;</code>
+   */
+  RUN_UNANSWERED(9),
   UNRECOGNIZED(-1),
   ;
 
@@ -95,6 +99,10 @@
    * <code>RUN_CANCELLED = 8;</code>
    */
   public static final int RUN_CANCELLED_VALUE = 8;
+  /**
+   * <code>RUN_UNANSWERED = 9;</code>
+   */
+  public static final int RUN_UNANSWERED_VALUE = 9;
 
 
   public final int getNumber() {
@@ -130,6 +138,7 @@
       case 6: return RUN_NO_WORKER;
       case 7: return RUN_WORKER_REFUSED;
       case 8: return RUN_CANCELLED;
+      case 9: return RUN_UNANSWERED;
       default: return null;
     }
   }
--- a/wire/src/main/java/org/teaselhook/wire/Teaselhook.java
+++ b/wire/src/main/java/org/teaselhook/wire/Teaselhook.java
@@ -393,22 +393,23 @@
       "D_NOT_RUN\020\002\022\030\n\024FORWARD_MAY_HAVE_RUN\020\003*f\n" +
       "\nRunOutcome\022\033\n\027RUN_OUTCOME_UNSPECIFIED\020\000" +
       "\022\014\n\010RUN_DONE\020\001\022\016\n\nRUN_FAILED\020\002\022\017\n\013RUN_ST" +
-      "OPPED\020\003\022\014\n\010RUN_LOST\020\004*\334\001\n\020RunRefusalReas" +
+      "OPPED\020\003\022\014\n\010RUN_LOST\020\004*\360\001\n\020RunRefusalReas" +
       "on\022\"\n\036RUN_REFUSAL_REASON_UNSPECIFIED\020\000\022\017" +
       "\n\013RUN_NO_ROOM\020\001\022\025\n\021RUN_NEVER_ARRIVED\020\002\022\023" +
       "\n\017RUN_STALE_ENTRY\020\003\022\027\n\023RUN_START_BY_PASS" +
       "ED\020\004\022\020\n\014RUN_ZONE_OUT\020\005\022\021\n\rRUN_NO_WORKER\020" +
       "\006\022\026\n\022RUN_WORKER_REFUSED\020\007\022\021\n\rRUN_CANCELL" +
-      "ED\020\0102\337\002\n\014EntryService\022C\n\007Session\022\031.tease" +
-      "lhook.v1.AgentFrame\032\031.teaselhook.v1.Entr" +
-      "yFrame(\0010\001\022>\n\004Peer\022\030.teaselhook.v1.PeerF" +
-      "rame\032\030.teaselhook.v1.PeerFrame(\0010\001\022E\n\007Fo" +
-      "rward\022\035.teaselhook.v1.ForwardRequest\032\033.t" +
-      "easelhook.v1.ForwardReply\022B\n\006Agents\022\034.te" +
-      "aselhook.v1.AgentsRequest\032\032.teaselhook.v" +
-      "1.AgentsReply\022?\n\004Runs\022\030.teaselhook.v1.Ru" +
-      "nReport\032\031.teaselhook.v1.RunCommand(\0010\001B\027" +
-      "\n\023org.teaselhook.wireP\001b\006proto3"
+      "ED\020\010\022\022\n\016RUN_UNANSWERED\020\t2\337\002\n\014EntryServic" +
+      "e\022C\n\007Session\022\031.teaselhook.v1.AgentFrame\032" +
+      "\031.teaselhook.v1.EntryFrame(\0010\001\022>\n\004Peer\022\030" +
+      ".teaselhook.v1.PeerFrame\032\030.teaselhook.v1" +
+      ".PeerFrame(\0010\001\022E\n\007Forward\022\035.teaselhook.v" +
+      "1.ForwardRequest\032\033.teaselhook.v1.Forward" +
+      "Reply\022B\n\006Agents\022\034.teaselhook.v1.AgentsRe" +
+      "quest\032\032.teaselhook.v1.AgentsReply\022?\n\004Run" +
+      "s\022\030.teaselhook.v1.RunReport\032\031.teaselhook" +
+      ".v1.RunCommand(\0010\001B\027\n\023org.teaselhook.wir" +
+      "eP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
