Watch every entry whose echo has been heard, also one whose first echo came late

Cause: an agent noted an entry when it greeted and struck it off at the next look if no echo was there yet, which is so at most starts (event=entry-silent right after entry-connected, stopped=0, in every log so far). A later silence of that entry then stopped none of its runs, and only a lost lease stood between them and a second run of their tasks. Ruled out: noting the greeting as an echo (a greeting may have lain in a buffer). Change: core.lease.EntryWatch counts from echoes alone, of pulses and of orders.

--- a/node/src/main/java/org/teaselhook/node/lease/EntryLinks.java
+++ b/node/src/main/java/org/teaselhook/node/lease/EntryLinks.java
@@ -45,11 +45,6 @@
                 .findFirst();
     }
 
-    /** Tells whether an entry has heard from this agent of late. */
-    boolean isHeard(Incarnation entry, long nowNanos) {
-        return to(entry).filter(link -> link.isHeard(nowNanos)).isPresent();
-    }
-
     int heard(long nowNanos) {
         return Math.toIntExact(links.values().stream()
                 .filter(link -> link.entry().isPresent() && link.isHeard(nowNanos) && !link.isLeaving())
--- a/node/src/main/java/org/teaselhook/node/lease/LeaseAgentControl.java
+++ b/node/src/main/java/org/teaselhook/node/lease/LeaseAgentControl.java
@@ -1,15 +1,13 @@
 package org.teaselhook.node.lease;
 
 import java.net.InetSocketAddress;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import org.teaselhook.core.id.Incarnation;
-import org.teaselhook.core.lease.LeaseTimes;
+import org.teaselhook.core.lease.EntryWatch;
 import org.teaselhook.core.lease.OrderId;
 import org.teaselhook.core.lease.RunEvents;
 import org.teaselhook.core.lease.RunId;
@@ -41,13 +39,11 @@
     /** The greatest pace told: a worker this slow is of no use, whatever the exact figure. */
     private static final double MAX_PACE = 1_000;
 
-    private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(LeaseTimes.ENTRY_SILENCE_MILLIS);
-
     private final String zone;
     private final EntryLinks links;
     private final LeaseMetrics metrics;
     private final KeptAnswers answers = new KeptAnswers();
-    private final Set<Incarnation> served = new HashSet<>();
+    private final EntryWatch watch = EntryWatch.empty();
     private WorkerRuns runs;
     private Routes routes = Routes.none();
     private long flushAt = Long.MAX_VALUE;
@@ -129,7 +125,6 @@
     private void greeted(EntryLink link, RunGreeting greeting, long nowNanos) {
         Incarnation entry = Incarnation.of(greeting.getIncarnation());
         link.greeted(entry);
-        served.add(entry);
         LogLine.of("entry-connected")
                 .with("entry", greeting.getName())
                 .with("incarnation", entry)
@@ -154,6 +149,7 @@
 
     private void pulsed(EntryLink link, RunPulse pulse, long nowNanos) {
         link.echoed(pulse.getEchoAgentNanos(), pulse.getRoutesVersion(), pulse.getLeaving());
+        link.entry().ifPresent(entry -> watch.echoed(entry, pulse.getEchoAgentNanos()));
         List<InetSocketAddress> named = pulse.getEntriesList().stream()
                 .flatMap(text -> SocketAddresses.parse(text).stream())
                 .toList();
@@ -191,14 +187,14 @@
         if (refusal.isPresent()) {
             refused(request, refusal.get());
         } else {
+            watch.echoed(entry, order.getEchoAgentNanos());
             runs.order(nowNanos, request);
             changed();
         }
     }
 
     private Optional<RunRefusal> refusal(RunOrder order, long nowNanos) {
-        long age = nowNanos - order.getEchoAgentNanos();
-        if (age < 0 || age > SILENCE_NANOS) {
+        if (EntryWatch.isStale(order.getEchoAgentNanos(), nowNanos)) {
             return Optional.of(RunRefusal.STALE_ENTRY);
         }
         if (routes.isOut(zone)) {
@@ -302,14 +298,13 @@
     void tick(long nowNanos) {
         now = nowNanos;
         links.tick(nowNanos);
-        served.removeIf(entry -> !links.isHeard(entry, nowNanos) && stopRunsOf(entry, nowNanos));
-    }
-
-    /** Stops what a silent entry runs here: its callers may send their jobs to other entries soon. */
-    private boolean stopRunsOf(Incarnation entry, long nowNanos) {
-        int stopped = runs.stopAll(nowNanos, entry);
-        LogLine.of("entry-silent").with("entry", entry).with("stopped", stopped).warn();
-        return true;
+        for (Incarnation entry : watch.takeSilent(nowNanos)) {
+            int stopped = runs.stopAll(nowNanos, entry);
+            LogLine.of("entry-silent")
+                    .with("entry", entry)
+                    .with("stopped", stopped)
+                    .warn();
+        }
     }
 
     void leave(long nowNanos) {
