Give new streams a second until their first echo, and forget addresses that lead nowhere

Addresses of replaced entries were dialled once a second for ever. Change: two limits in EntryLink; addresses that no entry names are dropped after a minute. Conclusion: EntryLinkTest fails on the former limit.

--- a/node/src/main/java/org/teaselhook/node/lease/EntryLink.java
+++ b/node/src/main/java/org/teaselhook/node/lease/EntryLink.java
@@ -15,6 +15,12 @@
     /** A stream without an echo for so long is replaced, in ns: half of the silence after which runs are stopped. */
     private static final long REPLACED_NANOS = TimeUnit.MILLISECONDS.toNanos(LeaseTimes.ENTRY_SILENCE_MILLIS / 2);
 
+    /** How long a new stream may take until its first echo, in ns: on a busy machine that starts, some hundred ms. */
+    private static final long GREETING_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    /** How long an address is kept that no entry names, in ns: longer than an entry's restart. */
+    private static final long KEPT_NANOS = TimeUnit.SECONDS.toNanos(60);
+
     private static final long SILENT_NANOS = TimeUnit.MILLISECONDS.toNanos(LeaseTimes.ENTRY_SILENCE_MILLIS);
     private static final long MIN_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
     private static final long MAX_BACKOFF_NANOS = TimeUnit.SECONDS.toNanos(1);
@@ -22,6 +28,7 @@
     private final InetSocketAddress address;
     private Optional<CommandStream> stream = Optional.empty();
     private Optional<Incarnation> entry = Optional.empty();
+    private long namedAt;
     private long dialAt;
     private long backoffNanos = MIN_BACKOFF_NANOS;
     private long dialedAt;
@@ -32,6 +39,7 @@
 
     EntryLink(InetSocketAddress address, long nowNanos) {
         this.address = address;
+        this.namedAt = nowNanos;
         this.dialAt = nowNanos;
     }
 
@@ -60,7 +68,14 @@
 
     /** Whether the stream has carried no echo for too long. */
     boolean isDead(long nowNanos) {
-        return stream.isPresent() && nowNanos - Math.max(dialedAt, echoedAt) > REPLACED_NANOS;
+        boolean echoed = echoedAt - dialedAt > 0;
+        boolean silent = echoed ? nowNanos - echoedAt > REPLACED_NANOS : nowNanos - dialedAt > GREETING_NANOS;
+        return stream.isPresent() && silent;
+    }
+
+    /** Whether the address leads nowhere, and no entry has named it for long. */
+    boolean isForgotten(long nowNanos) {
+        return !isHeard(nowNanos) && nowNanos - namedAt > KEPT_NANOS;
     }
 
     /** Whether the entry is known to have heard from this agent of late. */
@@ -82,6 +97,10 @@
 
     // -- updates
 
+    void named(long nowNanos) {
+        namedAt = nowNanos;
+    }
+
     void dialed(CommandStream opened, long nowNanos) {
         stream = Optional.of(opened);
         entry = Optional.empty();
--- a/node/src/main/java/org/teaselhook/node/lease/EntryLinks.java
+++ b/node/src/main/java/org/teaselhook/node/lease/EntryLinks.java
@@ -54,7 +54,8 @@
     // -- updates
 
     void know(Collection<InetSocketAddress> addresses, long nowNanos) {
-        addresses.forEach(address -> links.computeIfAbsent(address, a -> new EntryLink(a, nowNanos)));
+        addresses.forEach(address ->
+                links.computeIfAbsent(address, a -> new EntryLink(a, nowNanos)).named(nowNanos));
     }
 
     void tick(long nowNanos) {
@@ -62,7 +63,10 @@
             if (link.isDead(nowNanos)) {
                 drop(link, nowNanos, "no echo");
             }
-            if (link.isDialDue(nowNanos)) {
+            if (link.isForgotten(nowNanos)) {
+                drop(link, nowNanos, "named by no entry");
+                links.remove(link.address());
+            } else if (link.isDialDue(nowNanos)) {
                 CommandStream stream = dialer.apply(link.address());
                 link.dialed(stream, nowNanos);
                 stream.send(hello);
--- /dev/null
+++ b/node/src/test/java/org/teaselhook/node/lease/EntryLinkTest.java
@@ -0,0 +1,77 @@
+package org.teaselhook.node.lease;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+
+import org.teaselhook.net.http.EventLoops;
+import org.teaselhook.node.grpc.EntryChannels;
+import org.teaselhook.wire.RunCommand;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+public class EntryLinkTest {
+
+    private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+    private static final long START = TimeUnit.SECONDS.toNanos(100);
+    private static final InetSocketAddress ADDRESS = new InetSocketAddress("127.0.0.1", 1);
+
+    private final EventLoops loops = EventLoops.of(1);
+
+    @AfterClass
+    public void closeLoops() {
+        loops.close();
+    }
+
+    @DataProvider
+    public Object[][] silences() {
+        return new Object[][] {
+            // echoed after ms, looked at after ms, dead
+            {-1, 900, false},
+            {-1, 1_001, true},
+            {50, 300, false},
+            {50, 301, true},
+        };
+    }
+
+    /** A machine that starts or is slow takes longer for a stream's first echo than for those that follow. */
+    @Test(dataProvider = "silences")
+    public void shouldGiveNewStreamMoreTimeThanOneThatFellSilent(long echoedMillis, long nowMillis, boolean expected) {
+        EntryLink link = new EntryLink(ADDRESS, START);
+        link.dialed(stream(), START);
+        if (echoedMillis >= 0) {
+            link.echoed(START + echoedMillis * MILLI, 1, false);
+        }
+
+        assertEquals(link.isDead(START + nowMillis * MILLI), expected);
+    }
+
+    @Test
+    public void shouldForgetAddressThatLeadsNowhereAndIsNamedNoMore() {
+        EntryLink link = new EntryLink(ADDRESS, START);
+        long later = START + TimeUnit.SECONDS.toNanos(61);
+        assertFalse(link.isForgotten(START));
+        assertTrue(link.isForgotten(later));
+
+        link.named(later);
+        assertFalse(link.isForgotten(later + MILLI));
+    }
+
+    private CommandStream stream() {
+        return CommandStream.open(ADDRESS, EntryChannels.open(loops, ADDRESS, 100), new CommandStream.Events() {
+            @Override
+            public void received(CommandStream stream, RunCommand command) {
+                // Nothing answers there.
+            }
+
+            @Override
+            public void ended(CommandStream stream, String reason) {
+                // Nothing answers there.
+            }
+        });
+    }
+}
