Name the cases when bin/bench is given an unknown one

Cause: the name went straight into an enum's valueOf, and its exception ended the command with a stack trace. Change: a usage error that lists the cases, before any directory is made; status 2.

--- a/bench/src/main/java/org/teaselhook/bench/load/LoadCase.java
+++ b/bench/src/main/java/org/teaselhook/bench/load/LoadCase.java
@@ -1,6 +1,8 @@
 package org.teaselhook.bench.load;
 
+import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 
 /** The cases: how the load runs over time, as a multiple of all slots, and what goes wrong when. */
 enum LoadCase {
@@ -86,6 +88,13 @@
     /** What happens at a share of the time. */
     record Fault(double time, FaultAction action) {}
 
+    /** Finds a case by its label, in any case of letters. */
+    static Optional<LoadCase> named(String label) {
+        return Arrays.stream(values())
+                .filter(load -> load.label().equalsIgnoreCase(label))
+                .findFirst();
+    }
+
     /** The greatest load. */
     double peak() {
         return peak;
--- a/bench/src/main/java/org/teaselhook/bench/load/LoadCommand.java
+++ b/bench/src/main/java/org/teaselhook/bench/load/LoadCommand.java
@@ -7,12 +7,14 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.Callable;
+import java.util.stream.Collectors;
 
 import org.HdrHistogram.Histogram;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Spec;
 
 /** The command {@code bench}: runs cases under each placement policy and prints a line for each. */
@@ -48,7 +50,11 @@
      * @param arguments the command line
      */
     public static void main(String[] arguments) {
-        System.exit(new CommandLine(new LoadCommand()).execute(arguments));
+        System.exit(commandLine().execute(arguments));
+    }
+
+    static CommandLine commandLine() {
+        return new CommandLine(new LoadCommand());
     }
 
     @Override
@@ -62,9 +68,10 @@
             Arrays.stream(QueueOrder.values()).map(this::bound).forEach(out::println);
             return 0;
         }
+        List<LoadCase> chosen = chosen();
         Path logs = Files.createTempDirectory("bench");
         out.println("logs=" + logs);
-        for (LoadCase load : chosen()) {
+        for (LoadCase load : chosen) {
             for (String policy : policies) {
                 Path directory = Files.createDirectories(logs.resolve(load.label() + "-" + policy));
                 out.println(new LoadRun(load, policy, seed, seconds, directory)
@@ -95,8 +102,17 @@
     private List<LoadCase> chosen() {
         return cases.isEmpty()
                 ? Arrays.asList(LoadCase.values())
-                : cases.stream()
-                        .map(name -> LoadCase.valueOf(name.toUpperCase(Locale.ROOT)))
-                        .toList();
+                : cases.stream().map(this::named).toList();
+    }
+
+    private LoadCase named(String name) {
+        return LoadCase.named(name)
+                .orElseThrow(() -> new ParameterException(
+                        spec.commandLine(), "no case is named " + name + "; choose from " + names()));
+    }
+
+    private static String names() {
+        String measured = Arrays.stream(LoadCase.values()).map(LoadCase::label).collect(Collectors.joining(", "));
+        return String.join(", ", measured, DECISIONS, BOUND);
     }
 }
