--- a/app/src/test/java/org/teaselhook/app/explain/LogStoryTest.java
+++ b/app/src/test/java/org/teaselhook/app/explain/LogStoryTest.java
@@ -16,7 +16,7 @@
         LogStory story = LogStory.of("ab12");
         story.add("edge-1", DAY + "01.000 level=INFO thread=c event=job-placed job=ab12 task=ab12.0.0.0 worker=side-2");
         story.add("edge-1", DAY + "01.900 level=WARN thread=c event=agent-lost agent=side-2 reason=silent");
-        story.add("side-2", DAY + "01.005 level=INFO thread=c event=run-start task=ab12.0.0.0 result=STARTED");
+        story.add("side-2", DAY + "01.005 level=INFO thread=c event=start-answered task=ab12.0.0.0 result=STARTED");
         story.add("edge-1", DAY + "02.500 level=WARN thread=c event=job-given-up job=ab12 reason=\"not done\"");
 
         assertEquals(
--- a/core/src/main/java/org/teaselhook/core/job/JobDispatcher.java
+++ b/core/src/main/java/org/teaselhook/core/job/JobDispatcher.java
@@ -358,10 +358,15 @@
         if (nowNanos - active.giveUpAt() >= 0) {
             giveUp(nowNanos, active, "not done after " + elapsed(nowNanos, active) + " ms");
         } else if (!active.hasBegun() && nowNanos - active.latestStart() > 0) {
-            giveUp(nowNanos, active, "not begun after " + elapsed(nowNanos, active) + " ms");
+            giveUp(nowNanos, active, "not begun after " + elapsed(nowNanos, active) + " ms" + loadOf(active));
         }
     }
 
+    private String loadOf(ActiveJob active) {
+        return " waiting_jobs=" + jobs.inTurn().size() + " free_cpu="
+                + fleet.freeCpuMillis(active.job().route().service());
+    }
+
     /**
      * Takes what the progress of runs foretells, and moves those that end sooner elsewhere.
      *
@@ -387,17 +392,8 @@
             return;
         }
         task.moved();
-        Object[] inputs = {
-            "worker",
-            worker.name(),
-            "slowness",
-            Math.round(10 * slowness) / 10.0,
-            "elapsed_ms",
-            forecast.elapsedMillis(),
-            "total_ms",
-            forecast.totalMillis()
-        };
-        decided(JobDecision.Kind.MOVED, task.job().job().id(), task.name(), inputs);
+        String job = task.job().job().id();
+        decided(JobDecision.Kind.MOVED, job, task.name(), Relocation.inputs(forecast, worker.name(), slowness));
         output.stop(worker.agent(), placement.number());
     }
 
--- a/core/src/main/java/org/teaselhook/core/job/Relocation.java
+++ b/core/src/main/java/org/teaselhook/core/job/Relocation.java
@@ -25,4 +25,18 @@
         double again = forecast.totalMillis() / slowness;
         return slowness >= SLOW && left > GAIN * again + MOVE_MILLIS;
     }
+
+    /** Returns what decided, as pairs of key and value. */
+    static Object[] inputs(RunForecast forecast, String worker, double slowness) {
+        return new Object[] {
+            "worker",
+            worker,
+            "slowness",
+            Math.round(10 * slowness) / 10.0,
+            "elapsed_ms",
+            forecast.elapsedMillis(),
+            "total_ms",
+            forecast.totalMillis()
+        };
+    }
 }
--- a/core/src/main/java/org/teaselhook/core/job/WorkerFleet.java
+++ b/core/src/main/java/org/teaselhook/core/job/WorkerFleet.java
@@ -39,6 +39,14 @@
         return Optional.ofNullable(placements.get(order));
     }
 
+    /** Returns the processor time that is free on all workers of a service, in thousandths of a core. */
+    long freeCpuMillis(String service) {
+        return workers.values().stream()
+                .filter(worker -> worker.serves(service))
+                .mapToLong(worker -> Math.max(0, worker.free().cpuMillis()))
+                .sum();
+    }
+
     /** Whether an order for a task of this name is in progress, perhaps of an earlier copy of its job. */
     boolean isPlaced(String task) {
         return byTask.containsKey(task);
--- a/node/src/main/java/org/teaselhook/node/lease/RunLog.java
+++ b/node/src/main/java/org/teaselhook/node/lease/RunLog.java
@@ -39,7 +39,7 @@
 
     @Override
     public void startAnswered(OrderId order, RunId run, StartResult result) {
-        LogLine line = LogLine.of("run-start")
+        LogLine line = LogLine.of("start-answered")
                 .with("task", run.task())
                 .with("run", run.number())
                 .with("entry", order.entry())
