Say where each constant of the new code comes from; dial a lost entry at least four times a second

Cause: an entry that was away for some seconds waited up to a second for its agents, which had doubled their pauses.

--- a/core/src/main/java/org/teaselhook/core/job/JobDispatcher.java
+++ b/core/src/main/java/org/teaselhook/core/job/JobDispatcher.java
@@ -19,6 +19,7 @@
  */
 public final class JobDispatcher {
 
+    /** How often a task is moved: a third try would come too late for any objective. */
     private static final int MAX_MOVES = 2;
 
     /** How long it takes to read what has gathered while this process stood still, in ns. */
--- a/core/src/main/java/org/teaselhook/core/job/RecentResults.java
+++ b/core/src/main/java/org/teaselhook/core/job/RecentResults.java
@@ -9,6 +9,7 @@
  */
 final class RecentResults {
 
+    /** The number of jobs kept: a minute's at the rate of one entry. */
     private static final int KEPT = 4_096;
 
     private final Map<String, JobResult> results = new LinkedHashMap<>() {
--- a/core/src/main/java/org/teaselhook/core/job/RunTimes.java
+++ b/core/src/main/java/org/teaselhook/core/job/RunTimes.java
@@ -8,6 +8,7 @@
  */
 final class RunTimes {
 
+    /** Weight of the newest run in the averages: some seconds' runs count. */
     private static final double WEIGHT = 0.05;
 
     /** Assumed until runs have ended, in ms: the middle of the sub-second tasks that this serves. */
--- a/core/src/main/java/org/teaselhook/core/job/WorkerRecord.java
+++ b/core/src/main/java/org/teaselhook/core/job/WorkerRecord.java
@@ -26,7 +26,10 @@
     /** Failed runs in a row after which a worker is avoided; one alone may be the task's own fault. */
     private static final int FAILURES_IN_A_ROW = 2;
 
+    /** How long a failing worker is avoided at first, in ns: some tasks; doubled with each failure after that. */
     private static final long MIN_AVOIDED_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+    /** The greatest number of doublings: 4 s, so that a recovered worker is missed for seconds only. */
     private static final int MAX_DOUBLINGS = 3;
 
     private final Incarnation agent;
--- a/core/src/main/java/org/teaselhook/core/lease/RunNumbers.java
+++ b/core/src/main/java/org/teaselhook/core/lease/RunNumbers.java
@@ -8,6 +8,7 @@
  */
 final class RunNumbers {
 
+    /** The number of tasks remembered: a minute's at one worker, longer than a job is sent again. */
     private static final int REMEMBERED_TASKS = 4_096;
 
     private final Map<String, Integer> highest = new LinkedHashMap<>(16, 0.75f, true) {
--- a/core/src/main/java/org/teaselhook/core/lease/WorkerPace.java
+++ b/core/src/main/java/org/teaselhook/core/lease/WorkerPace.java
@@ -10,6 +10,7 @@
  */
 final class WorkerPace {
 
+    /** The least number of runs that tell: one alone may have a wrong estimate. */
     private static final int LEAST_RUNS = 2;
 
     private WorkerPace() {}
--- a/core/src/main/java/org/teaselhook/core/lease/WorkerRuns.java
+++ b/core/src/main/java/org/teaselhook/core/lease/WorkerRuns.java
@@ -27,6 +27,7 @@
     /** How far the token rises when the worker has seen a higher one, as after a clock of a former agent ran ahead. */
     private static final long TOKEN_LEAP = TimeUnit.HOURS.toMillis(1);
 
+    /** How often a start is called under a higher number: a job is sent again only a few times. */
     private static final int MAX_START_CALLS = 4;
 
     /** The pause before an unanswered call is made again, in ns: long enough not to press a worker that is down. */
--- a/node/src/main/java/org/teaselhook/node/control/PauseDetector.java
+++ b/node/src/main/java/org/teaselhook/node/control/PauseDetector.java
@@ -3,7 +3,7 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Notices that this process stood still. Where the machine was suspended, the monotonic clock leaves that time out and
+ * Notices that this process stood still. Where the VM was suspended, the monotonic clock leaves that time out and
  * the time of day does not; where only the process was, the monotonic clock has gone on since the last look. A time of
  * day that was set looks like the first, which does no harm. Confined to one thread.
  */
--- a/node/src/main/java/org/teaselhook/node/health/MetricsServer.java
+++ b/node/src/main/java/org/teaselhook/node/health/MetricsServer.java
@@ -18,8 +18,13 @@
  */
 public final class MetricsServer implements AutoCloseable {
 
+    /** The greatest body of a request, in bytes; scrapes have none. */
     private static final int MAX_BODY_BYTES = 1_024;
+
+    /** The greatest number of connections: some collectors. */
     private static final int MAX_CONNECTIONS = 16;
+
+    /** How long a connection may be idle, in ms: several scrapes. */
     private static final long IDLE_MILLIS = 30_000;
 
     private final HealthPages pages;
--- a/node/src/main/java/org/teaselhook/node/job/JobEntryNode.java
+++ b/node/src/main/java/org/teaselhook/node/job/JobEntryNode.java
@@ -40,11 +40,22 @@
  */
 public final class JobEntryNode implements AutoCloseable {
 
+    /** How often deadlines are looked at, in ms: a fraction of the shortest wait that an objective allows. */
     private static final long TICK_MILLIS = 20;
+
+    /** How often readiness and due reads are looked at, in ms: a fraction of the balancer's second. */
     private static final long SLOW_TICK_MILLIS = 100;
+
+    /** The greatest frame, in bytes: an order with the longest text, or the routes of some hundred services. */
     private static final int MAX_FRAME_BYTES = 1024 * 1024;
+
+    /** The greatest body of a request, in bytes: the limit in the operators' configurations so far. */
     private static final int MAX_BODY_BYTES = 256 * 1024;
+
+    /** The greatest number of callers' connections: the descriptors of an entry VM, less those of its agents. */
     private static final int MAX_CONNECTIONS = 3_000;
+
+    /** How long a connection may be idle, in ms: longer than callers pause. */
     private static final long IDLE_MILLIS = 60_000;
 
     /** How long connections stay open after SIGTERM, in ns: the balancer needs two failed checks, a second apart. */
@@ -65,8 +76,8 @@
     private final JobMetrics metrics = new JobMetrics(this::status);
     private final MetricsServer metricsServer;
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
-    private volatile Routes routes = Routes.none();
     private final PauseDetector pauses = PauseDetector.startingAt(System.nanoTime(), System.currentTimeMillis());
+    private volatile Routes routes = Routes.none();
     private volatile JobMetrics.Status status = JobMetrics.Status.INITIAL;
     private volatile Optional<String> unready = Optional.of("starting");
     private long leftAt = Long.MAX_VALUE;
--- a/node/src/main/java/org/teaselhook/node/lease/EntryLink.java
+++ b/node/src/main/java/org/teaselhook/node/lease/EntryLink.java
@@ -15,15 +15,18 @@
     /** A stream without an echo for so long is replaced, in ns: half of the silence after which runs are stopped. */
     private static final long REPLACED_NANOS = TimeUnit.MILLISECONDS.toNanos(LeaseTimes.ENTRY_SILENCE_MILLIS / 2);
 
-    /** How long a new stream may take until its first echo, in ns: on a busy machine that starts, some hundred ms. */
+    /** How long a new stream may take until its first echo, in ns: on a busy VM that starts, some hundred ms. */
     private static final long GREETING_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     /** How long an address is kept that no entry names, in ns: longer than an entry's restart. */
     private static final long KEPT_NANOS = TimeUnit.SECONDS.toNanos(60);
 
     private static final long SILENT_NANOS = TimeUnit.MILLISECONDS.toNanos(LeaseTimes.ENTRY_SILENCE_MILLIS);
+    /** The pause before the first dial after a loss, in ns; doubled with each that fails. */
     private static final long MIN_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
-    private static final long MAX_BACKOFF_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    /** The longest pause between two dials, in ns: an entry that is back serves only once agents have dialled. */
+    private static final long MAX_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
     private final InetSocketAddress address;
     private Optional<CommandStream> stream = Optional.empty();
--- a/node/src/main/java/org/teaselhook/node/lease/KeptAnswers.java
+++ b/node/src/main/java/org/teaselhook/node/lease/KeptAnswers.java
@@ -14,6 +14,7 @@
  */
 final class KeptAnswers {
 
+    /** The number of answers kept: a minute's at one worker; an entry that is away longer has given up. */
     private static final int KEPT = 4_096;
 
     private final Map<OrderId, RunReport> answers = new LinkedHashMap<>() {
--- a/node/src/main/java/org/teaselhook/node/lease/LeaseAgentNode.java
+++ b/node/src/main/java/org/teaselhook/node/lease/LeaseAgentNode.java
@@ -37,6 +37,7 @@
     /** Between two heartbeats, in ms: several fit into {@link LeaseTimes#ENTRY_SILENCE_MILLIS}. */
     private static final long HEARTBEAT_MILLIS = 100;
 
+    /** How often silence of entries is looked for, in ms: part of the chain of times in {@link LeaseTimes}. */
     private static final long TICK_MILLIS = 50;
 
     /** How long entries are looked up in the table service while none is connected, in ns. */
@@ -45,8 +46,13 @@
     /** How long runs may go on after SIGTERM, in ns: less than the time until the process is killed. */
     private static final long DRAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(4_500);
 
+    /** The greatest report of a worker, in bytes; usual ones have some hundred. */
     private static final int MAX_REPORT_BYTES = 64 * 1024;
+
+    /** The greatest number of connections for reports: one worker, and what it left open. */
     private static final int MAX_CONNECTIONS = 64;
+
+    /** How long such a connection may be idle, in ms: many heartbeats. */
     private static final long IDLE_MILLIS = 30_000;
 
     private final LeaseAgentSettings settings;
--- a/node/src/main/java/org/teaselhook/node/route/RoutePoller.java
+++ b/node/src/main/java/org/teaselhook/node/route/RoutePoller.java
@@ -16,6 +16,7 @@
  */
 public final class RoutePoller {
 
+    /** Between two reads, in ns. */
     private static final long INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
     private final RouteSource source;
