--- a/app/src/main/java/org/teaselhook/app/Daemon.java
+++ b/app/src/main/java/org/teaselhook/app/Daemon.java
@@ -19,6 +19,12 @@
 
     private Daemon() {}
 
+    /** Runs a daemon until it is told to end. */
+    @FunctionalInterface
+    interface Run {
+        int run(SettingsOption settings) throws InterruptedException;
+    }
+
     /** Waits for the end; the process exits after the daemon has stopped. SIGHUP does not end it. */
     static int runUntilTerminated(Supplier<CompletionStage<Void>> stop) throws InterruptedException {
         return runUntilTerminated(stop, () -> LogLine.of("reload-ignored").info());
--- a/app/src/main/java/org/teaselhook/app/JobEntryCommand.java
+++ b/app/src/main/java/org/teaselhook/app/JobEntryCommand.java
@@ -24,6 +24,10 @@
 
     @Override
     public Integer call() throws Exception {
+        return run(settings);
+    }
+
+    static int run(SettingsOption settings) throws InterruptedException {
         JulTinylogBridge.activate();
         Optional<JobEntrySettings> read = settings.read(JobEntrySettings::parse);
         if (read.isEmpty()) {
--- a/app/src/main/java/org/teaselhook/app/LeaseAgentCommand.java
+++ b/app/src/main/java/org/teaselhook/app/LeaseAgentCommand.java
@@ -24,6 +24,10 @@
 
     @Override
     public Integer call() throws Exception {
+        return run(settings);
+    }
+
+    static int run(SettingsOption settings) throws InterruptedException {
         JulTinylogBridge.activate();
         Optional<LeaseAgentSettings> read = settings.read(LeaseAgentSettings::parse);
         if (read.isEmpty()) {
--- a/app/src/main/java/org/teaselhook/app/Main.java
+++ b/app/src/main/java/org/teaselhook/app/Main.java
@@ -1,6 +1,6 @@
 package org.teaselhook.app;
 
-import java.util.Arrays;
+import java.nio.file.Path;
 import java.util.Optional;
 
 import picocli.CommandLine;
@@ -32,25 +32,30 @@
      * Runs the command and exits with its status: 0 success, 1 failure, 2 wrong usage or settings.
      *
      * @param args the arguments
+     * @throws InterruptedException if a daemon is interrupted
      */
-    public static void main(String[] args) {
+    public static void main(String[] args) throws InterruptedException {
         System.exit(execute(args));
     }
 
-    private static int execute(String[] args) {
-        Optional<Object> daemon = args.length == 0 ? Optional.empty() : daemon(args[0]);
-        return daemon.map(command -> new CommandLine(command).execute(Arrays.copyOfRange(args, 1, args.length)))
-                .orElseGet(() -> commandLine().execute(args));
+    private static int execute(String[] args) throws InterruptedException {
+        Optional<Daemon.Run> daemon = daemon(args);
+        return daemon.isPresent()
+                ? daemon.get().run(SettingsOption.of(Path.of(args[2])))
+                : commandLine().execute(args);
     }
 
     /**
-     * Returns the command of a daemon that is to serve as soon as it can: reading the annotations of all other commands
-     * would take half of its start.
+     * Finds the daemon of a command line in the form of deploy/system.toml. It is to serve as soon as it can after a
+     * start, and reading the annotations of the commands would take a fifth of that time.
      */
-    private static Optional<Object> daemon(String name) {
-        return switch (name) {
-            case "job-entry" -> Optional.of(new JobEntryCommand());
-            case "lease-agent" -> Optional.of(new LeaseAgentCommand());
+    private static Optional<Daemon.Run> daemon(String[] args) {
+        if (args.length != 3 || !args[1].equals("--settings")) {
+            return Optional.empty();
+        }
+        return switch (args[0]) {
+            case "job-entry" -> Optional.of(JobEntryCommand::run);
+            case "lease-agent" -> Optional.of(LeaseAgentCommand::run);
             default -> Optional.empty();
         };
     }
--- a/app/src/main/java/org/teaselhook/app/SettingsOption.java
+++ b/app/src/main/java/org/teaselhook/app/SettingsOption.java
@@ -24,6 +24,12 @@
             description = "The settings file, in YAML.")
     private Path file;
 
+    static SettingsOption of(Path file) {
+        SettingsOption option = new SettingsOption();
+        option.file = file;
+        return option;
+    }
+
     /** Reads the settings; prints every fault to standard error and returns empty if there is any. */
     <T> Optional<T> read(Function<String, SettingsResult<T>> parse) {
         return SettingsFile.read(file, parse).fold(Optional::of, this::report);
