Give the types of runs under leases names of their own

Cause: EntryLink, AgentSession, ActiveTask and KeptAnswers stood twice, for tasks of slots and for runs under leases; a reader who searched for one found the other. Nothing else. Conclusion: JobEntryGrpc and CommandStream still resemble EntryGrpcService and GrpcEntryStream in form; a common stream class is left for later.

--- a/core/src/main/java/org/teaselhook/core/job/ActiveJob.java
+++ b/core/src/main/java/org/teaselhook/core/job/ActiveJob.java
@@ -23,7 +23,7 @@
     private final long sequence;
     private final long latestStart;
     private final long giveUpAt;
-    private final List<ActiveTask> tasks = new ArrayList<>();
+    private final List<JobTask> tasks = new ArrayList<>();
     private boolean begun;
     private boolean ran;
 
@@ -34,7 +34,7 @@
         this.giveUpAt = giveUpAt;
         for (int step = 0; step < job.steps().size(); step++) {
             for (int index = 0; index < job.steps().get(step).tasks(); index++) {
-                tasks.add(new ActiveTask(this, step, index));
+                tasks.add(new JobTask(this, step, index));
             }
         }
     }
@@ -57,7 +57,7 @@
         return giveUpAt;
     }
 
-    List<ActiveTask> tasks() {
+    List<JobTask> tasks() {
         return tasks;
     }
 
@@ -72,11 +72,11 @@
     }
 
     boolean isDone() {
-        return tasks.stream().allMatch(ActiveTask::isDone);
+        return tasks.stream().allMatch(JobTask::isDone);
     }
 
     /** Returns the tasks that wait for a worker, the steps before them being done. */
-    List<ActiveTask> ready() {
+    List<JobTask> ready() {
         return tasks.stream()
                 .filter(task -> task.isWaiting() && isUnlocked(task.step()))
                 .toList();
@@ -87,7 +87,7 @@
     }
 
     private boolean isStepDone(int step) {
-        return tasks.stream().filter(task -> task.stepNumber() == step).allMatch(ActiveTask::isDone);
+        return tasks.stream().filter(task -> task.stepNumber() == step).allMatch(JobTask::isDone);
     }
 
     /** Returns the processor time that its ready tasks ask for, in thousandths of a core. */
--- a/core/src/main/java/org/teaselhook/core/job/ActiveJobs.java
+++ b/core/src/main/java/org/teaselhook/core/job/ActiveJobs.java
@@ -30,7 +30,7 @@
     }
 
     /** Whether the job of a task is still in progress, and not a later copy under its id. */
-    boolean isCurrent(ActiveTask task) {
+    boolean isCurrent(JobTask task) {
         return byId.get(task.job().job().id()) == task.job();
     }
 
--- a/core/src/main/java/org/teaselhook/core/job/JobDispatcher.java
+++ b/core/src/main/java/org/teaselhook/core/job/JobDispatcher.java
@@ -223,7 +223,7 @@
 
     private void ended(long nowNanos, Placement placement, RunOutcome outcome, long runMillis) {
         fleet.release(placement);
-        ActiveTask task = placement.task();
+        JobTask task = placement.task();
         task.job().ran();
         if (outcome == RunOutcome.DONE) {
             learn(nowNanos, placement, runMillis);
@@ -240,7 +240,7 @@
     }
 
     private void learn(long nowNanos, Placement placement, long runMillis) {
-        ActiveTask task = placement.task();
+        JobTask task = placement.task();
         runTimes.ran(task.job().job().route().name(), task.step().estimateMillis(), runMillis);
         if (placement.expectedMillis() > 0) {
             placement.worker().ran(nowNanos, runMillis / placement.expectedMillis());
@@ -260,7 +260,7 @@
         }
     }
 
-    private void progress(long nowNanos, ActiveTask task, RunOutcome outcome) {
+    private void progress(long nowNanos, JobTask task, RunOutcome outcome) {
         ActiveJob active = task.job();
         if (outcome == RunOutcome.DONE) {
             task.done();
@@ -289,7 +289,7 @@
     }
 
     private void refused(long nowNanos, Placement placement, RunRefusal refusal) {
-        ActiveTask task = placement.task();
+        JobTask task = placement.task();
         decided(
                 JobDecision.Kind.ORDER_REFUSED,
                 task.job().job().id(),
@@ -380,7 +380,7 @@
     }
 
     private void moveIfSlow(long nowNanos, Placement placement, RunForecast forecast) {
-        ActiveTask task = placement.task();
+        JobTask task = placement.task();
         WorkerRecord worker = placement.worker();
         double slowness = worker.slowness(nowNanos);
         boolean moving = task.avoids(worker.agent());
@@ -416,7 +416,7 @@
 
     /** Places the ready tasks of a job. Returns false if what is free does not even cover an ordinary task. */
     private boolean placeAll(long nowNanos, ActiveJob active) {
-        for (ActiveTask task : active.ready()) {
+        for (JobTask task : active.ready()) {
             if (fleet.isPlaced(task.name())) {
                 continue;
             }
@@ -433,7 +433,7 @@
         return true;
     }
 
-    private void place(long nowNanos, ActiveTask task, WorkerRecord worker) {
+    private void place(long nowNanos, JobTask task, WorkerRecord worker) {
         ActiveJob active = task.job();
         Job job = active.job();
         if (!active.hasBegun()) {
--- a/core/src/main/java/org/teaselhook/core/job/ActiveTask.java
+++ b/core/src/main/java/org/teaselhook/core/job/JobTask.java
@@ -9,7 +9,7 @@
 /**
  * A task of a job that is not answered yet.
  */
-final class ActiveTask {
+final class JobTask {
 
     private final ActiveJob job;
     private final int step;
@@ -21,7 +21,7 @@
     private int moves;
     private boolean done;
 
-    ActiveTask(ActiveJob job, int step, int index) {
+    JobTask(ActiveJob job, int step, int index) {
         this.job = job;
         this.step = step;
         this.name = job.job().id() + ".0." + step + "." + index;
--- a/core/src/main/java/org/teaselhook/core/job/Placement.java
+++ b/core/src/main/java/org/teaselhook/core/job/Placement.java
@@ -13,7 +13,7 @@
  * @param placedAt when it was sent
  * @param expectedMillis how long the run probably takes; 0 if nobody knows
  */
-record Placement(long number, ActiveTask task, WorkerRecord worker, long placedAt, double expectedMillis) {
+record Placement(long number, JobTask task, WorkerRecord worker, long placedAt, double expectedMillis) {
 
     Amounts amounts() {
         return task.step().amounts();
--- a/core/src/main/java/org/teaselhook/core/job/WorkerChoice.java
+++ b/core/src/main/java/org/teaselhook/core/job/WorkerChoice.java
@@ -31,7 +31,7 @@
 
     /** Returns the worker for a task, or empty if none has room for it now. */
     Optional<WorkerRecord> choose(
-            long nowNanos, ActiveTask task, Collection<WorkerRecord> workers, Predicate<String> zoneOut) {
+            long nowNanos, JobTask task, Collection<WorkerRecord> workers, Predicate<String> zoneOut) {
         Optional<String> rack = task.step().preferredRack();
         String service = task.job().job().route().service();
         boolean allSlow = workers.stream().noneMatch(w -> w.serves(service) && isQuickEnough(nowNanos, w));
@@ -44,7 +44,7 @@
                         .thenComparing(this::emptiness));
     }
 
-    private static boolean isUsable(long nowNanos, ActiveTask task, WorkerRecord worker) {
+    private static boolean isUsable(long nowNanos, JobTask task, WorkerRecord worker) {
         Step step = task.step();
         return worker.serves(task.job().job().route().service())
                 && !worker.isAvoided(nowNanos)
--- a/core/src/main/java/org/teaselhook/core/job/WorkerFleet.java
+++ b/core/src/main/java/org/teaselhook/core/job/WorkerFleet.java
@@ -53,7 +53,7 @@
     }
 
     /** Whether the task has failed or been late on every worker that could run it. */
-    boolean isAvoidedEverywhere(ActiveTask task) {
+    boolean isAvoidedEverywhere(JobTask task) {
         String service = task.job().job().route().service();
         return workers.values().stream().filter(w -> w.serves(service)).allMatch(w -> task.avoids(w.agent()));
     }
@@ -101,7 +101,7 @@
         workers.remove(worker.agent());
     }
 
-    Placement place(long nowNanos, ActiveTask task, WorkerRecord worker, double expectedMillis) {
+    Placement place(long nowNanos, JobTask task, WorkerRecord worker, double expectedMillis) {
         lastNumber++;
         Placement placement = new Placement(lastNumber, task, worker, nowNanos, expectedMillis);
         task.placed(placement);
--- a/node/src/main/java/org/teaselhook/node/job/JobEntryControl.java
+++ b/node/src/main/java/org/teaselhook/node/job/JobEntryControl.java
@@ -24,7 +24,7 @@
 final class JobEntryControl implements JobOutput {
 
     private final JobDispatcher dispatcher;
-    private final AgentSessions sessions;
+    private final RunSessions sessions;
     private final JobCallers callers = new JobCallers();
     private final LongSupplier clock;
     private final JobMetrics metrics;
@@ -39,14 +39,14 @@
             LongSupplier clock,
             JobMetrics metrics) {
         this.dispatcher = JobDispatcher.of(zone, this);
-        this.sessions = new AgentSessions(name, entry, dispatcher, () -> routes, entries, this::learn);
+        this.sessions = new RunSessions(name, entry, dispatcher, () -> routes, entries, this::learn);
         this.clock = clock;
         this.metrics = metrics;
     }
 
     // -- accessors
 
-    AgentSessions sessions() {
+    RunSessions sessions() {
         return sessions;
     }
 
--- a/node/src/main/java/org/teaselhook/node/job/JobEntryGrpc.java
+++ b/node/src/main/java/org/teaselhook/node/job/JobEntryGrpc.java
@@ -16,9 +16,9 @@
 final class JobEntryGrpc extends EntryServiceGrpc.EntryServiceImplBase {
 
     private final ControlLoop control;
-    private final AgentSessions sessions;
+    private final RunSessions sessions;
 
-    JobEntryGrpc(ControlLoop control, AgentSessions sessions) {
+    JobEntryGrpc(ControlLoop control, RunSessions sessions) {
         this.control = Objects.requireNonNull(control, "control is null");
         this.sessions = Objects.requireNonNull(sessions, "sessions is null");
     }
--- a/node/src/main/java/org/teaselhook/node/job/AgentSession.java
+++ b/node/src/main/java/org/teaselhook/node/job/RunSession.java
@@ -8,7 +8,7 @@
 /**
  * The connection of one agent.
  */
-final class AgentSession {
+final class RunSession {
 
     private final Incarnation agent;
     private final String name;
@@ -18,7 +18,7 @@
     private long routesVersion;
     private long routesSent;
 
-    AgentSession(Incarnation agent, String name, StreamObserver<RunCommand> stream, long nowNanos) {
+    RunSession(Incarnation agent, String name, StreamObserver<RunCommand> stream, long nowNanos) {
         this.agent = agent;
         this.name = name;
         this.stream = stream;
--- a/node/src/main/java/org/teaselhook/node/job/AgentSessions.java
+++ b/node/src/main/java/org/teaselhook/node/job/RunSessions.java
@@ -27,7 +27,7 @@
 /**
  * The connections of agents. Confined to the control thread.
  */
-final class AgentSessions {
+final class RunSessions {
 
     /** An agent that is silent for so long has replaced the connection, in ns. */
     private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(LeaseTimes.ENTRY_SILENCE_MILLIS);
@@ -38,10 +38,10 @@
     private final Supplier<Routes> routes;
     private final Supplier<List<String>> entries;
     private final Consumer<Routes> learned;
-    private final Map<Incarnation, AgentSession> sessions = new HashMap<>();
+    private final Map<Incarnation, RunSession> sessions = new HashMap<>();
     private boolean leaving;
 
-    AgentSessions(
+    RunSessions(
             String name,
             Incarnation entry,
             JobDispatcher dispatcher,
@@ -60,8 +60,8 @@
 
     void connected(long nowNanos, StreamObserver<RunCommand> stream, RunHello hello) {
         Incarnation agent = Incarnation.of(hello.getIncarnation());
-        AgentSession session = new AgentSession(agent, hello.getName(), stream, nowNanos);
-        AgentSession older = sessions.put(agent, session);
+        RunSession session = new RunSession(agent, hello.getName(), stream, nowNanos);
+        RunSession older = sessions.put(agent, session);
         if (older != null) {
             SessionStreams.close(older.stream());
         }
@@ -77,13 +77,13 @@
     }
 
     void disconnected(long nowNanos, Incarnation agent, StreamObserver<RunCommand> stream) {
-        AgentSession session = sessions.get(agent);
+        RunSession session = sessions.get(agent);
         if (session != null && session.stream() == stream) {
             drop(nowNanos, session, "connection ended");
         }
     }
 
-    private void drop(long nowNanos, AgentSession session, String reason) {
+    private void drop(long nowNanos, RunSession session, String reason) {
         sessions.remove(session.agent());
         LogLine.of("agent-lost")
                 .with("agent", session.name())
@@ -104,7 +104,7 @@
     // -- frames
 
     void received(long nowNanos, Incarnation agent, StreamObserver<RunCommand> stream, RunReport report) {
-        AgentSession session = sessions.get(agent);
+        RunSession session = sessions.get(agent);
         if (session == null || session.stream() != stream) {
             return;
         }
@@ -120,7 +120,7 @@
         }
     }
 
-    private void state(long nowNanos, AgentSession session, WorkerState state) {
+    private void state(long nowNanos, RunSession session, WorkerState state) {
         session.heard(nowNanos, state.getAgentNanos(), state.getRoutesVersion());
         if (state.getHeartbeat()) {
             sendRoutes(session);
@@ -144,14 +144,14 @@
     // -- sending
 
     void order(PlacedRun run) {
-        AgentSession session = sessions.get(run.agent());
+        RunSession session = sessions.get(run.agent());
         if (session != null) {
             session.send(JobFrames.order(run, session.agentNanos(), session.onAgentClock(run.startBy())));
         }
     }
 
     void stop(Incarnation agent, long number) {
-        AgentSession session = sessions.get(agent);
+        RunSession session = sessions.get(agent);
         if (session != null) {
             session.send(JobFrames.stop(number));
         }
@@ -161,7 +161,7 @@
         sessions.values().forEach(this::sendRoutes);
     }
 
-    private void sendRoutes(AgentSession session) {
+    private void sendRoutes(RunSession session) {
         Routes held = routes.get();
         if (held.isKnown() && session.lacksRoutes(held.version())) {
             session.send(JobFrames.routes(held));
--- a/node/src/main/java/org/teaselhook/node/lease/KeptAnswers.java
+++ b/node/src/main/java/org/teaselhook/node/lease/KeptReports.java
@@ -12,7 +12,7 @@
 /**
  * The ends and refusals of orders, kept for entries whose connection broke before they arrived. Bounded.
  */
-final class KeptAnswers {
+final class KeptReports {
 
     /** The number of answers kept: a minute's at one worker; an entry that is away longer has given up. */
     private static final int KEPT = 4_096;
--- a/node/src/main/java/org/teaselhook/node/lease/LeaseAgentControl.java
+++ b/node/src/main/java/org/teaselhook/node/lease/LeaseAgentControl.java
@@ -40,9 +40,9 @@
     private static final double MAX_PACE = 1_000;
 
     private final String zone;
-    private final EntryLinks links;
+    private final RunLinks links;
     private final LeaseMetrics metrics;
-    private final KeptAnswers answers = new KeptAnswers();
+    private final KeptReports answers = new KeptReports();
     private final EntryWatch watch = EntryWatch.empty();
     private WorkerRuns runs;
     private Routes routes = Routes.none();
@@ -50,7 +50,7 @@
     private long now;
     private boolean leaving;
 
-    LeaseAgentControl(String zone, EntryLinks links, LeaseMetrics metrics) {
+    LeaseAgentControl(String zone, RunLinks links, LeaseMetrics metrics) {
         this.metrics = Objects.requireNonNull(metrics, "metrics is null");
         this.zone = Objects.requireNonNull(zone, "zone is null");
         this.links = Objects.requireNonNull(links, "links is null");
@@ -98,7 +98,7 @@
 
     void received(CommandStream stream, RunCommand command, long nowNanos) {
         now = nowNanos;
-        Optional<EntryLink> link = links.on(stream);
+        Optional<RunLink> link = links.on(stream);
         if (link.isEmpty()) {
             return;
         }
@@ -122,7 +122,7 @@
         }
     }
 
-    private void greeted(EntryLink link, RunGreeting greeting, long nowNanos) {
+    private void greeted(RunLink link, RunGreeting greeting, long nowNanos) {
         Incarnation entry = Incarnation.of(greeting.getIncarnation());
         link.greeted(entry);
         LogLine.of("entry-connected")
@@ -137,7 +137,7 @@
     }
 
     /** Answers for an order that the entry believes to be in progress. */
-    private void settle(EntryLink link, OrderId order) {
+    private void settle(RunLink link, OrderId order) {
         if (runs.holds(order)) {
             return;
         }
@@ -147,7 +147,7 @@
         link.stream().ifPresent(stream -> stream.send(answer));
     }
 
-    private void pulsed(EntryLink link, RunPulse pulse, long nowNanos) {
+    private void pulsed(RunLink link, RunPulse pulse, long nowNanos) {
         link.echoed(pulse.getEchoAgentNanos(), pulse.getRoutesVersion(), pulse.getLeaving());
         link.entry().ifPresent(entry -> watch.echoed(entry, pulse.getEchoAgentNanos()));
         List<InetSocketAddress> named = pulse.getEntriesList().stream()
@@ -245,7 +245,7 @@
 
     private void answer(OrderId order, RunReport answer) {
         answers.keep(order, answer);
-        links.to(order.entry()).flatMap(EntryLink::stream).ifPresent(stream -> stream.send(answer));
+        links.to(order.entry()).flatMap(RunLink::stream).ifPresent(stream -> stream.send(answer));
     }
 
     @Override
@@ -270,7 +270,7 @@
         links.all().forEach(link -> sendState(link, true, nowNanos));
     }
 
-    private void sendState(EntryLink link, boolean heartbeat, long nowNanos) {
+    private void sendState(RunLink link, boolean heartbeat, long nowNanos) {
         if (link.entry().isEmpty() || link.stream().isEmpty()) {
             return;
         }
--- a/node/src/main/java/org/teaselhook/node/lease/LeaseAgentNode.java
+++ b/node/src/main/java/org/teaselhook/node/lease/LeaseAgentNode.java
@@ -58,7 +58,7 @@
     private final LeaseAgentSettings settings;
     private final EventLoops loops;
     private final ControlLoop loop;
-    private final EntryLinks links;
+    private final RunLinks links;
     private final LeaseAgentControl control;
     private final WorkerRuns runs;
     private final HttpServer server;
@@ -82,7 +82,7 @@
         this.table = table;
         this.loop = ControlLoop.start("agent-control", System::nanoTime, LeaseAgentNode::failed);
         Incarnation incarnation = Incarnation.random(new Random());
-        this.links = new EntryLinks(this::dial, LeaseFrames.hello(settings.name(), incarnation, settings.zone()));
+        this.links = new RunLinks(this::dial, LeaseFrames.hello(settings.name(), incarnation, settings.zone()));
         this.control = new LeaseAgentControl(settings.zone(), links, metrics);
         this.runs = WorkerRuns.of(System.currentTimeMillis(), calls, new OnLoop(), control, new RunLog());
         control.connect(runs);
--- a/node/src/main/java/org/teaselhook/node/lease/EntryLink.java
+++ b/node/src/main/java/org/teaselhook/node/lease/RunLink.java
@@ -10,7 +10,7 @@
 /**
  * The connection to one address of an entry, and the word of the entry on it.
  */
-final class EntryLink {
+final class RunLink {
 
     /** A stream without an echo for so long is replaced, in ns: half of the silence after which runs are stopped. */
     private static final long REPLACED_NANOS = TimeUnit.MILLISECONDS.toNanos(LeaseTimes.ENTRY_SILENCE_MILLIS / 2);
@@ -40,7 +40,7 @@
     private boolean leaving;
     private long routesVersion;
 
-    EntryLink(InetSocketAddress address, long nowNanos) {
+    RunLink(InetSocketAddress address, long nowNanos) {
         this.address = address;
         this.namedAt = nowNanos;
         this.dialAt = nowNanos;
--- a/node/src/main/java/org/teaselhook/node/lease/EntryLinks.java
+++ b/node/src/main/java/org/teaselhook/node/lease/RunLinks.java
@@ -17,29 +17,29 @@
 /**
  * The connections to every entry known. Confined to the control thread.
  */
-final class EntryLinks {
+final class RunLinks {
 
-    private final Map<InetSocketAddress, EntryLink> links = new LinkedHashMap<>();
+    private final Map<InetSocketAddress, RunLink> links = new LinkedHashMap<>();
     private final Function<InetSocketAddress, CommandStream> dialer;
     private final RunReport hello;
 
-    EntryLinks(Function<InetSocketAddress, CommandStream> dialer, RunReport hello) {
+    RunLinks(Function<InetSocketAddress, CommandStream> dialer, RunReport hello) {
         this.dialer = Objects.requireNonNull(dialer, "dialer is null");
         this.hello = Objects.requireNonNull(hello, "hello is null");
     }
 
     // -- accessors
 
-    List<EntryLink> all() {
+    List<RunLink> all() {
         return new ArrayList<>(links.values());
     }
 
-    Optional<EntryLink> on(CommandStream stream) {
+    Optional<RunLink> on(CommandStream stream) {
         return Optional.ofNullable(links.get(stream.address())).filter(link -> link.isOn(stream));
     }
 
     /** Returns the link on which an entry greeted. */
-    Optional<EntryLink> to(Incarnation entry) {
+    Optional<RunLink> to(Incarnation entry) {
         return links.values().stream()
                 .filter(link -> link.entry().filter(entry::equals).isPresent())
                 .findFirst();
@@ -55,11 +55,11 @@
 
     void know(Collection<InetSocketAddress> addresses, long nowNanos) {
         addresses.forEach(address ->
-                links.computeIfAbsent(address, a -> new EntryLink(a, nowNanos)).named(nowNanos));
+                links.computeIfAbsent(address, a -> new RunLink(a, nowNanos)).named(nowNanos));
     }
 
     void tick(long nowNanos) {
-        for (EntryLink link : all()) {
+        for (RunLink link : all()) {
             if (link.isDead(nowNanos)) {
                 drop(link, nowNanos, "no echo");
             }
@@ -85,7 +85,7 @@
         });
     }
 
-    private void drop(EntryLink link, long nowNanos, String reason) {
+    private void drop(RunLink link, long nowNanos, String reason) {
         link.stream().ifPresent(stream -> {
             logLost(link, reason);
             link.dropped(nowNanos);
@@ -93,7 +93,7 @@
         });
     }
 
-    private static void logLost(EntryLink link, String reason) {
+    private static void logLost(RunLink link, String reason) {
         if (link.entry().isPresent()) {
             LogLine.of("entry-lost")
                     .with("address", link.address())
--- a/node/src/test/java/org/teaselhook/node/lease/EntryLinkTest.java
+++ b/node/src/test/java/org/teaselhook/node/lease/RunLinkTest.java
@@ -14,7 +14,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
-public class EntryLinkTest {
+public class RunLinkTest {
 
     private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
     private static final long START = TimeUnit.SECONDS.toNanos(100);
@@ -41,7 +41,7 @@
     /** A machine that starts or is slow takes longer for a stream's first echo than for those that follow. */
     @Test(dataProvider = "silences")
     public void shouldGiveNewStreamMoreTimeThanOneThatFellSilent(long echoedMillis, long nowMillis, boolean expected) {
-        EntryLink link = new EntryLink(ADDRESS, START);
+        RunLink link = new RunLink(ADDRESS, START);
         link.dialed(stream(), START);
         if (echoedMillis >= 0) {
             link.echoed(START + echoedMillis * MILLI, 1, false);
@@ -52,7 +52,7 @@
 
     @Test
     public void shouldForgetAddressThatLeadsNowhereAndIsNamedNoMore() {
-        EntryLink link = new EntryLink(ADDRESS, START);
+        RunLink link = new RunLink(ADDRESS, START);
         long later = START + TimeUnit.SECONDS.toNanos(61);
         assertFalse(link.isForgotten(START));
         assertTrue(link.isForgotten(later));
