--- /dev/null
+++ b/core/src/test/java/org/teaselhook/core/job/WaitForecastTest.java
@@ -0,0 +1,28 @@
+package org.teaselhook.core.job;
+
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+
+public class WaitForecastTest {
+
+    @DataProvider
+    public Object[][] loads() {
+        return new Object[][] {
+            // free, total, entries, mean run ms, ahead and own, wait ms
+            {12_800, 176_000, 3, 300, 12_800, 0.0},
+            {0, 176_000, 1, 352, 5_000, 10.0},
+            {0, 176_000, 4, 352, 5_000, 40.0},
+            {4_000, 176_000, 1, 352, 9_000, 10.0},
+            {0, 0, 1, 300, 1_600, Double.POSITIVE_INFINITY},
+        };
+    }
+
+    /** All workers are busy: room comes free at the rate at which runs end, and entries share it. */
+    @Test(dataProvider = "loads")
+    public void shouldForetellWaitByRateAtWhichRoomComesFree(
+            long free, long total, int entries, double meanMillis, long needed, double expected) {
+        assertEquals(new WaitForecast(free, total, entries, meanMillis).waitMillis(needed), expected, 1e-6);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/teaselhook/core/job/WorkerChoiceTest.java
@@ -0,0 +1,99 @@
+package org.teaselhook.core.job;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import org.teaselhook.core.amount.Amounts;
+import org.teaselhook.core.id.Incarnation;
+import org.teaselhook.core.route.Route;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+
+public class WorkerChoiceTest {
+
+    private static final long START = TimeUnit.SECONDS.toNanos(9);
+    private static final Amounts CAPACITY = Amounts.of(16_000, 1_000, 0);
+
+    private final WorkerChoice choice = new WorkerChoice("near");
+    private List<WorkerRecord> workers;
+    private long now;
+
+    @BeforeMethod
+    public void clearWorkers() {
+        workers = new ArrayList<>();
+        now = START;
+    }
+
+    /** A job is as late as its slowest task: a quick worker goes first, though a slow one is emptier. */
+    @Test
+    public void shouldPreferQuickWorkerToEmptierOne() {
+        add("slow", "near", 0, 1.5);
+        add("quick", "near", 8_000, 1);
+
+        assertEquals(chosen(Optional.empty()), "quick");
+    }
+
+    @Test
+    public void shouldPreferEmptiestAmongEquallyQuick() {
+        add("full", "near", 12_000, 1);
+        add("empty", "near", 2_000, 1);
+
+        assertEquals(chosen(Optional.empty()), "empty");
+    }
+
+    @Test
+    public void shouldPreferNearWorkerUnlessOtherIsMuchEmptier() {
+        add("near", "near", 4_000, 1);
+        add("far", "far", 3_500, 1);
+        assertEquals(chosen(Optional.empty()), "near");
+
+        add("far-and-empty", "far", 0, 1);
+        assertEquals(chosen(Optional.empty()), "far-and-empty");
+    }
+
+    @Test
+    public void shouldPreferRackNearTheDataToAnyOther() {
+        add("elsewhere", "near", 0, 1);
+        add("rack", "far", 8_000, 1.5);
+
+        assertEquals(chosen(Optional.of("label-of-rack")), "rack");
+    }
+
+    /** Where the whole fleet is slow, a slow worker is better than none. */
+    @Test
+    public void shouldUseSlowWorkerOnlyWhereAllAreSlow() {
+        add("crawling", "near", 0, 4);
+        assertEquals(chosen(Optional.empty()), "crawling");
+
+        add("quick-but-full", "near", 16_000, 1);
+        assertEquals(chosen(Optional.empty()), "none");
+    }
+
+    // -- fixture
+
+    private void add(String name, String zone, int usedCpu, double pace) {
+        WorkerRecord worker = new WorkerRecord(Incarnation.of(workers.size() + 1), name, zone);
+        worker.connected(START);
+        for (int i = 0; i < 20; i++) {
+            Amounts used = Amounts.of(usedCpu, 0, 0);
+            WorkerView view = new WorkerView("s", CAPACITY, used, List.of("label-of-" + name), 0, pace);
+            worker.heard(START + TimeUnit.MILLISECONDS.toNanos(100 * i), view);
+        }
+        now = START + TimeUnit.MILLISECONDS.toNanos(1_900);
+        workers.add(worker);
+    }
+
+    private String chosen(Optional<String> rack) {
+        Route route = new Route("r", "h", "/p/", "s", 0, 3, 1.6, 60, 1_500);
+        Step step = new Step(1, Amounts.of(1_600, 64, 0), 200, List.of(), Optional.empty(), rack, 0);
+        Job job = new Job("a", route, "", List.of(step), now, now + 1);
+        JobTask task = new ActiveJob(job, 1, now, now).tasks().get(0);
+        return choice.choose(now, task, workers, zone -> false)
+                .map(WorkerRecord::name)
+                .orElse("none");
+    }
+}
