Count an entry that dialed this one before the registry named it

Cause: EntryGroup knew other entries from scans of the registry and from answered heartbeats alone. In the red run of EntryCutTest entry-3 had dialed the two others, but was cut off before they read the registry again and before an answer proved it present: they took themselves for all entries, confirmed each other, and stayed ready. Ruled out: a late scan (the log shows none), a wrong majority (there were two of two voters). Change: an entry that dials counts from then on, as one that is only listed: it holds the others back until it speaks or is given up. Later frames of the dial prove nothing, as they may have lain in a buffer. Test: EntryGroupTest.shouldWaitForEntryThatDialedAfterEntriesWereListed failed before (did not compile; without the method's effect it is not empty).

--- a/core/src/main/java/org/teaselhook/core/config/EntryGroup.java
+++ b/core/src/main/java/org/teaselhook/core/config/EntryGroup.java
@@ -59,6 +59,11 @@
         }
     }
 
+    /** Takes an entry that dialed this one, and from which no answer to a heartbeat has come yet. */
+    void dialedBy(KnownEntry entry, long nowNanos) {
+        others.putIfAbsent(entry.name(), new Known(entry.run(), false, false, nowNanos));
+    }
+
     private void replaceVoters(Collection<KnownEntry> entries) {
         Set<String> names = new HashSet<>();
         entries.forEach(entry -> names.add(entry.name()));
--- a/core/src/main/java/org/teaselhook/core/config/Freshness.java
+++ b/core/src/main/java/org/teaselhook/core/config/Freshness.java
@@ -103,6 +103,17 @@
         group.inherited(known, nowNanos);
     }
 
+    /**
+     * Notes an entry that dialed this one. It may accept changes, so it counts although the table service was not read
+     * since it started.
+     *
+     * @param entry the entry
+     * @param nowNanos the present time
+     */
+    public void dialedBy(KnownEntry entry, long nowNanos) {
+        group.dialedBy(entry, nowNanos);
+    }
+
     /**
      * Notes word from a peer. A peer that holds no version is no reason to start work.
      *
--- a/core/src/test/java/org/teaselhook/core/config/EntryGroupTest.java
+++ b/core/src/test/java/org/teaselhook/core/config/EntryGroupTest.java
@@ -118,6 +118,26 @@
         assertEquals(group.missing(at(10)), List.of());
     }
 
+    @Test
+    public void shouldWaitForEntryThatDialedAfterEntriesWereListed() {
+        listed(0, "a", "b");
+        group.dialedBy(new KnownEntry("c", run(1)), at(1));
+        heard("b", 1, 2);
+
+        assertTrue(isEmpty(2));
+        assertEquals(group.missing(at(2)), List.of("c"));
+    }
+
+    @Test
+    public void shouldNotTakeLaterFramesOfDialingEntryAsSignOfLife() {
+        listed(0, "a", "b");
+        for (int second = 1; second <= 13; second++) {
+            group.dialedBy(new KnownEntry("c", run(1)), at(second));
+            heard("b", 1, second);
+            assertEquals(isEmpty(second), second <= 11, "at second " + second);
+        }
+    }
+
     private void listed(long second, String... names) {
         group.scanned(entries(names), at(second));
     }
--- a/node/src/main/java/org/teaselhook/node/entry/EntryConfiguration.java
+++ b/node/src/main/java/org/teaselhook/node/entry/EntryConfiguration.java
@@ -67,6 +67,11 @@
         confirmations.confirmed(word.version());
     }
 
+    @Override
+    public void peerDialed(KnownEntry entry, long nowNanos) {
+        freshness.dialedBy(entry, nowNanos);
+    }
+
     @Override
     public void configReceived(ConfigDocument received) {
         offer(received.getVersion(), received.getText(), received.getOperation());
--- a/node/src/main/java/org/teaselhook/node/peer/PeerEvents.java
+++ b/node/src/main/java/org/teaselhook/node/peer/PeerEvents.java
@@ -21,6 +21,14 @@
      */
     void peerSpoke(PeerWord word, List<KnownEntry> known, long asOfNanos, long nowNanos);
 
+    /**
+     * Another entry dialed this one and is not about to leave.
+     *
+     * @param entry the entry
+     * @param nowNanos the present time
+     */
+    void peerDialed(KnownEntry entry, long nowNanos);
+
     /**
      * Another entry sent its configuration.
      *
--- a/node/src/main/java/org/teaselhook/node/peer/Peers.java
+++ b/node/src/main/java/org/teaselhook/node/peer/Peers.java
@@ -154,6 +154,9 @@
         }
         PeerHeartbeat heartbeat = frame.getHeartbeat();
         add(nowNanos, heartbeat.getAddress());
+        if (!heartbeat.getLeaving()) {
+            events.peerDialed(PeerFrames.word(heartbeat).entry(), nowNanos);
+        }
         PeerHeartbeat.Builder answer = heartbeat(nowNanos).setEchoSequence(heartbeat.getSequence());
         if (heartbeat.getLacksEntries()) {
             knowledge.listedEntries().forEach(entry -> answer.addKnownEntries(PeerFrames.known(entry)));
