Tell a worker's state only to the entries that it matters to; entries turn to workers of their own first

Ruled out: the store and the clients' side (both idle), want of capacity (the first seconds are below it). Change: the entry that an end or a refusal concerns is told at once, others that order here at 200 messages a second in all, the rest by heartbeats, five a second; entries' lists ride on a pulse only when they change. Workers are shared out among entries as homes. The operators' priority decides whose turn it is. A new entry keeps a job only if it can wait until the first agents connect. A line of the log is built in one buffer.

--- a/core/src/main/java/org/teaselhook/core/job/ActiveJob.java
+++ b/core/src/main/java/org/teaselhook/core/job/ActiveJob.java
@@ -12,10 +12,11 @@
 final class ActiveJob {
 
     /**
-     * Who is next: a job that has begun, since its other tasks wait for the rest; then the one whose latest useful
-     * start comes first.
+     * Who is next: a job that has begun, since its other tasks wait for the rest; then the more urgent route, as the
+     * operators rank them; then the job whose latest useful start comes first.
      */
     static final Comparator<ActiveJob> TURN = Comparator.comparing((ActiveJob job) -> !job.hasBegun())
+            .thenComparingInt(job -> job.job().route().priority())
             .thenComparing(ActiveJob::latestStart)
             .thenComparing(ActiveJob::sequence);
 
--- a/core/src/main/java/org/teaselhook/core/job/JobAdmission.java
+++ b/core/src/main/java/org/teaselhook/core/job/JobAdmission.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 
 import org.teaselhook.core.outcome.Problem;
@@ -16,12 +17,17 @@
 
     private static final double NANOS_PER_MILLI = 1e6;
 
+    /** How long the first agents take to find a new entry, in ns: with all VMs starting at once, 0.5 to 0.8 s. */
+    private static final long FIRST_AGENTS_NANOS = TimeUnit.MILLISECONDS.toNanos(650);
+
     private final WorkerFleet fleet;
     private final RunTimes runTimes;
+    private final long startedAt;
 
-    JobAdmission(WorkerFleet fleet, RunTimes runTimes) {
+    JobAdmission(WorkerFleet fleet, RunTimes runTimes, long startedAt) {
         this.fleet = fleet;
         this.runTimes = runTimes;
+        this.startedAt = startedAt;
     }
 
     /**
@@ -44,7 +50,7 @@
                 .filter(w -> w.serves(service) && !zoneOut.test(w.zone()) && !w.isAvoided(nowNanos))
                 .toList();
         if (serving.isEmpty()) {
-            return fleet.isForming() ? Optional.empty() : problem(ProblemKind.NO_WORKER, "service=" + service);
+            return noWorker(nowNanos, active);
         }
         if (!fits(job, serving)) {
             return problem(ProblemKind.NO_WORKER, "no worker is large enough for a task");
@@ -52,6 +58,20 @@
         return tooLate(nowNanos, active, ahead, forecast(serving, entries));
     }
 
+    /** A new entry keeps what can wait until its first agents have probably connected, and nothing else. */
+    private Optional<Problem> noWorker(long nowNanos, ActiveJob active) {
+        long connectingNanos = startedAt + FIRST_AGENTS_NANOS - nowNanos;
+        if (!fleet.isForming() || connectingNanos <= 0) {
+            return problem(
+                    ProblemKind.NO_WORKER, "service=" + active.job().route().service());
+        }
+        if (active.latestStart() - nowNanos >= connectingNanos) {
+            return Optional.empty();
+        }
+        Duration comeBack = Duration.ofNanos(connectingNanos);
+        return Optional.of(Problem.of(ProblemKind.NO_WORKER, "no agent has connected yet", comeBack));
+    }
+
     private static boolean fits(Job job, List<WorkerRecord> serving) {
         return job.steps().stream().allMatch(step -> serving.stream()
                 .anyMatch(w -> step.amounts().fitsInto(w.view().capacity())));
--- a/core/src/main/java/org/teaselhook/core/job/JobDispatcher.java
+++ b/core/src/main/java/org/teaselhook/core/job/JobDispatcher.java
@@ -1,5 +1,6 @@
 package org.teaselhook.core.job;
 
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -11,7 +12,6 @@
 import org.teaselhook.core.lease.RunOutcome;
 import org.teaselhook.core.lease.RunRefusal;
 import org.teaselhook.core.outcome.Problem;
-import org.teaselhook.core.outcome.ProblemKind;
 import org.teaselhook.core.route.Routes;
 
 /**
@@ -31,18 +31,21 @@
     private final JobOutput output;
     private final WorkerChoice choice;
     private final RunTimes runTimes = new RunTimes();
-    private final RecentResults recent = new RecentResults();
-    private final WorkerFleet fleet = new WorkerFleet();
-    private final JobAdmission admission = new JobAdmission(fleet, runTimes);
+    private final WorkerFleet fleet;
+    private final JobAdmission admission;
     private final JobPlanner planner = new JobPlanner(runTimes);
     private final ActiveJobs jobs = new ActiveJobs();
+    private final JobEnds ends;
     private Routes routes = Routes.none();
     private int entries = 1;
     private long placeNothingUntil = Long.MIN_VALUE;
 
-    private JobDispatcher(String zone, JobOutput output) {
+    private JobDispatcher(String name, String zone, long startedAt, JobOutput output) {
         this.output = Objects.requireNonNull(output, "output is null");
         this.choice = new WorkerChoice(zone);
+        this.ends = new JobEnds(jobs, output);
+        this.fleet = new WorkerFleet(name);
+        this.admission = new JobAdmission(fleet, runTimes, startedAt);
     }
 
     // -- factories
@@ -50,12 +53,15 @@
     /**
      * Returns a dispatcher without workers.
      *
+     * @param name the entry's name
      * @param zone the entry's availability zone
+     * @param startedAt when the entry started, in nanoseconds
      * @param output where decisions go
      * @return a new dispatcher
      */
-    public static JobDispatcher of(String zone, JobOutput output) {
-        return new JobDispatcher(Objects.requireNonNull(zone, "zone is null"), output);
+    public static JobDispatcher of(String name, String zone, long startedAt, JobOutput output) {
+        Objects.requireNonNull(name, "name is null");
+        return new JobDispatcher(name, Objects.requireNonNull(zone, "zone is null"), startedAt, output);
     }
 
     // -- accessors
@@ -120,7 +126,7 @@
      * @param job the job
      */
     public void submit(long nowNanos, Job job) {
-        Optional<JobResult> known = recent.find(job.id());
+        Optional<JobResult> known = ends.recent(job.id());
         if (known.isPresent() || jobs.contains(job.id())) {
             decided(JobDecision.Kind.DUPLICATE, job.id(), "", "answered", known.isPresent());
             known.ifPresent(result -> output.answered(nowNanos, job, result));
@@ -152,7 +158,7 @@
         ActiveJob active = jobs.find(jobId);
         if (active != null) {
             decided(JobDecision.Kind.GIVEN_UP, jobId, "", "reason", "cancelled");
-            remove(active);
+            ends.remove(active);
             drain(nowNanos);
         }
     }
@@ -266,12 +272,12 @@
             task.done();
         } else if (task.failures() >= active.job().route().maxAttempts()) {
             String detail = "task " + task.name() + " failed " + task.failures() + " times";
-            end(nowNanos, active, detail, new JobResult.Failed(detail));
+            ends.end(nowNanos, active, detail, new JobResult.Failed(detail));
             return;
         }
         if (active.isDone()) {
             decided(JobDecision.Kind.COMPLETED, active.job().id(), "", "ms", elapsed(nowNanos, active));
-            finish(nowNanos, active, new JobResult.Completed());
+            ends.finish(nowNanos, active, new JobResult.Completed());
         } else {
             jobs.refresh(active);
         }
@@ -332,6 +338,15 @@
         entries = count;
     }
 
+    /**
+     * Notes which entries are live, as the table service lists them.
+     *
+     * @param names their names, this entry's among them
+     */
+    public void entries(Collection<String> names) {
+        fleet.entries(List.copyOf(names));
+    }
+
     // -- time
 
     /**
@@ -357,9 +372,9 @@
 
     private void giveUpIfUseless(long nowNanos, ActiveJob active) {
         if (nowNanos - active.giveUpAt() >= 0) {
-            giveUp(nowNanos, active, "not done after " + elapsed(nowNanos, active) + " ms");
+            ends.giveUp(nowNanos, active, "not done after " + elapsed(nowNanos, active) + " ms");
         } else if (!active.hasBegun() && nowNanos - active.latestStart() > 0) {
-            giveUp(nowNanos, active, "not begun after " + elapsed(nowNanos, active) + " ms" + loadOf(active));
+            ends.giveUp(nowNanos, active, "not begun after " + elapsed(nowNanos, active) + " ms" + loadOf(active));
         }
     }
 
@@ -458,33 +473,6 @@
         output.order(run);
     }
 
-    // -- ends
-
-    private void giveUp(long nowNanos, ActiveJob active, String detail) {
-        JobResult result = active.mayHaveRun()
-                ? new JobResult.GivenUp(detail)
-                : new JobResult.NotRun(Problem.of(ProblemKind.OVERLOADED, detail));
-        end(nowNanos, active, detail, result);
-    }
-
-    private void end(long nowNanos, ActiveJob active, String detail, JobResult result) {
-        decided(JobDecision.Kind.GIVEN_UP, active.job().id(), "", "reason", detail);
-        finish(nowNanos, active, result);
-    }
-
-    private void finish(long nowNanos, ActiveJob active, JobResult result) {
-        recent.keep(active.job().id(), result);
-        remove(active);
-        output.answered(nowNanos, active.job(), result);
-    }
-
-    private void remove(ActiveJob active) {
-        jobs.remove(active);
-        active.tasks().stream()
-                .flatMap(task -> task.placement().stream())
-                .forEach(p -> output.stop(p.worker().agent(), p.number()));
-    }
-
     private void decided(JobDecision.Kind kind, String job, String task, Object... inputs) {
         output.decided(new JobDecision(kind, job, task, inputs));
     }
--- a/core/src/main/java/org/teaselhook/core/job/WorkerFleet.java
+++ b/core/src/main/java/org/teaselhook/core/job/WorkerFleet.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import org.teaselhook.core.id.Incarnation;
@@ -22,9 +23,16 @@
     private final Map<Incarnation, WorkerRecord> workers = new HashMap<>();
     private final Map<Long, Placement> placements = new HashMap<>();
     private final Map<String, Placement> byTask = new HashMap<>();
+    private final String self;
+    private Collection<String> entries;
     private long lastNumber;
     private boolean opened;
 
+    WorkerFleet(String self) {
+        this.self = self;
+        this.entries = List.of(self);
+    }
+
     // -- accessors
 
     Collection<WorkerRecord> all() {
@@ -90,6 +98,19 @@
     void connect(long nowNanos, Incarnation agent, String name, String zone) {
         workers.computeIfAbsent(agent, ignored -> new WorkerRecord(agent, name, zone))
                 .connected(nowNanos);
+        shareOut();
+    }
+
+    /** Notes which entries are live, this one among them. */
+    void entries(Collection<String> names) {
+        entries = names;
+        shareOut();
+    }
+
+    private void shareOut() {
+        List<String> names = workers.values().stream().map(WorkerRecord::name).toList();
+        Set<String> homes = HomeWorkers.of(self, entries, names);
+        workers.values().forEach(worker -> worker.home(homes.contains(worker.name())));
     }
 
     /** Notes that a worker takes work. */
@@ -99,6 +120,7 @@
 
     void remove(WorkerRecord worker) {
         workers.remove(worker.agent());
+        shareOut();
     }
 
     Placement place(long nowNanos, JobTask task, WorkerRecord worker, double expectedMillis) {
--- a/core/src/main/java/org/teaselhook/core/job/WorkerRecord.java
+++ b/core/src/main/java/org/teaselhook/core/job/WorkerRecord.java
@@ -40,6 +40,7 @@
     private Amounts unseen = Amounts.NONE;
     private boolean full;
     private boolean connected;
+    private boolean home;
     private long heardAt;
     private double slowness = 1;
     private long slownessAt;
@@ -74,6 +75,11 @@
         return connected;
     }
 
+    /** Whether this entry turns to it first. */
+    boolean isHome() {
+        return home;
+    }
+
     long heardAt() {
         return heardAt;
     }
@@ -109,6 +115,10 @@
         heardAt = nowNanos;
     }
 
+    void home(boolean own) {
+        home = own;
+    }
+
     void disconnected() {
         connected = false;
         view = WorkerView.CLOSED;
--- a/core/src/main/java/org/teaselhook/core/lease/LeaseTimes.java
+++ b/core/src/main/java/org/teaselhook/core/lease/LeaseTimes.java
@@ -21,6 +21,9 @@
     /** How long a worker may wait for an end before it answers a look, in ms: what a lost look delays ends by. */
     public static final long LOOK_WAIT_MILLIS = 60;
 
+    /** The same while nothing runs, in ms: then there is no end to wait for, and the lease is renewed in time. */
+    public static final long IDLE_LOOK_WAIT_MILLIS = 150;
+
     private LeaseTimes() {}
 
     /**
--- a/core/src/main/java/org/teaselhook/core/lease/RunEvents.java
+++ b/core/src/main/java/org/teaselhook/core/lease/RunEvents.java
@@ -22,6 +22,9 @@
      */
     void refused(RunRequest request, RunRefusal refusal);
 
-    /** What is free, or whether the worker takes work, has changed. */
-    void changed();
+    /** What is free on the worker has changed. */
+    void roomChanged();
+
+    /** Whether the worker takes work has changed, or what it has. */
+    void workerChanged();
 }
--- a/core/src/main/java/org/teaselhook/core/lease/WorkerRuns.java
+++ b/core/src/main/java/org/teaselhook/core/lease/WorkerRuns.java
@@ -159,7 +159,7 @@
         } else if (known.get().draining() != report.draining()
                 || !known.get().capacity().equals(report.capacity())) {
             log.workerChanged(report);
-            events.changed();
+            events.workerChanged();
         }
     }
 
@@ -192,7 +192,7 @@
         lease.reset();
         strays.clear();
         runs.all().forEach(run -> over(nowNanos, run, RunOutcome.LOST));
-        events.changed();
+        events.workerChanged();
     }
 
     // -- orders
@@ -281,7 +281,7 @@
         token += TOKEN_LEAP;
         lease.unseal();
         log.fenced(token);
-        events.changed();
+        events.workerChanged();
     }
 
     // -- stops
@@ -374,7 +374,8 @@
         lookDueAt = Long.MAX_VALUE;
         OptionalLong until = lease.renewForLook(nowNanos);
         long calledInLife = life;
-        long wait = until.isPresent() ? LeaseTimes.LOOK_WAIT_MILLIS : 0;
+        long longest = runs.size() == 0 ? LeaseTimes.IDLE_LOOK_WAIT_MILLIS : LeaseTimes.LOOK_WAIT_MILLIS;
+        long wait = until.isPresent() ? longest : 0;
         control.handle(calls.look(worker.orElseThrow(), until, token, acknowledged, wait), (now, result) -> {
             if (calledInLife == life) {
                 looked(now, nowNanos, result);
@@ -419,7 +420,7 @@
         lease.answered(nowNanos, look.clockMillis());
         if (open().isPresent() != wasOpen) {
             log.openChanged(open().isPresent(), strays.size());
-            events.changed();
+            events.workerChanged();
         }
     }
 
@@ -470,7 +471,7 @@
     private void missed(long nowNanos, LookResult result) {
         if (lease.missed()) {
             log.missed(result);
-            events.changed();
+            events.workerChanged();
         }
         if (lease.isSurelyOver(nowNanos)) {
             runs.all(Run::hasBegun).forEach(run -> over(nowNanos, run, RunOutcome.LOST));
@@ -487,12 +488,12 @@
         } else {
             events.refused(run.request(), run.refusalIfLost());
         }
-        events.changed();
+        events.roomChanged();
     }
 
     private void refuse(Run run, RunRefusal refusal) {
         runs.remove(run);
         events.refused(run.request(), run.isStopWanted() ? RunRefusal.CANCELLED : refusal);
-        events.changed();
+        events.roomChanged();
     }
 }
--- /dev/null
+++ b/core/src/test/java/org/teaselhook/core/job/JobAdmissionTest.java
@@ -0,0 +1,103 @@
+package org.teaselhook.core.job;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import org.teaselhook.core.amount.Amounts;
+import org.teaselhook.core.id.Incarnation;
+import org.teaselhook.core.lease.RunOutcome;
+import org.teaselhook.core.route.Route;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** Whether a job is taken on arrival, and whose turn it is then. */
+public class JobAdmissionTest {
+
+    private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+    private static final Amounts TASK = Amounts.of(1_600, 64, 0);
+    private static final Incarnation AGENT = Incarnation.of(1);
+
+    private RecordingJobOutput output;
+    private JobDispatcher dispatcher;
+    private long now;
+
+    @BeforeMethod
+    public void createDispatcher() {
+        now = TimeUnit.SECONDS.toNanos(5);
+        output = new RecordingJobOutput();
+        dispatcher = JobDispatcher.of("entry-1", "thrissur", now, output);
+    }
+
+    // -- a new entry
+
+    /** All machines were lost: callers are there before the first agent. */
+    @Test
+    public void shouldKeepJobThatCanWaitWhileAgentsOfNewEntryAreConnecting() {
+        submit(route("r", 0), "a", 1_100);
+        submit(route("r", 0), "b", 100);
+        assertEquals(output.answers().keySet(), Set.of("b"), "one that cannot wait for them is told at once");
+        now += 400 * MILLI;
+        dispatcher.tick(now);
+        submit(route("r", 0), "c", 500);
+        assertEquals(output.answers().keySet(), Set.of("b"), "one that can wait for the rest of the time is kept");
+
+        openWorker(Amounts.of(16_000, 65_536, 0));
+        assertEquals(output.orderedTasks(), List.of("a.0.0.0", "c.0.0.0"));
+    }
+
+    @Test
+    public void shouldTellWhenToComeBackWhileAgentsOfNewEntryAreConnecting() {
+        submit(route("r", 0), "a", 100);
+
+        JobResult.NotRun refusal = (JobResult.NotRun) output.answers().get("a");
+        assertEquals(refusal.problem().retryAfter(), Duration.ofMillis(650));
+    }
+
+    @Test
+    public void shouldTurnJobsAwayAtOnceWhenNoAgentHasFoundNewEntryInTime() {
+        now += 650 * MILLI;
+        submit(route("r", 0), "a", 1_100);
+
+        assertTrue(output.answers().get("a") instanceof JobResult.NotRun);
+    }
+
+    // -- whose turn it is
+
+    /** Load above capacity for some time: long jobs of a less urgent route wait, and their time to start runs out. */
+    @Test
+    public void shouldServeMoreUrgentRouteFirstThoughOtherJobsMustStartSooner() {
+        openWorker(TASK);
+        submit(route("r", 0), "running", 100);
+        submit(route("quotes", 2), "quote", 500);
+        now += 200 * MILLI;
+        submit(route("photos", 0), "photo", 500);
+        dispatcher.ended(now, output.orders().get(0).number(), RunOutcome.DONE, 200);
+
+        assertEquals(output.orderedTasks(), List.of("running.0.0.0", "photo.0.0.0"));
+    }
+
+    // -- fixture
+
+    private void openWorker(Amounts capacity) {
+        dispatcher.connected(now, AGENT, "agent-1", "thrissur");
+        long seen = output.orders().isEmpty()
+                ? 0
+                : output.orders().get(output.orders().size() - 1).number();
+        dispatcher.heard(now, AGENT, new WorkerView("patchdesk", capacity, Amounts.NONE, List.of(), seen, 0));
+    }
+
+    private void submit(Route route, String id, long estimateMillis) {
+        Step step = new Step(1, TASK, estimateMillis, List.of(), Optional.empty(), Optional.empty(), 0);
+        dispatcher.submit(now, new Job(id, route, "spec", List.of(step), now, now + 5_000 * MILLI));
+    }
+
+    private static Route route(String name, int priority) {
+        return new Route(name, "h.example", "/p/", "patchdesk", priority, 3, 1.6, 60, 5_000);
+    }
+}
--- a/core/src/test/java/org/teaselhook/core/job/JobDispatcherTest.java
+++ b/core/src/test/java/org/teaselhook/core/job/JobDispatcherTest.java
@@ -37,7 +37,7 @@
     public void createDispatcher() {
         now = TimeUnit.SECONDS.toNanos(5);
         output = new RecordingJobOutput();
-        dispatcher = JobDispatcher.of("thrissur", output);
+        dispatcher = JobDispatcher.of("entry-1", "thrissur", now, output);
     }
 
     // -- the whole path
@@ -79,18 +79,6 @@
     }
 
     /** After all machines were lost, callers are there before the first agent: those that can wait are served. */
-    @Test
-    public void shouldKeepJobThatCanWaitWhileAgentsOfNewEntryAreConnecting() {
-        submit("a", 1, 500);
-        submit("b", 1, 100);
-        now += 200 * MILLI;
-        dispatcher.tick(now);
-        assertEquals(output.answers().keySet(), Set.of("b"), "one that can wait no longer is told at once");
-
-        join(1, 10);
-        assertEquals(output.orderedTasks(), List.of("a.0.0.0"));
-    }
-
     @Test
     public void shouldTurnJobAwayAtOnceWhenTaskFitsNoWorker() {
         join(1, 1);
--- a/core/src/test/java/org/teaselhook/core/job/WorkerChoiceTest.java
+++ b/core/src/test/java/org/teaselhook/core/job/WorkerChoiceTest.java
@@ -55,6 +55,20 @@
         assertEquals(chosen(Optional.empty()), "far-and-empty");
     }
 
+    /** Several entries see the same emptiest worker: each turns to its own first, until that is full. */
+    @Test
+    public void shouldPreferOwnWorkerToEmptierOneOfAnotherEntryUntilItIsFull() {
+        add("other", "near", 0, 1);
+        add("own", "near", 12_000, 1);
+        workers.get(1).home(true);
+        assertEquals(chosen(Optional.empty()), "own");
+
+        workers.remove(1);
+        add("own", "near", 15_000, 1);
+        workers.get(1).home(true);
+        assertEquals(chosen(Optional.empty()), "other");
+    }
+
     @Test
     public void shouldPreferRackNearTheDataToAnyOther() {
         add("elsewhere", "near", 0, 1);
--- a/core/src/test/java/org/teaselhook/core/lease/RecordingEvents.java
+++ b/core/src/test/java/org/teaselhook/core/lease/RecordingEvents.java
@@ -21,7 +21,12 @@
     }
 
     @Override
-    public void changed() {
+    public void workerChanged() {
+        // Tests ask for the state itself.
+    }
+
+    @Override
+    public void roomChanged() {
         // Tests ask for the state itself.
     }
 
--- a/net/src/main/java/org/teaselhook/net/log/LogLine.java
+++ b/net/src/main/java/org/teaselhook/net/log/LogLine.java
@@ -5,7 +5,7 @@
 import org.tinylog.Logger;
 
 /**
- * One event, written as one line of key=value pairs.
+ * One event, written as one line of key=value pairs. A line is built once, on one thread.
  *
  * <pre>{@code
  * LogLine.of("dispatch").with("agent", name).with("slots", 3).info();
@@ -13,10 +13,13 @@
  */
 public final class LogLine {
 
-    private final String text;
+    /** Room for a usual line, so that building one seldom copies it. */
+    private static final int USUAL_LENGTH = 192;
 
-    private LogLine(String text) {
-        this.text = text;
+    private final StringBuilder text = new StringBuilder(USUAL_LENGTH);
+
+    private LogLine(String event) {
+        text.append("event=").append(event);
     }
 
     // -- factories
@@ -28,62 +31,76 @@
      * @return the line
      */
     public static LogLine of(String event) {
-        return new LogLine("event=" + Objects.requireNonNull(event, "event is null"));
+        return new LogLine(Objects.requireNonNull(event, "event is null"));
     }
 
-    // -- transformations
+    // -- building
 
     /**
      * Adds a pair. Values with spaces, quotes, equals signs or control characters are quoted and escaped.
      *
      * @param key the key
      * @param value the value
-     * @return the longer line
+     * @return this line
      */
     public LogLine with(String key, Object value) {
-        return new LogLine(text + ' ' + key + '=' + quoted(String.valueOf(value)));
+        text.append(' ').append(key).append('=');
+        append(String.valueOf(value));
+        return this;
     }
 
     /** Writes the line at level info. */
     public void info() {
-        Logger.info((Object) text);
+        Logger.info((Object) toString());
     }
 
     /** Writes the line at level warn. */
     public void warn() {
-        Logger.warn((Object) text);
+        Logger.warn((Object) toString());
     }
 
     /** Writes the line at level debug. */
     public void debug() {
-        Logger.debug((Object) text);
+        Logger.debug((Object) toString());
     }
 
     @Override
     public String toString() {
-        return text;
+        return text.toString();
+    }
+
+    private void append(String value) {
+        if (isPlain(value)) {
+            text.append(value);
+            return;
+        }
+        text.append('"');
+        for (int i = 0; i < value.length(); i++) {
+            appendEscaped(value.charAt(i));
+        }
+        text.append('"');
     }
 
-    private static String quoted(String value) {
-        if (!value.isEmpty() && value.chars().allMatch(LogLine::isPlain)) {
-            return value;
+    private static boolean isPlain(String value) {
+        for (int i = 0; i < value.length(); i++) {
+            if (!isPlain(value.charAt(i))) {
+                return false;
+            }
         }
-        StringBuilder result = new StringBuilder("\"");
-        value.chars().forEach(c -> appendEscaped(result, (char) c));
-        return result.append('"').toString();
+        return !value.isEmpty();
     }
 
-    private static boolean isPlain(int c) {
+    private static boolean isPlain(char c) {
         return c > ' ' && c != '"' && c != '=' && c != '\\' && c != 0x7f;
     }
 
-    private static void appendEscaped(StringBuilder result, char c) {
+    private void appendEscaped(char c) {
         if (c == '"' || c == '\\') {
-            result.append('\\').append(c);
+            text.append('\\').append(c);
         } else if (c < ' ' || c == 0x7f) {
-            result.append(String.format("\\u%04x", (int) c));
+            text.append(String.format("\\u%04x", (int) c));
         } else {
-            result.append(c);
+            text.append(c);
         }
     }
 }
--- a/node/src/main/java/org/teaselhook/node/job/JobEntryControl.java
+++ b/node/src/main/java/org/teaselhook/node/job/JobEntryControl.java
@@ -38,7 +38,7 @@
             Supplier<List<String>> entries,
             LongSupplier clock,
             JobMetrics metrics) {
-        this.dispatcher = JobDispatcher.of(zone, this);
+        this.dispatcher = JobDispatcher.of(name, zone, clock.getAsLong(), this);
         this.sessions = new RunSessions(name, entry, dispatcher, () -> routes, entries, this::learn);
         this.clock = clock;
         this.metrics = metrics;
@@ -155,6 +155,11 @@
         }
     }
 
+    /** The table service lists these entries as live. */
+    void entries(List<String> names) {
+        dispatcher.entries(names);
+    }
+
     // -- time
 
     void tick(long nowNanos) {
--- a/node/src/main/java/org/teaselhook/node/job/JobEntryNode.java
+++ b/node/src/main/java/org/teaselhook/node/job/JobEntryNode.java
@@ -80,6 +80,7 @@
     private volatile Routes routes = Routes.none();
     private volatile JobMetrics.Status status = JobMetrics.Status.INITIAL;
     private volatile Optional<String> unready = Optional.of("starting");
+    private List<String> entryAddresses = List.of();
     private long leftAt = Long.MAX_VALUE;
 
     private JobEntryNode(
@@ -236,7 +237,7 @@
     }
 
     private List<String> knownEntries() {
-        return members.live().stream().map(Member::grpcAddress).toList();
+        return entryAddresses;
     }
 
     private HttpReply ready() {
@@ -249,16 +250,18 @@
         failure.printStackTrace();
     }
 
-    /** The entries' rows are read for the addresses alone. */
-    private static final class Members implements MemberListener {
+    /** Takes the list of live entries. */
+    private final class Members implements MemberListener {
 
         @Override
         public void listed(List<Member> live, long sentNanos) {
-            // The list is asked for when it is needed.
+            // Beats alone change nothing here.
         }
 
         @Override
         public void changed(List<Member> live) {
+            entryAddresses = live.stream().map(Member::grpcAddress).toList();
+            control.entries(live.stream().map(Member::name).toList());
             LogLine.of("entries-changed").with("live", live.size()).info();
         }
     }
--- a/node/src/main/java/org/teaselhook/node/job/RunSession.java
+++ b/node/src/main/java/org/teaselhook/node/job/RunSession.java
@@ -1,5 +1,8 @@
 package org.teaselhook.node.job;
 
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
 import io.grpc.stub.StreamObserver;
 import org.teaselhook.core.id.Incarnation;
 import org.teaselhook.node.session.SessionStreams;
@@ -10,6 +13,9 @@
  */
 final class RunSession {
 
+    /** How often an agent is told of all entries though none has changed, in ns: it forgets them after 60 s. */
+    private static final long ENTRIES_NANOS = TimeUnit.SECONDS.toNanos(5);
+
     private final Incarnation agent;
     private final String name;
     private final StreamObserver<RunCommand> stream;
@@ -17,6 +23,8 @@
     private long heardAt;
     private long routesVersion;
     private long routesSent;
+    private List<String> entriesSent = List.of();
+    private long entriesSentAt;
 
     RunSession(Incarnation agent, String name, StreamObserver<RunCommand> stream, long nowNanos) {
         this.agent = agent;
@@ -58,6 +66,16 @@
         return agentNanos + instantNanos - heardAt;
     }
 
+    /** Returns the entries that the agent is to be told of now: none while it was told the same of late. */
+    List<String> takeEntries(long nowNanos, List<String> live) {
+        if (live.equals(entriesSent) && nowNanos - entriesSentAt < ENTRIES_NANOS) {
+            return List.of();
+        }
+        entriesSent = live;
+        entriesSentAt = nowNanos;
+        return live;
+    }
+
     // -- updates
 
     void heard(long nowNanos, long newAgentNanos, long heldRoutes) {
--- a/node/src/main/java/org/teaselhook/node/job/RunSessions.java
+++ b/node/src/main/java/org/teaselhook/node/job/RunSessions.java
@@ -124,7 +124,8 @@
         session.heard(nowNanos, state.getAgentNanos(), state.getRoutesVersion());
         if (state.getHeartbeat()) {
             sendRoutes(session);
-            session.send(JobFrames.pulse(state.getAgentNanos(), routes.get().version(), entries.get(), leaving));
+            List<String> known = session.takeEntries(nowNanos, entries.get());
+            session.send(JobFrames.pulse(state.getAgentNanos(), routes.get().version(), known, leaving));
             dispatcher.entries(Math.max(1, state.getEntries()));
         }
         dispatcher.heard(nowNanos, session.agent(), JobFrames.view(state));
--- a/node/src/main/java/org/teaselhook/node/lease/LeaseAgentControl.java
+++ b/node/src/main/java/org/teaselhook/node/lease/LeaseAgentControl.java
@@ -8,6 +8,7 @@
 
 import org.teaselhook.core.id.Incarnation;
 import org.teaselhook.core.lease.EntryWatch;
+import org.teaselhook.core.lease.LeaseTimes;
 import org.teaselhook.core.lease.OrderId;
 import org.teaselhook.core.lease.RunEvents;
 import org.teaselhook.core.lease.RunId;
@@ -36,6 +37,16 @@
     /** How long changes of the worker's state are gathered before entries are told, in ns: a fraction of a task. */
     private static final long GATHER_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
 
+    /** How many messages a second an agent spends on telling entries of each other's use, shared among them. */
+    private static final long SHARED_STATES_PER_SECOND = 200;
+
+    /** Between two heartbeats to an entry that orders, in ns: several fit into the silence that is borne. */
+    private static final long HEARTBEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+    /** Between two heartbeats to any other entry, in ns: two fit into the silence that is borne. */
+    private static final long IDLE_HEARTBEAT_NANOS =
+            TimeUnit.MILLISECONDS.toNanos(LeaseTimes.ENTRY_SILENCE_MILLIS) * 2 / 5;
+
     /** The greatest pace told: a worker this slow is of no use, whatever the exact figure. */
     private static final double MAX_PACE = 1_000;
 
@@ -46,7 +57,6 @@
     private final EntryWatch watch = EntryWatch.empty();
     private WorkerRuns runs;
     private Routes routes = Routes.none();
-    private long flushAt = Long.MAX_VALUE;
     private long now;
     private boolean leaving;
 
@@ -62,8 +72,9 @@
 
     // -- accessors
 
+    /** When some entry is to be told the worker's state. */
     long flushAt() {
-        return flushAt;
+        return links.stateDueAt();
     }
 
     boolean isIdle() {
@@ -112,7 +123,10 @@
         }
         switch (command.getCommandCase()) {
             case PULSE -> pulsed(link.get(), command.getPulse(), nowNanos);
-            case ORDER -> ordered(entry.get(), command.getOrder(), nowNanos);
+            case ORDER -> {
+                link.get().ordered(nowNanos);
+                ordered(entry.get(), command.getOrder(), nowNanos);
+            }
             case STOP -> stopped(entry.get(), command.getStop().getOrder(), nowNanos);
             case ROUTES -> learn(RouteMessages.routes(command.getRoutes()));
             default ->
@@ -168,7 +182,7 @@
                     .with("config", next.configVersion())
                     .with("zones_out", next.zonesOut())
                     .info();
-            changed();
+            workerChanged();
         }
     }
 
@@ -189,7 +203,7 @@
         } else {
             watch.echoed(entry, order.getEchoAgentNanos());
             runs.order(nowNanos, request);
-            changed();
+            roomChanged();
         }
     }
 
@@ -233,7 +247,6 @@
                 .with("routes_version", routes.version())
                 .warn();
         answer(request.order(), LeaseFrames.refusal(request.order().number(), refusal));
-        changed();
     }
 
     private static LogLine line(String event, RunRequest request) {
@@ -245,32 +258,56 @@
 
     private void answer(OrderId order, RunReport answer) {
         answers.keep(order, answer);
-        links.to(order.entry()).flatMap(RunLink::stream).ifPresent(stream -> stream.send(answer));
+        links.to(order.entry()).ifPresent(link -> {
+            link.stream().ifPresent(stream -> stream.send(answer));
+            link.stateDue(now + GATHER_NANOS);
+        });
     }
 
+    /**
+     * The entry whose run has begun or ended knows, or is told with the answer. The others that order here are told at a
+     * rate that does not grow with their number, and those that do not learn it from heartbeats.
+     */
     @Override
-    public void changed() {
-        if (flushAt == Long.MAX_VALUE) {
-            flushAt = now + GATHER_NANOS;
-        }
+    public void roomChanged() {
+        List<RunLink> all = links.all();
+        long interval = TimeUnit.SECONDS.toNanos(1) * Math.max(1, all.size()) / SHARED_STATES_PER_SECOND;
+        all.stream()
+                .filter(link -> link.isOrdering(now))
+                .forEach(link -> link.stateDue(Math.max(now + GATHER_NANOS, link.stateSentAt() + interval)));
+    }
+
+    @Override
+    public void workerChanged() {
+        links.all().forEach(link -> link.stateDue(now + GATHER_NANOS));
     }
 
     // -- telling entries
 
-    /** Tells every entry what has changed. */
+    /** Tells entries what has changed, where that is due. */
     void flush(long nowNanos) {
         now = nowNanos;
-        flushAt = Long.MAX_VALUE;
-        links.all().forEach(link -> sendState(link, false, nowNanos));
+        for (RunLink link : links.all()) {
+            if (link.stateDueAt() <= nowNanos) {
+                sendState(link, false, nowNanos);
+            }
+        }
     }
 
-    /** Tells every entry the worker's state and asks for an echo. */
+    /** Tells entries the worker's state and asks for an echo, where that is due. */
     void heartbeat(long nowNanos) {
         now = nowNanos;
-        links.all().forEach(link -> sendState(link, true, nowNanos));
+        for (RunLink link : links.all()) {
+            long interval = link.isOrdering(nowNanos) ? HEARTBEAT_NANOS : IDLE_HEARTBEAT_NANOS;
+            if (nowNanos - link.heartbeatAt() >= interval) {
+                link.heartbeat(nowNanos);
+                sendState(link, true, nowNanos);
+            }
+        }
     }
 
     private void sendState(RunLink link, boolean heartbeat, long nowNanos) {
+        link.stateSent(nowNanos);
         if (link.entry().isEmpty() || link.stream().isEmpty()) {
             return;
         }
@@ -311,7 +348,7 @@
         now = nowNanos;
         leaving = true;
         LogLine.of("agent-leaving").with("runs", runs.size()).info();
-        flush(nowNanos);
+        workerChanged();
     }
 
     /** Drops every connection: this process stood still, and what lies in buffers may be out of date. */
--- a/node/src/main/java/org/teaselhook/node/lease/LeaseAgentNode.java
+++ b/node/src/main/java/org/teaselhook/node/lease/LeaseAgentNode.java
@@ -34,7 +34,7 @@
  */
 public final class LeaseAgentNode implements AutoCloseable {
 
-    /** Between two heartbeats, in ms: several fit into {@link LeaseTimes#ENTRY_SILENCE_MILLIS}. */
+    /** How often heartbeats are looked at, in ms: the shorter interval between two of them. */
     private static final long HEARTBEAT_MILLIS = 100;
 
     /** How often silence of entries is looked for, in ms: part of the chain of times in {@link LeaseTimes}. */
--- a/node/src/main/java/org/teaselhook/node/lease/RunLink.java
+++ b/node/src/main/java/org/teaselhook/node/lease/RunLink.java
@@ -12,8 +12,8 @@
  */
 final class RunLink {
 
-    /** A stream without an echo for so long is replaced, in ns: half of the silence after which runs are stopped. */
-    private static final long REPLACED_NANOS = TimeUnit.MILLISECONDS.toNanos(LeaseTimes.ENTRY_SILENCE_MILLIS / 2);
+    /** A stream without an echo for so long is replaced, in ns: in time for a new one before runs are stopped. */
+    private static final long REPLACED_NANOS = TimeUnit.MILLISECONDS.toNanos(LeaseTimes.ENTRY_SILENCE_MILLIS) * 7 / 10;
 
     /** How long a new stream may take until its first echo, in ns: on a busy VM that starts, some hundred ms. */
     private static final long GREETING_NANOS = TimeUnit.SECONDS.toNanos(1);
@@ -21,6 +21,9 @@
     /** How long an address is kept that no entry names, in ns: longer than an entry's restart. */
     private static final long KEPT_NANOS = TimeUnit.SECONDS.toNanos(60);
 
+    /** How long after its last order an entry counts as ordering, in ns: several waves of sub-second tasks. */
+    private static final long ORDERING_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
     private static final long SILENT_NANOS = TimeUnit.MILLISECONDS.toNanos(LeaseTimes.ENTRY_SILENCE_MILLIS);
     /** The pause before the first dial after a loss, in ns; doubled with each that fails. */
     private static final long MIN_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
@@ -36,7 +39,11 @@
     private long backoffNanos = MIN_BACKOFF_NANOS;
     private long dialedAt;
     private long echoedAt;
-    private boolean stateSent;
+    private long stateDueAt = Long.MAX_VALUE;
+    private long stateSentAt;
+    private long heartbeatAt;
+    private long orderedAt;
+    private boolean ordered;
     private boolean leaving;
     private long routesVersion;
 
@@ -94,8 +101,24 @@
         return routesVersion;
     }
 
-    boolean isStateSent() {
-        return stateSent;
+    /** When the entry is to be told the worker's state, {@link Long#MAX_VALUE} if nothing has changed for it. */
+    long stateDueAt() {
+        return stateDueAt;
+    }
+
+    /** When the state was last sent. */
+    long stateSentAt() {
+        return stateSentAt;
+    }
+
+    /** When the last heartbeat was due. */
+    long heartbeatAt() {
+        return heartbeatAt;
+    }
+
+    /** Whether the entry has sent orders of late, so that what is free here matters to it. */
+    boolean isOrdering(long nowNanos) {
+        return ordered && nowNanos - orderedAt <= ORDERING_NANOS;
     }
 
     // -- updates
@@ -108,7 +131,8 @@
         stream = Optional.of(opened);
         entry = Optional.empty();
         dialedAt = nowNanos;
-        stateSent = false;
+        stateDueAt = Long.MAX_VALUE;
+        ordered = false;
     }
 
     void greeted(Incarnation incarnation) {
@@ -124,8 +148,22 @@
         backoffNanos = MIN_BACKOFF_NANOS;
     }
 
-    void stateSent(boolean sent) {
-        stateSent = sent;
+    void stateDue(long atNanos) {
+        stateDueAt = Math.min(stateDueAt, atNanos);
+    }
+
+    void stateSent(long nowNanos) {
+        stateDueAt = Long.MAX_VALUE;
+        stateSentAt = nowNanos;
+    }
+
+    void heartbeat(long nowNanos) {
+        heartbeatAt = nowNanos;
+    }
+
+    void ordered(long nowNanos) {
+        ordered = true;
+        orderedAt = nowNanos;
     }
 
     void dropped(long nowNanos) {
--- a/node/src/main/java/org/teaselhook/node/lease/RunLinks.java
+++ b/node/src/main/java/org/teaselhook/node/lease/RunLinks.java
@@ -45,6 +45,15 @@
                 .findFirst();
     }
 
+    /** Returns when some entry is to be told the worker's state. */
+    long stateDueAt() {
+        long result = Long.MAX_VALUE;
+        for (RunLink link : links.values()) {
+            result = Math.min(result, link.stateDueAt());
+        }
+        return result;
+    }
+
     int heard(long nowNanos) {
         return Math.toIntExact(links.values().stream()
                 .filter(link -> link.entry().isPresent() && link.isHeard(nowNanos) && !link.isLeaving())
