--- a/node/src/main/java/org/teaselhook/node/lease/LeaseAgentControl.java
+++ b/node/src/main/java/org/teaselhook/node/lease/LeaseAgentControl.java
@@ -265,8 +265,8 @@
     }
 
     /**
-     * The entry whose run has begun or ended knows, or is told with the answer. The others that order here are told at a
-     * rate that does not grow with their number, and those that do not learn it from heartbeats.
+     * The entry whose run has begun or ended knows, or is told with the answer. The others that order here are told at
+     * a rate that does not grow with their number, and those that do not learn it from heartbeats.
      */
     @Override
     public void roomChanged() {
