--- a/core/src/main/java/org/teaselhook/core/id/Incarnation.java
+++ b/core/src/main/java/org/teaselhook/core/id/Incarnation.java
@@ -9,6 +9,8 @@
  */
 public record Incarnation(long value) {
 
+    private static final int HEX_DIGITS = 16;
+
     /**
      * Checks the value.
      *
@@ -58,6 +60,7 @@
 
     @Override
     public String toString() {
-        return String.format("%016x", value);
+        String digits = Long.toHexString(value);
+        return "0".repeat(HEX_DIGITS - digits.length()) + digits;
     }
 }
--- a/core/src/main/java/org/teaselhook/core/job/WorkerChoice.java
+++ b/core/src/main/java/org/teaselhook/core/job/WorkerChoice.java
@@ -9,13 +9,13 @@
 
 /**
  * Chooses where a task runs. Answers load that comes in waves on unequal workers: a job is as late as its slowest task,
- * so quick workers go first; among equally quick ones this entry's own, which the others leave to it; then the
+ * so workers of the usual speed go first; among these this entry's own, which the others leave to it; then the
  * emptiest, which is least likely to be full when the order arrives.
  */
 final class WorkerChoice {
 
-    /** Workers whose slowness differs by less than this count as equally quick: the error of what is measured. */
-    private static final double EQUALLY_QUICK = 0.25;
+    /** Up to this slowness a worker is of the usual speed: objectives allow a run at least so much more. */
+    private static final double USUAL = 1.45;
 
     /** How much emptier a worker of another zone must be, as a share of it: traffic between zones is paid for. */
     private static final double NEAR_BONUS = 0.1;
@@ -24,7 +24,7 @@
     private static final double TOO_SLOW = 2.2;
 
     private static final Comparator<Candidate> BETTER = Comparator.comparing(Candidate::isNearData)
-            .thenComparing(Candidate::speedClass, Comparator.reverseOrder())
+            .thenComparing(Candidate::isUsuallyQuick)
             .thenComparing(Candidate::isHome)
             .thenComparingDouble(Candidate::emptiness);
 
@@ -35,7 +35,7 @@
     }
 
     private record Candidate(
-            WorkerRecord worker, boolean isNearData, long speedClass, boolean isHome, double emptiness) {}
+            WorkerRecord worker, boolean isNearData, boolean isUsuallyQuick, boolean isHome, double emptiness) {}
 
     /** Returns the worker for a task, or empty if none has room for it now. */
     Optional<WorkerRecord> choose(
@@ -69,8 +69,7 @@
                 .preferredRack()
                 .filter(worker.view().labels()::contains)
                 .isPresent();
-        return new Candidate(
-                worker, nearData, Math.round(slowness / EQUALLY_QUICK), worker.isHome(), emptiness(worker));
+        return new Candidate(worker, nearData, slowness < USUAL, worker.isHome(), emptiness(worker));
     }
 
     private static boolean isUsable(long nowNanos, JobTask task, WorkerRecord worker) {
--- a/net/src/main/java/org/teaselhook/net/log/BoundedWriter.java
+++ b/net/src/main/java/org/teaselhook/net/log/BoundedWriter.java
@@ -1,29 +1,34 @@
 package org.teaselhook.net.log;
 
+import java.time.ZoneId;
 import java.util.Collection;
 import java.util.EnumSet;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
 
 import org.tinylog.Level;
 import org.tinylog.core.LogEntry;
 import org.tinylog.core.LogEntryValue;
-import org.tinylog.writers.AbstractFormatPatternWriter;
+import org.tinylog.writers.Writer;
 
 /**
- * A writer of tinylog's that puts lines on standard output within a bound and never blocks. Its properties are {@code
- * format}, and {@code lines}: the greatest number of routine lines in a second.
+ * A writer of tinylog's that puts lines on standard output within a bound and never blocks. Its property is {@code
+ * lines}: the greatest number of routine lines in a second.
  */
-public final class BoundedWriter extends AbstractFormatPatternWriter {
+public final class BoundedWriter implements Writer {
 
     /** The default of the property {@code lines}: several for each task at the rate of one entry. */
     public static final int DEFAULT_LINES_PER_SECOND = 2_000;
 
     private static final int QUEUE_CAPACITY = 8_192;
 
+    /** Room for a usual line with its time, level and thread. */
+    private static final int USUAL_LENGTH = 256;
+
     private static final AtomicLong DROPPED = new AtomicLong();
 
+    private final LogTime time = LogTime.in(ZoneId.systemDefault());
+
     private final LogQueue queue;
 
     /**
@@ -32,7 +37,6 @@
      * @param properties the writer's properties
      */
     public BoundedWriter(Map<String, String> properties) {
-        super(properties);
         queue = LogQueue.start(QUEUE_CAPACITY, linesPerSecond(properties), System.out, DROPPED::addAndGet);
     }
 
@@ -57,15 +61,26 @@
 
     @Override
     public Collection<LogEntryValue> getRequiredLogEntryValues() {
-        Set<LogEntryValue> values = EnumSet.of(LogEntryValue.LEVEL);
-        values.addAll(super.getRequiredLogEntryValues());
-        return values;
+        return EnumSet.of(LogEntryValue.DATE, LogEntryValue.LEVEL, LogEntryValue.THREAD, LogEntryValue.MESSAGE);
     }
 
     @Override
     public void write(LogEntry entry) {
         boolean failure = entry.getLevel().ordinal() >= Level.WARN.ordinal();
-        queue.add(System.nanoTime(), failure, render(entry));
+        queue.add(System.nanoTime(), failure, line(entry));
+    }
+
+    private String line(LogEntry entry) {
+        StringBuilder line = new StringBuilder(USUAL_LENGTH);
+        time.append(line, entry.getTimestamp().toInstant());
+        return line.append(" level=")
+                .append(entry.getLevel())
+                .append(" thread=")
+                .append(entry.getThread().getName())
+                .append(' ')
+                .append(entry.getMessage())
+                .append(System.lineSeparator())
+                .toString();
     }
 
     @Override
--- a/node/src/main/java/org/teaselhook/node/lease/LeaseAgentControl.java
+++ b/node/src/main/java/org/teaselhook/node/lease/LeaseAgentControl.java
@@ -38,7 +38,7 @@
     private static final long GATHER_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
 
     /** How many messages a second an agent spends on telling entries of each other's use, shared among them. */
-    private static final long SHARED_STATES_PER_SECOND = 200;
+    private static final long SHARED_STATES_PER_SECOND = 400;
 
     /** Between two heartbeats to an entry that orders, in ns: several fit into the silence that is borne. */
     private static final long HEARTBEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
@@ -270,11 +270,10 @@
      */
     @Override
     public void roomChanged() {
-        List<RunLink> all = links.all();
-        long interval = TimeUnit.SECONDS.toNanos(1) * Math.max(1, all.size()) / SHARED_STATES_PER_SECOND;
-        all.stream()
-                .filter(link -> link.isOrdering(now))
-                .forEach(link -> link.stateDue(Math.max(now + GATHER_NANOS, link.stateSentAt() + interval)));
+        List<RunLink> ordering =
+                links.all().stream().filter(link -> link.isOrdering(now)).toList();
+        long interval = TimeUnit.SECONDS.toNanos(1) * ordering.size() / SHARED_STATES_PER_SECOND;
+        ordering.forEach(link -> link.stateDue(Math.max(now + GATHER_NANOS, link.stateSentAt() + interval)));
     }
 
     @Override
