Let the first orders that come too early wait at the agent for the next ends

Change: core.lease.RunQueue keeps orders for at most 40 ms, up to a sixth of the worker, in the order they came; entries are told of it as used. The rest is refused at once, as before.

--- a/core/src/main/java/org/teaselhook/core/lease/WorkerRuns.java
+++ b/core/src/main/java/org/teaselhook/core/lease/WorkerRuns.java
@@ -92,6 +92,12 @@
         return runs.used();
     }
 
+    /** Tells whether a run of the given amounts could start now. */
+    boolean hasRoom(Amounts amounts) {
+        return open().filter(w -> amounts.fitsInto(w.capacity().minus(runs.used())))
+                .isPresent();
+    }
+
     /**
      * Tells whether an order is still to be answered with an end or a refusal.
      *
@@ -222,11 +228,8 @@
         if (nowNanos - request.startBy() > 0) {
             return Optional.of(RunRefusal.START_BY_PASSED);
         }
-        if (stopOtherRuns(nowNanos, request.run().task())
-                || !request.amounts().fitsInto(ready.get().capacity().minus(runs.used()))) {
-            return Optional.of(RunRefusal.NO_ROOM);
-        }
-        return Optional.empty();
+        boolean runsNow = stopOtherRuns(nowNanos, request.run().task());
+        return runsNow || !hasRoom(request.amounts()) ? Optional.of(RunRefusal.NO_ROOM) : Optional.empty();
     }
 
     /** Stops an older run of a task that is ordered again, and tells whether there is one. */
@@ -393,15 +396,11 @@
             missed(nowNanos, result);
         }
         if (life == lifeBefore && worker.isPresent()) {
-            lookAgain(nowNanos, result instanceof LookResult.Seen);
-        }
-    }
-
-    private void lookAgain(long nowNanos, boolean atOnce) {
-        if (atOnce) {
-            look(nowNanos);
-        } else {
-            lookDueAt = nowNanos + RETRY_NANOS;
+            if (result instanceof LookResult.Seen) {
+                look(nowNanos);
+            } else {
+                lookDueAt = nowNanos + RETRY_NANOS;
+            }
         }
     }
 
--- /dev/null
+++ b/core/src/test/java/org/teaselhook/core/lease/RunQueueTest.java
@@ -0,0 +1,144 @@
+package org.teaselhook.core.lease;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+
+import org.teaselhook.core.amount.Amounts;
+import org.teaselhook.core.id.Incarnation;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/** More orders than there is room for, as several entries send them by views that are some milliseconds old. */
+public class RunQueueTest {
+
+    private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+    private static final Incarnation ENTRY = Incarnation.of(7);
+    private static final Incarnation OTHER_ENTRY = Incarnation.of(8);
+    private static final Amounts TASK = Amounts.of(1_000, 10, 0);
+
+    private FakeWorker worker;
+    private RecordingEvents events;
+    private WorkerRuns runs;
+    private RunQueue queue;
+    private long now;
+
+    @BeforeMethod
+    public void fillWorker() {
+        now = TimeUnit.SECONDS.toNanos(10);
+        worker = new FakeWorker();
+        events = new RecordingEvents();
+        runs = WorkerRuns.of(100, worker, new Immediately(), events, new SilentLog());
+        queue = RunQueue.of(runs, events);
+        runs.reported(now, report(false));
+        worker.answerLook();
+        for (int i = 1; i <= 12; i++) {
+            order(ENTRY, i);
+            worker.accept(worker.lastStart());
+        }
+    }
+
+    @Test
+    public void shouldStartWaitingOrderAtNextEndBeforeLaterOrders() {
+        order(ENTRY, 13);
+        order(OTHER_ENTRY, 14);
+        assertEquals(queue.used().cpuMillis(), 14_000, "entries must not count on what is waited for");
+        end(1);
+        order(ENTRY, 15);
+        queue.tick(now);
+
+        assertEquals(worker.lastStart().run().task(), "t13");
+        assertEquals(events.all(), List.of("1 DONE", "15 NO_ROOM"));
+        assertTrue(queue.holds(new OrderId(OTHER_ENTRY, 14)));
+    }
+
+    @Test
+    public void shouldRefuseAtOnceWhatNextEndsMakeNoRoomFor() {
+        order(ENTRY, 13);
+        order(ENTRY, 14);
+        order(ENTRY, 15);
+
+        assertEquals(events.all(), List.of("15 NO_ROOM"));
+    }
+
+    @Test
+    public void shouldRefuseOrderThatHasWaitedInVain() {
+        order(ENTRY, 13);
+        assertEquals(queue.nextTickAt(), now + 40 * MILLI);
+        now += 40 * MILLI;
+        queue.tick(now);
+
+        assertEquals(events.all(), List.of("13 NO_ROOM"));
+        assertEquals(queue.used().cpuMillis(), 12_000);
+        assertEquals(queue.nextTickAt(), Long.MAX_VALUE);
+    }
+
+    @Test
+    public void shouldRunNothingOfStoppedOrderOrSilentEntry() {
+        order(ENTRY, 13);
+        order(OTHER_ENTRY, 14);
+        queue.stop(now, new OrderId(ENTRY, 13));
+        assertEquals(queue.stopAll(now, OTHER_ENTRY), 1);
+        end(1);
+        queue.tick(now);
+
+        assertEquals(events.all(), List.of("13 CANCELLED", "14 CANCELLED", "1 DONE"));
+        assertFalse(queue.holds(new OrderId(ENTRY, 13)));
+        assertEquals(worker.starts().size(), 12);
+    }
+
+    @Test
+    public void shouldRefuseWaitingOrdersWhenWorkerLeaves() {
+        order(ENTRY, 13);
+        runs.reported(now, report(true));
+        queue.roomChanged();
+        assertTrue(queue.nextTickAt() <= now, "at once");
+        queue.tick(now);
+
+        assertEquals(events.all(), List.of("13 NO_WORKER"));
+    }
+
+    @Test
+    public void shouldForgetWaitingOrderOfTaskThatIsOrderedAgain() {
+        order(ENTRY, 13);
+        RunRequest again =
+                new RunRequest(new OrderId(OTHER_ENTRY, 1), new RunId("t13", 1), "s", "", TASK, 200, now + 900 * MILLI);
+        queue.order(now, again);
+
+        assertEquals(events.all(), List.of("13 CANCELLED"));
+        assertEquals(queue.used().cpuMillis(), 13_000);
+    }
+
+    // -- fixture
+
+    private void order(Incarnation entry, long number) {
+        RunId run = new RunId("t" + number, 1);
+        queue.order(now, new RunRequest(new OrderId(entry, number), run, "s", "", TASK, 200, now + 900 * MILLI));
+    }
+
+    private void end(long number) {
+        worker.end(new RunId("t" + number, 1), RunOutcome.DONE);
+        worker.answerLook();
+        queue.roomChanged();
+    }
+
+    private static WorkerReport report(boolean draining) {
+        InetSocketAddress address = new InetSocketAddress("127.0.0.1", 1);
+        return new WorkerReport(
+                "w", 1, draining ? 2 : 1, "s", address, "z", Amounts.of(12_000, 4_000, 0), List.of(), draining);
+    }
+
+    private final class Immediately implements ControlThread {
+
+        @Override
+        public <T> void handle(CompletionStage<T> stage, BiConsumer<Long, T> handler) {
+            stage.thenAccept(result -> handler.accept(now, result));
+        }
+    }
+}
--- a/node/src/main/java/org/teaselhook/node/lease/LeaseAgentControl.java
+++ b/node/src/main/java/org/teaselhook/node/lease/LeaseAgentControl.java
@@ -13,6 +13,7 @@
 import org.teaselhook.core.lease.RunEvents;
 import org.teaselhook.core.lease.RunId;
 import org.teaselhook.core.lease.RunOutcome;
+import org.teaselhook.core.lease.RunQueue;
 import org.teaselhook.core.lease.RunRefusal;
 import org.teaselhook.core.lease.RunRequest;
 import org.teaselhook.core.lease.WorkerReport;
@@ -56,6 +57,7 @@
     private final KeptReports answers = new KeptReports();
     private final EntryWatch watch = EntryWatch.empty();
     private WorkerRuns runs;
+    private RunQueue queue;
     private Routes routes = Routes.none();
     private long now;
     private boolean leaving;
@@ -68,6 +70,7 @@
 
     void connect(WorkerRuns workerRuns) {
         runs = Objects.requireNonNull(workerRuns, "workerRuns is null");
+        queue = RunQueue.of(runs, this);
     }
 
     // -- accessors
@@ -152,7 +155,7 @@
 
     /** Answers for an order that the entry believes to be in progress. */
     private void settle(RunLink link, OrderId order) {
-        if (runs.holds(order)) {
+        if (queue.holds(order)) {
             return;
         }
         RunReport answer =
@@ -202,7 +205,7 @@
             refused(request, refusal.get());
         } else {
             watch.echoed(entry, order.getEchoAgentNanos());
-            runs.order(nowNanos, request);
+            queue.order(nowNanos, request);
             roomChanged();
         }
     }
@@ -219,7 +222,7 @@
 
     private void stopped(Incarnation entry, long number, long nowNanos) {
         LogLine.of("stop-received").with("entry", entry).with("order", number).debug();
-        runs.stop(nowNanos, new OrderId(entry, number));
+        queue.stop(nowNanos, new OrderId(entry, number));
     }
 
     // -- what became of orders
@@ -270,6 +273,7 @@
      */
     @Override
     public void roomChanged() {
+        queue.roomChanged();
         List<RunLink> ordering =
                 links.all().stream().filter(link -> link.isOrdering(now)).toList();
         long interval = TimeUnit.SECONDS.toNanos(1) * ordering.size() / SHARED_STATES_PER_SECOND;
@@ -278,6 +282,7 @@
 
     @Override
     public void workerChanged() {
+        queue.roomChanged();
         links.all().forEach(link -> link.stateDue(now + GATHER_NANOS));
     }
 
@@ -319,7 +324,7 @@
                 .setHeartbeat(heartbeat);
         open.ifPresent(worker -> state.setService(worker.service())
                 .setCapacity(AmountMessages.message(worker.capacity()))
-                .setUsed(AmountMessages.message(runs.used()))
+                .setUsed(AmountMessages.message(queue.used()))
                 .addAllLabels(worker.labels()));
         runs.pace().ifPresent(pace -> state.setPacePercent((int) Math.round(Math.min(pace, MAX_PACE) * 100)));
         if (heartbeat) {
@@ -331,11 +336,21 @@
 
     // -- time and stopping
 
+    /** When waiting orders are to be looked at. */
+    long queueDueAt() {
+        return queue.nextTickAt();
+    }
+
+    void tickQueue(long nowNanos) {
+        now = nowNanos;
+        queue.tick(nowNanos);
+    }
+
     void tick(long nowNanos) {
         now = nowNanos;
         links.tick(nowNanos);
         for (Incarnation entry : watch.takeSilent(nowNanos)) {
-            int stopped = runs.stopAll(nowNanos, entry);
+            int stopped = queue.stopAll(nowNanos, entry);
             LogLine.of("entry-silent")
                     .with("entry", entry)
                     .with("stopped", stopped)
--- a/node/src/main/java/org/teaselhook/node/lease/LeaseAgentNode.java
+++ b/node/src/main/java/org/teaselhook/node/lease/LeaseAgentNode.java
@@ -97,6 +97,7 @@
         loop.every(HEARTBEAT_MILLIS, control::heartbeat);
         loop.when(control::flushAt, control::flush);
         loop.when(runs::nextTickAt, runs::tick);
+        loop.when(control::queueDueAt, control::tickQueue);
         LogLine.of("agent-started")
                 .with("name", settings.name())
                 .with("incarnation", incarnation)
