Refuse a job at its turn when its last tasks would begin too late

Change: JobDispatcher asks the forecast again when a job is about to begin, what the jobs that have begun still wait for included, and turns the job away if its last tasks would be late. Nothing of it has run then. Test: JobAdmissionTest.shouldNotBeginJobWhoseLastTasksWouldBeLate.

--- a/core/src/main/java/org/teaselhook/core/job/ActiveJobs.java
+++ b/core/src/main/java/org/teaselhook/core/job/ActiveJobs.java
@@ -48,6 +48,11 @@
         return waiting.headSet(active);
     }
 
+    /** Returns the jobs with tasks to start that go before the given one since they have begun. */
+    Collection<ActiveJob> begunBefore(ActiveJob active) {
+        return ahead(active).stream().filter(ActiveJob::hasBegun).toList();
+    }
+
     /** Counts the jobs of a route that have not begun. */
     int queued(String route) {
         return Math.toIntExact(byId.values().stream()
--- a/core/src/main/java/org/teaselhook/core/job/JobAdmission.java
+++ b/core/src/main/java/org/teaselhook/core/job/JobAdmission.java
@@ -11,7 +11,8 @@
 import org.teaselhook.core.outcome.ProblemKind;
 
 /**
- * Decides on arrival whether a job is taken. What cannot be served is turned away at once.
+ * Decides whether a job is taken on arrival, and whether it may still begin when its turn comes. What cannot be served
+ * is turned away at once.
  */
 final class JobAdmission {
 
@@ -45,10 +46,7 @@
         if (nowNanos - job.deadline() >= 0) {
             return problem(ProblemKind.OVERLOADED, "its time had run out on arrival");
         }
-        String service = job.route().service();
-        List<WorkerRecord> serving = fleet.all().stream()
-                .filter(w -> w.serves(service) && !zoneOut.test(w.zone()) && !w.isAvoided(nowNanos))
-                .toList();
+        List<WorkerRecord> serving = serving(nowNanos, job, zoneOut);
         if (serving.isEmpty()) {
             return noWorker(nowNanos, active);
         }
@@ -58,6 +56,29 @@
         return tooLate(nowNanos, active, ahead, forecast(serving, entries));
     }
 
+    /**
+     * Returns why a job whose turn it is cannot begin any more, or empty if it can. Answers load that fills the fleet:
+     * a job of many tasks that begins when its last tasks will be late takes room from jobs that would be in time.
+     *
+     * @param nowNanos the present time
+     * @param active the job
+     * @param begun the jobs that have begun and wait for room
+     * @param entries the number of entries that share the workers
+     * @param zoneOut tells whether a zone is out of service
+     */
+    Optional<Problem> refusalToBegin(
+            long nowNanos, ActiveJob active, Collection<ActiveJob> begun, int entries, Predicate<String> zoneOut) {
+        List<WorkerRecord> serving = serving(nowNanos, active.job(), zoneOut);
+        return serving.isEmpty() ? Optional.empty() : tooLate(nowNanos, active, begun, forecast(serving, entries));
+    }
+
+    private List<WorkerRecord> serving(long nowNanos, Job job, Predicate<String> zoneOut) {
+        String service = job.route().service();
+        return fleet.all().stream()
+                .filter(w -> w.serves(service) && !zoneOut.test(w.zone()) && !w.isAvoided(nowNanos))
+                .toList();
+    }
+
     /** A new entry keeps what can wait until its first agents have probably connected, and nothing else. */
     private Optional<Problem> noWorker(long nowNanos, ActiveJob active) {
         long connectingNanos = startedAt + FIRST_AGENTS_NANOS - nowNanos;
--- a/core/src/main/java/org/teaselhook/core/job/JobDispatcher.java
+++ b/core/src/main/java/org/teaselhook/core/job/JobDispatcher.java
@@ -420,7 +420,7 @@
             return;
         }
         for (ActiveJob active : jobs.inTurn()) {
-            if (!active.hasBegun() && nowNanos - active.latestStart() > 0) {
+            if (!active.hasBegun() && !mayBegin(nowNanos, active)) {
                 continue;
             }
             if (!placeAll(nowNanos, active)) {
@@ -429,6 +429,16 @@
         }
     }
 
+    private boolean mayBegin(long nowNanos, ActiveJob active) {
+        if (nowNanos - active.latestStart() > 0) {
+            return false;
+        }
+        Optional<Problem> refusal =
+                admission.refusalToBegin(nowNanos, active, jobs.begunBefore(active), entries, routes::isOut);
+        refusal.ifPresent(problem -> ends.end(nowNanos, active, problem.detail(), new JobResult.NotRun(problem)));
+        return refusal.isEmpty();
+    }
+
     /** Places the ready tasks of a job. Returns false if what is free does not even cover an ordinary task. */
     private boolean placeAll(long nowNanos, ActiveJob active) {
         for (JobTask task : active.ready()) {
--- a/core/src/test/java/org/teaselhook/core/job/JobAdmissionTest.java
+++ b/core/src/test/java/org/teaselhook/core/job/JobAdmissionTest.java
@@ -82,6 +82,35 @@
         assertEquals(output.orderedTasks(), List.of("running.0.0.0", "photo.0.0.0"));
     }
 
+    // -- whether a job may still begin
+
+    /** A burst: a job of many tasks gets its turn when there is room for one of them, and little time is left. */
+    @Test
+    public void shouldNotBeginJobWhoseLastTasksWouldBeLate() {
+        openWorker(Amounts.of(8_000, 65_536, 0));
+        submit(route("r", 0), "running", 5, 100);
+        submit(route("r", 0), "wide", 5, 250);
+        assertEquals(output.orderedTasks().size(), 5);
+        now += 190 * MILLI;
+        dispatcher.ended(now, output.orders().get(0).number(), RunOutcome.DONE, 190);
+
+        JobResult.NotRun refusal = (JobResult.NotRun) output.answers().get("wide");
+        assertTrue(refusal.problem().retryAfter().toMillis() > 0, "the caller is told when to come back");
+        assertEquals(output.orderedTasks().size(), 5, "nothing of it has run");
+    }
+
+    @Test
+    public void shouldBeginJobWhoseLastTasksWillBeInTime() {
+        openWorker(Amounts.of(8_000, 65_536, 0));
+        submit(route("r", 0), "running", 5, 100);
+        submit(route("r", 0), "wide", 5, 1_000);
+        now += 190 * MILLI;
+        dispatcher.ended(now, output.orders().get(0).number(), RunOutcome.DONE, 190);
+
+        assertTrue(output.answers().isEmpty());
+        assertEquals(output.orderedTasks().get(5), "wide.0.0.0");
+    }
+
     // -- fixture
 
     private void openWorker(Amounts capacity) {
@@ -93,7 +122,11 @@
     }
 
     private void submit(Route route, String id, long estimateMillis) {
-        Step step = new Step(1, TASK, estimateMillis, List.of(), Optional.empty(), Optional.empty(), 0);
+        submit(route, id, 1, estimateMillis);
+    }
+
+    private void submit(Route route, String id, int tasks, long estimateMillis) {
+        Step step = new Step(tasks, TASK, estimateMillis, List.of(), Optional.empty(), Optional.empty(), 0);
         dispatcher.submit(now, new Job(id, route, "spec", List.of(step), now, now + 5_000 * MILLI));
     }
 
