--- a/core/src/main/java/org/teaselhook/core/job/JobDispatcher.java
+++ b/core/src/main/java/org/teaselhook/core/job/JobDispatcher.java
@@ -420,7 +420,7 @@
             return;
         }
         for (ActiveJob active : jobs.inTurn()) {
-            if (!active.hasBegun() && !mayBegin(nowNanos, active)) {
+            if (!active.hasBegun() && nowNanos - active.latestStart() > 0) {
                 continue;
             }
             if (!placeAll(nowNanos, active)) {
@@ -429,9 +429,10 @@
         }
     }
 
+    /** Tells whether the next task of a job may be placed, now that there is room for it. */
     private boolean mayBegin(long nowNanos, ActiveJob active) {
-        if (nowNanos - active.latestStart() > 0) {
-            return false;
+        if (active.hasBegun()) {
+            return true;
         }
         Optional<Problem> refusal =
                 admission.refusalToBegin(nowNanos, active, jobs.begunBefore(active), entries, routes::isOut);
@@ -452,7 +453,12 @@
             if (worker.isEmpty() && fleet.isAvoidedEverywhere(task)) {
                 task.avoidNone();
             }
-            worker.ifPresent(chosen -> place(nowNanos, task, chosen));
+            if (worker.isPresent()) {
+                if (!mayBegin(nowNanos, active)) {
+                    return true;
+                }
+                place(nowNanos, task, worker.get());
+            }
         }
         jobs.refresh(active);
         return true;
