--- a/node/src/main/java/org/teaselhook/node/job/JobEntryNode.java
+++ b/node/src/main/java/org/teaselhook/node/job/JobEntryNode.java
@@ -269,11 +269,6 @@
     /** Hands callers' requests to the control thread. */
     private final class Jobs implements JobService {
 
-        @Override
-        public Optional<String> unready() {
-            return unready;
-        }
-
         @Override
         public boolean knowsRoutes() {
             return routes.isKnown();
--- a/node/src/main/java/org/teaselhook/node/job/JobService.java
+++ b/node/src/main/java/org/teaselhook/node/job/JobService.java
@@ -13,13 +13,6 @@
  */
 public interface JobService {
 
-    /**
-     * Tells why the entry serves nobody now.
-     *
-     * @return the reason, or empty if it serves
-     */
-    Optional<String> unready();
-
     /**
      * Tells whether any routes are known.
      *
