--- a/core/src/main/java/org/teaselhook/core/lease/RunQueue.java
+++ b/core/src/main/java/org/teaselhook/core/lease/RunQueue.java
@@ -98,18 +98,23 @@
      *
      * @param nowNanos the present time
      * @param request the order
+     * @return true if it waits
      */
-    public void order(long nowNanos, RunRequest request) {
+    public boolean order(long nowNanos, RunRequest request) {
         drop(w -> w.request().run().task().equals(request.run().task()), RunRefusal.CANCELLED);
         boolean mustWait = !waiting.isEmpty() || !runs.hasRoom(request.amounts());
         if (mustWait && mayWait(request)) {
             waiting.add(new Waiting(request, nowNanos));
             waitingAmounts = waitingAmounts.plus(request.amounts());
-        } else if (mustWait && runs.hasRoom(request.amounts())) {
+            return true;
+        }
+        if (mustWait && runs.hasRoom(request.amounts())) {
+            // What is free is meant for those that came before.
             events.refused(request, RunRefusal.NO_ROOM);
         } else {
             runs.order(nowNanos, request);
         }
+        return false;
     }
 
     private boolean mayWait(RunRequest request) {
--- a/node/src/main/java/org/teaselhook/node/lease/LeaseAgentControl.java
+++ b/node/src/main/java/org/teaselhook/node/lease/LeaseAgentControl.java
@@ -86,7 +86,7 @@
 
     LeaseMetrics.Status status(long nowNanos) {
         int used = runs.used().cpuMillis();
-        int free = runs.open().map(w -> w.capacity().cpuMillis() - used).orElse(0);
+        int free = runs.open().isPresent() ? freeCpu() : 0;
         return new LeaseMetrics.Status(
                 runs.size(), used, free, links.heard(nowNanos), runs.open().isPresent(), routes.configVersion());
     }
@@ -205,7 +205,9 @@
             refused(request, refusal.get());
         } else {
             watch.echoed(entry, order.getEchoAgentNanos());
-            queue.order(nowNanos, request);
+            if (queue.order(nowNanos, request)) {
+                line("order-waits", request).with("free_cpu", freeCpu()).info();
+            }
             roomChanged();
         }
     }
@@ -242,16 +244,19 @@
     @Override
     public void refused(RunRequest request, RunRefusal refusal) {
         metrics.refused(refusal);
-        int free = runs.open().map(worker -> worker.capacity().cpuMillis()).orElse(0)
-                - runs.used().cpuMillis();
         line("order-refused", request)
                 .with("reason", refusal)
-                .with("free_cpu", free)
+                .with("free_cpu", freeCpu())
                 .with("routes_version", routes.version())
                 .warn();
         answer(request.order(), LeaseFrames.refusal(request.order().number(), refusal));
     }
 
+    private int freeCpu() {
+        return runs.open().map(worker -> worker.capacity().cpuMillis()).orElse(0)
+                - runs.used().cpuMillis();
+    }
+
     private static LogLine line(String event, RunRequest request) {
         return LogLine.of(event)
                 .with("task", request.run().task())
