--- a/node/src/main/java/org/teaselhook/node/lease/LeaseAgentControl.java
+++ b/node/src/main/java/org/teaselhook/node/lease/LeaseAgentControl.java
@@ -8,7 +8,6 @@
 
 import org.teaselhook.core.id.Incarnation;
 import org.teaselhook.core.lease.EntryWatch;
-import org.teaselhook.core.lease.LeaseTimes;
 import org.teaselhook.core.lease.OrderId;
 import org.teaselhook.core.lease.RunEvents;
 import org.teaselhook.core.lease.RunId;
@@ -38,16 +37,6 @@
     /** How long changes of the worker's state are gathered before entries are told, in ns: a fraction of a task. */
     private static final long GATHER_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
 
-    /** How many messages a second an agent spends on telling entries of each other's use, shared among them. */
-    private static final long SHARED_STATES_PER_SECOND = 400;
-
-    /** Between two heartbeats to an entry that orders, in ns: several fit into the silence that is borne. */
-    private static final long HEARTBEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
-
-    /** Between two heartbeats to any other entry, in ns: two fit into the silence that is borne. */
-    private static final long IDLE_HEARTBEAT_NANOS =
-            TimeUnit.MILLISECONDS.toNanos(LeaseTimes.ENTRY_SILENCE_MILLIS) * 2 / 5;
-
     /** The greatest pace told: a worker this slow is of no use, whatever the exact figure. */
     private static final double MAX_PACE = 1_000;
 
@@ -281,7 +270,7 @@
         queue.roomChanged();
         List<RunLink> ordering =
                 links.all().stream().filter(link -> link.isOrdering(now)).toList();
-        long interval = TimeUnit.SECONDS.toNanos(1) * ordering.size() / SHARED_STATES_PER_SECOND;
+        long interval = StateRates.sharedInterval(ordering.size());
         ordering.forEach(link -> link.stateDue(Math.max(now + GATHER_NANOS, link.stateSentAt() + interval)));
     }
 
@@ -307,7 +296,7 @@
     void heartbeat(long nowNanos) {
         now = nowNanos;
         for (RunLink link : links.all()) {
-            long interval = link.isOrdering(nowNanos) ? HEARTBEAT_NANOS : IDLE_HEARTBEAT_NANOS;
+            long interval = StateRates.heartbeatInterval(link.isOrdering(nowNanos));
             if (nowNanos - link.heartbeatAt() >= interval) {
                 link.heartbeat(nowNanos);
                 sendState(link, true, nowNanos);
