Let the first runs of an entry outweigh the run time that is assumed

The wait is 1.25 times the mean run, so the mean was 230 ms after some ten runs of 100 ms: the assumed 300 ms faded by a twentieth a run. Ruled out: the forecast at a job's turn (refused on arrival), the waiting orders (the same estimate stood before them). Change: the assumption counts as one run. Test: RunTimesTest.shouldForgetWhatWasAssumedWithinTenRuns (mean 220 before).

--- a/core/src/main/java/org/teaselhook/core/job/RunTimes.java
+++ b/core/src/main/java/org/teaselhook/core/job/RunTimes.java
@@ -16,6 +16,7 @@
 
     private final Map<String, Double> ratios = new HashMap<>();
     private double meanMillis = FIRST_RUN_MILLIS;
+    private long runs;
 
     /** Returns how many times its estimate a run of the route takes. */
     double ratio(String route) {
@@ -28,7 +29,9 @@
     }
 
     void ran(String route, double estimateMillis, double millis) {
-        meanMillis += WEIGHT * (millis - meanMillis);
+        runs++;
+        // What is assumed at first counts as one run, or a new entry would turn jobs away by it for seconds.
+        meanMillis += Math.max(WEIGHT, 1.0 / (runs + 1)) * (millis - meanMillis);
         if (estimateMillis > 0) {
             double ratio = ratio(route);
             ratios.put(route, ratio + WEIGHT * (millis / estimateMillis - ratio));
