Take waiting orders out of the queue in one place; one immediate control thread for the tests of runs

RunQueue subtracted the amounts of an order that left the queue in two places, and walked it with an iterator and a flag. WorkerRunsTest and RunQueueTest each wrote the same ControlThread. Behaviour and assertions are unchanged.

--- a/core/src/main/java/org/teaselhook/core/lease/RunQueue.java
+++ b/core/src/main/java/org/teaselhook/core/lease/RunQueue.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
@@ -150,14 +149,18 @@
 
     private int drop(Predicate<Waiting> which, RunRefusal refusal) {
         List<Waiting> dropped = waiting.stream().filter(which).toList();
-        waiting.removeAll(dropped);
         dropped.forEach(w -> {
-            waitingAmounts = waitingAmounts.minus(w.request().amounts());
+            remove(w);
             events.refused(w.request(), refusal);
         });
         return dropped.size();
     }
 
+    private void remove(Waiting over) {
+        waiting.remove(over);
+        waitingAmounts = waitingAmounts.minus(over.request().amounts());
+    }
+
     // -- time
 
     /** Notes that what is free, or the worker itself, has changed. */
@@ -172,16 +175,12 @@
      */
     public void tick(long nowNanos) {
         roomChanged = false;
-        Iterator<Waiting> all = List.copyOf(waiting).iterator();
-        boolean room = true;
-        while (all.hasNext() && room) {
-            Waiting next = all.next();
-            room = runs.open().isEmpty() || runs.hasRoom(next.request().amounts());
-            if (room) {
-                waiting.remove(next);
-                waitingAmounts = waitingAmounts.minus(next.request().amounts());
-                runs.order(nowNanos, next.request());
+        for (Waiting next : List.copyOf(waiting)) {
+            if (runs.open().isPresent() && !runs.hasRoom(next.request().amounts())) {
+                break;
             }
+            remove(next);
+            runs.order(nowNanos, next.request());
         }
         drop(w -> nowNanos - w.until() >= 0, RunRefusal.NO_ROOM);
     }
--- a/core/src/test/java/org/teaselhook/core/lease/RunQueueTest.java
+++ b/core/src/test/java/org/teaselhook/core/lease/RunQueueTest.java
@@ -2,9 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
-import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BiConsumer;
 
 import org.teaselhook.core.amount.Amounts;
 import org.teaselhook.core.id.Incarnation;
@@ -34,7 +32,7 @@
         now = TimeUnit.SECONDS.toNanos(10);
         worker = new FakeWorker();
         events = new RecordingEvents();
-        runs = WorkerRuns.of(100, worker, new Immediately(), events, new SilentLog());
+        runs = WorkerRuns.of(100, worker, new ImmediateControl(() -> now), events, new SilentLog());
         queue = RunQueue.of(runs, events);
         runs.reported(now, report(false));
         worker.answerLook();
@@ -133,12 +131,4 @@
         return new WorkerReport(
                 "w", 1, draining ? 2 : 1, "s", address, "z", Amounts.of(12_000, 4_000, 0), List.of(), draining);
     }
-
-    private final class Immediately implements ControlThread {
-
-        @Override
-        public <T> void handle(CompletionStage<T> stage, BiConsumer<Long, T> handler) {
-            stage.thenAccept(result -> handler.accept(now, result));
-        }
-    }
 }
--- a/core/src/test/java/org/teaselhook/core/lease/WorkerRunsTest.java
+++ b/core/src/test/java/org/teaselhook/core/lease/WorkerRunsTest.java
@@ -2,9 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
-import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BiConsumer;
 
 import org.teaselhook.core.amount.Amounts;
 import org.teaselhook.core.id.Incarnation;
@@ -33,7 +31,7 @@
         now = TimeUnit.SECONDS.toNanos(10);
         worker = new FakeWorker();
         events = new RecordingEvents();
-        runs = WorkerRuns.of(FIRST_TOKEN, worker, new Immediately(), events, new SilentLog());
+        runs = WorkerRuns.of(FIRST_TOKEN, worker, new ImmediateControl(() -> now), events, new SilentLog());
         runs.reported(now, report("w", 1, 1, 4_000, false));
         worker.answerLook();
     }
@@ -246,7 +244,7 @@
     public void shouldStopRunsOfFormerAgentBeforeTakingOrders() {
         FakeWorker busy = new FakeWorker();
         busy.appears(new RunId("old", 3));
-        WorkerRuns next = WorkerRuns.of(FIRST_TOKEN, busy, new Immediately(), events, new SilentLog());
+        WorkerRuns next = WorkerRuns.of(FIRST_TOKEN, busy, new ImmediateControl(() -> now), events, new SilentLog());
         next.reported(now, report("w", 1, 8, 4_000, false));
         assertFalse(busy.lastLook().leaseUntil().isPresent(), "runs of a former agent must not be kept alive");
         busy.answerLook();
@@ -261,7 +259,7 @@
     @Test
     public void shouldLeapOverTokenOfFormerAgentWhoseClockRanAhead() {
         FakeWorker busy = new FakeWorker();
-        WorkerRuns next = WorkerRuns.of(FIRST_TOKEN, busy, new Immediately(), events, new SilentLog());
+        WorkerRuns next = WorkerRuns.of(FIRST_TOKEN, busy, new ImmediateControl(() -> now), events, new SilentLog());
         next.reported(now, report("w", 1, 8, 4_000, false));
         long refused = busy.lastLook().token();
         busy.lastLook().answer().complete(new LookResult.Fenced());
@@ -379,12 +377,4 @@
         Amounts capacity = Amounts.of(cpu, 1_000, 0);
         return new WorkerReport(id, bornMillis, sequence, "s", address, "z", capacity, List.of(), draining);
     }
-
-    private final class Immediately implements ControlThread {
-
-        @Override
-        public <T> void handle(CompletionStage<T> stage, BiConsumer<Long, T> handler) {
-            stage.thenAccept(result -> handler.accept(now, result));
-        }
-    }
 }
