Carry the messages between entries and agents in frames, one write a turn

Each message between entry and agent cost an HTTP/2 frame, an executor hop and a wake-up and write of its own; gRPC and Netty were more than half of a profile. After each message the fleet was searched for room again.

Ruled out: fewer connections (a job of many tasks needs many workers); one thread for all (the house style asks for two).

Change: node.frame, length-prefixed protobuf on Netty. What a control thread sends in a turn leaves in one write, what one read brings is handled together, and waiting tasks are placed once for it. A message that makes no sense ends its connection only. TaskStarter and Situation are split off JobDispatcher.

--- a/core/src/main/java/org/teaselhook/core/job/JobAdmission.java
+++ b/core/src/main/java/org/teaselhook/core/job/JobAdmission.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Predicate;
 
 import org.teaselhook.core.outcome.Problem;
 import org.teaselhook.core.outcome.ProblemKind;
@@ -34,48 +33,45 @@
     /**
      * Returns why a job is turned away, or empty if it is taken.
      *
-     * @param nowNanos the present time
+     * @param situation what the decision rests on
      * @param active the job
      * @param ahead the jobs that wait and go before it
-     * @param entries the number of entries that share the workers
-     * @param zoneOut tells whether a zone is out of service
      */
-    Optional<Problem> refusal(
-            long nowNanos, ActiveJob active, Collection<ActiveJob> ahead, int entries, Predicate<String> zoneOut) {
+    Optional<Problem> refusal(Situation situation, ActiveJob active, Collection<ActiveJob> ahead) {
+        long nowNanos = situation.nowNanos();
         Job job = active.job();
         if (nowNanos - job.deadline() >= 0) {
             return problem(ProblemKind.OVERLOADED, "its time had run out on arrival");
         }
-        List<WorkerRecord> serving = serving(nowNanos, job, zoneOut);
+        List<WorkerRecord> serving = serving(situation, job);
         if (serving.isEmpty()) {
             return noWorker(nowNanos, active);
         }
         if (!fits(job, serving)) {
             return problem(ProblemKind.NO_WORKER, "no worker is large enough for a task");
         }
-        return tooLate(nowNanos, active, ahead, forecast(serving, entries));
+        return tooLate(nowNanos, active, ahead, forecast(serving, situation.entries()));
     }
 
     /**
      * Returns why a job whose turn it is cannot begin any more, or empty if it can. Answers load that fills the fleet:
      * a job of many tasks that begins when its last tasks will be late takes room from jobs that would be in time.
      *
-     * @param nowNanos the present time
+     * @param situation what the decision rests on
      * @param active the job
      * @param begun the jobs that have begun and wait for room
-     * @param entries the number of entries that share the workers
-     * @param zoneOut tells whether a zone is out of service
      */
-    Optional<Problem> refusalToBegin(
-            long nowNanos, ActiveJob active, Collection<ActiveJob> begun, int entries, Predicate<String> zoneOut) {
-        List<WorkerRecord> serving = serving(nowNanos, active.job(), zoneOut);
-        return serving.isEmpty() ? Optional.empty() : tooLate(nowNanos, active, begun, forecast(serving, entries));
+    Optional<Problem> refusalToBegin(Situation situation, ActiveJob active, Collection<ActiveJob> begun) {
+        List<WorkerRecord> serving = serving(situation, active.job());
+        return serving.isEmpty()
+                ? Optional.empty()
+                : tooLate(situation.nowNanos(), active, begun, forecast(serving, situation.entries()));
     }
 
-    private List<WorkerRecord> serving(long nowNanos, Job job, Predicate<String> zoneOut) {
+    private List<WorkerRecord> serving(Situation situation, Job job) {
         String service = job.route().service();
         return fleet.all().stream()
-                .filter(w -> w.serves(service) && !zoneOut.test(w.zone()) && !w.isAvoided(nowNanos))
+                .filter(w -> w.serves(service) && !situation.isOut(w.zone()) && !w.isAvoided(situation.nowNanos()))
                 .toList();
     }
 
--- a/core/src/main/java/org/teaselhook/core/job/JobDispatcher.java
+++ b/core/src/main/java/org/teaselhook/core/job/JobDispatcher.java
@@ -22,9 +22,6 @@
     /** How often a task is moved: a third try would come too late for any objective. */
     private static final int MAX_MOVES = 2;
 
-    /** How long it takes to read what has gathered while this process stood still, in ns. */
-    private static final long CATCH_UP_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
-
     /** How long a worker that turned a start down is left alone, in ns. */
     private static final long TURNED_DOWN_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
@@ -36,9 +33,11 @@
     private final JobPlanner planner = new JobPlanner(runTimes);
     private final ActiveJobs jobs = new ActiveJobs();
     private final JobEnds ends;
+    private final TaskStarter starter;
     private Routes routes = Routes.none();
     private int entries = 1;
-    private long placeNothingUntil = Long.MIN_VALUE;
+    private boolean gathering;
+    private boolean placementDue;
 
     private JobDispatcher(String name, String zone, long startedAt, JobOutput output) {
         this.output = Objects.requireNonNull(output, "output is null");
@@ -46,6 +45,7 @@
         this.ends = new JobEnds(jobs, output);
         this.fleet = new WorkerFleet(name);
         this.admission = new JobAdmission(fleet, runTimes, startedAt);
+        this.starter = new TaskStarter(jobs, ends, fleet, choice, admission, runTimes, output);
     }
 
     // -- factories
@@ -133,7 +133,7 @@
             return;
         }
         ActiveJob active = planner.plan(job);
-        Optional<Problem> refusal = admission.refusal(nowNanos, active, jobs.ahead(active), entries, routes::isOut);
+        Optional<Problem> refusal = admission.refusal(situation(nowNanos), active, jobs.ahead(active));
         if (refusal.isPresent()) {
             decided(
                     JobDecision.Kind.REFUSED,
@@ -165,6 +165,26 @@
 
     // -- agents
 
+    /**
+     * Takes several words of agents, and places waiting tasks once for all of them. Answers load at which many runs end
+     * within a millisecond: a search of the fleet for each of them would cost more than the runs' messages.
+     *
+     * @param nowNanos the present time
+     * @param words calls methods of this dispatcher
+     */
+    public void together(long nowNanos, Runnable words) {
+        gathering = true;
+        try {
+            words.run();
+        } finally {
+            gathering = false;
+            if (placementDue) {
+                placementDue = false;
+                drain(nowNanos);
+            }
+        }
+    }
+
     /**
      * Notes a connection of an agent.
      *
@@ -356,7 +376,7 @@
      * @param nowNanos the present time
      */
     public void resumedAfterPause(long nowNanos) {
-        placeNothingUntil = nowNanos + CATCH_UP_NANOS;
+        starter.resumedAfterPause(nowNanos);
     }
 
     /**
@@ -416,77 +436,15 @@
     // -- starting tasks
 
     private void drain(long nowNanos) {
-        if (placeNothingUntil != Long.MIN_VALUE && nowNanos - placeNothingUntil < 0) {
-            return;
-        }
-        for (ActiveJob active : jobs.inTurn()) {
-            if (!active.hasBegun() && nowNanos - active.latestStart() > 0) {
-                continue;
-            }
-            if (!placeAll(nowNanos, active)) {
-                return;
-            }
-        }
-    }
-
-    /** Tells whether the next task of a job may be placed, now that there is room for it. */
-    private boolean mayBegin(long nowNanos, ActiveJob active) {
-        if (active.hasBegun()) {
-            return true;
-        }
-        Optional<Problem> refusal =
-                admission.refusalToBegin(nowNanos, active, jobs.begunBefore(active), entries, routes::isOut);
-        refusal.ifPresent(problem -> ends.end(nowNanos, active, problem.detail(), new JobResult.NotRun(problem)));
-        return refusal.isEmpty();
-    }
-
-    /** Places the ready tasks of a job. Returns false if what is free does not even cover an ordinary task. */
-    private boolean placeAll(long nowNanos, ActiveJob active) {
-        for (JobTask task : active.ready()) {
-            if (fleet.isPlaced(task.name())) {
-                continue;
-            }
-            Optional<WorkerRecord> worker = choice.choose(nowNanos, task, fleet.all(), routes::isOut);
-            if (worker.isEmpty() && !task.isConstrained()) {
-                return false;
-            }
-            if (worker.isEmpty() && fleet.isAvoidedEverywhere(task)) {
-                task.avoidNone();
-            }
-            if (worker.isPresent()) {
-                if (!mayBegin(nowNanos, active)) {
-                    return true;
-                }
-                place(nowNanos, task, worker.get());
-            }
+        if (gathering) {
+            placementDue = true;
+        } else {
+            starter.startWaiting(situation(nowNanos));
         }
-        jobs.refresh(active);
-        return true;
     }
 
-    private void place(long nowNanos, JobTask task, WorkerRecord worker) {
-        ActiveJob active = task.job();
-        Job job = active.job();
-        if (!active.hasBegun()) {
-            jobs.begin(active);
-            decided(JobDecision.Kind.ACCEPTED, job.id(), "", active.inputs(nowNanos));
-        }
-        double expected =
-                task.step().estimateMillis() * runTimes.ratio(job.route().name());
-        int runNumber = task.nextRun();
-        Placement placement = fleet.place(nowNanos, task, worker, expected);
-        PlacedRun run = new PlacedRun(
-                placement.number(),
-                worker.agent(),
-                task.name(),
-                runNumber,
-                job.route().service(),
-                job.spec(),
-                task.step().amounts(),
-                Math.round(expected),
-                active.giveUpAt());
-        decided(JobDecision.Kind.PLACED, job.id(), task.name(), placement.inputs(nowNanos, routes.version()));
-        output.order(run);
+    private Situation situation(long nowNanos) {
+        return new Situation(nowNanos, routes, entries);
     }
 
     private void decided(JobDecision.Kind kind, String job, String task, Object... inputs) {
--- a/core/src/main/java/org/teaselhook/core/job/WorkerRecord.java
+++ b/core/src/main/java/org/teaselhook/core/job/WorkerRecord.java
@@ -39,6 +39,7 @@
     private WorkerView view = WorkerView.CLOSED;
     private Amounts unseen = Amounts.NONE;
     private boolean full;
+    private Amounts free = Amounts.NONE;
     private boolean connected;
     private boolean home;
     private long heardAt;
@@ -99,7 +100,7 @@
 
     /** Returns what an order would probably find free. */
     Amounts free() {
-        return full ? Amounts.NONE : view.capacity().minus(view.used()).minus(unseen);
+        return free;
     }
 
     /** Returns how much longer runs take here than on the usual worker; 1 for the usual one. */
@@ -122,6 +123,7 @@
     void disconnected() {
         connected = false;
         view = WorkerView.CLOSED;
+        noteFree();
     }
 
     void heard(long nowNanos, WorkerView newView) {
@@ -132,22 +134,31 @@
         unseen = placements.tailMap(newView.seenOrder(), false).values().stream()
                 .map(Placement::amounts)
                 .reduce(Amounts.NONE, Amounts::plus);
+        noteFree();
     }
 
     void placed(Placement placement) {
         placements.put(placement.number(), placement);
         unseen = unseen.plus(placement.amounts());
+        noteFree();
     }
 
     void removed(Placement placement) {
         placements.remove(placement.number());
         if (placement.number() > view.seenOrder()) {
             unseen = unseen.minus(placement.amounts());
+            noteFree();
         }
     }
 
     void full() {
         full = true;
+        noteFree();
+    }
+
+    /** Works out what is free when something has changed, as it is asked for far more often. */
+    private void noteFree() {
+        free = full ? Amounts.NONE : view.capacity().minus(view.used()).minus(unseen);
     }
 
     void avoid(long untilNanos) {
--- /dev/null
+++ b/core/src/test/java/org/teaselhook/core/job/GatheredWordsTest.java
@@ -0,0 +1,74 @@
+package org.teaselhook.core.job;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import org.teaselhook.core.amount.Amounts;
+import org.teaselhook.core.id.Incarnation;
+import org.teaselhook.core.lease.RunOutcome;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+
+/** Load at which many runs end within a millisecond. */
+public class GatheredWordsTest {
+
+    private static final long NOW = TimeUnit.SECONDS.toNanos(5);
+    private static final Incarnation AGENT = Incarnation.of(1);
+    private static final Amounts TASK = Amounts.of(1_600, 64, 0);
+    private static final Amounts ROOM_FOR_TWO = Amounts.of(3_200, 65_536, 0);
+
+    private RecordingJobOutput output;
+    private JobDispatcher dispatcher;
+
+    @BeforeMethod
+    public void fillWorkerAndLetOneTaskWait() {
+        output = new RecordingJobOutput();
+        dispatcher = JobDispatcher.of("entry-1", "thrissur", NOW, output);
+        dispatcher.connected(NOW, AGENT, "agent-1", "thrissur");
+        dispatcher.heard(NOW, AGENT, view(0));
+        submit("a", 2);
+        submit("b", 1);
+        assertEquals(output.orders().size(), 2);
+    }
+
+    @Test
+    public void shouldPlaceOnceForAllWordsTakenTogether() {
+        dispatcher.together(NOW, () -> {
+            endAll();
+            assertEquals(output.orders().size(), 2, "nothing is placed before all words were taken");
+        });
+
+        assertEquals(output.orders().size(), 3);
+    }
+
+    @Test
+    public void shouldPlaceThoughOneWordMakesNoSense() {
+        assertThrows(
+                IllegalStateException.class,
+                () -> dispatcher.together(NOW, () -> {
+                    endAll();
+                    throw new IllegalStateException("makes no sense");
+                }));
+
+        assertEquals(output.orders().size(), 3);
+    }
+
+    private void endAll() {
+        dispatcher.heard(NOW, AGENT, view(2));
+        List.copyOf(output.orders()).forEach(run -> dispatcher.ended(NOW, run.number(), RunOutcome.DONE, 200));
+    }
+
+    private static WorkerView view(long seenOrder) {
+        return new WorkerView("patchdesk", ROOM_FOR_TWO, Amounts.NONE, List.of(), seenOrder, 0);
+    }
+
+    private void submit(String id, int tasks) {
+        Step step = new Step(tasks, TASK, 200, List.of(), Optional.empty(), Optional.empty(), 0);
+        long deadline = NOW + TimeUnit.SECONDS.toNanos(5);
+        dispatcher.submit(NOW, new Job(id, JobDispatcherTest.route(), "spec", List.of(step), NOW, deadline));
+    }
+}
--- a/core/src/test/java/org/teaselhook/core/job/JobDispatcherTest.java
+++ b/core/src/test/java/org/teaselhook/core/job/JobDispatcherTest.java
@@ -460,7 +460,7 @@
         return new Step(tasks, TASK, estimateMillis, after, Optional.empty(), Optional.empty(), 0);
     }
 
-    private static Route route() {
+    static Route route() {
         return new Route("r", "h.example", "/p/", "patchdesk", 0, 3, 1.6, 60, 5_000);
     }
 
--- a/node/src/main/java/org/teaselhook/node/control/ControlLoop.java
+++ b/node/src/main/java/org/teaselhook/node/control/ControlLoop.java
@@ -1,5 +1,7 @@
 package org.teaselhook.node.control;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
@@ -33,6 +35,7 @@
     private final LongSupplier clock;
     private final Consumer<Throwable> onFailure;
     private final AgentRunner runner;
+    private final List<Runnable> turnEnds = new ArrayList<>();
     private volatile Thread parked;
 
     private ControlLoop(String name, LongSupplier clock, Consumer<Throwable> onFailure) {
@@ -104,6 +107,16 @@
         execute(() -> ticks.add(deadlineNanos, action));
     }
 
+    /**
+     * Runs an action at the end of each turn, after the events that had gathered and the ticks that were due.
+     *
+     * @param action the action
+     */
+    public void afterTurn(Runnable action) {
+        Objects.requireNonNull(action, "action is null");
+        execute(() -> turnEnds.add(action));
+    }
+
     /**
      * Returns the present time.
      *
@@ -152,7 +165,9 @@
         public int doWork() {
             int done = runEvents();
             long now = clock.getAsLong();
-            return done + ticks.runDue(now, tick -> runGuarded(() -> tick.accept(now)));
+            done += ticks.runDue(now, tick -> runGuarded(() -> tick.accept(now)));
+            turnEnds.forEach(ControlLoop.this::runGuarded);
+            return done;
         }
 
         @Override
--- /dev/null
+++ b/node/src/main/java/org/teaselhook/node/frame/FrameDialer.java
@@ -0,0 +1,79 @@
+package org.teaselhook.node.frame;
+
+import java.net.InetSocketAddress;
+import java.util.Objects;
+
+import com.google.protobuf.MessageLite;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import org.teaselhook.net.http.EventLoops;
+
+/**
+ * Opens connections to servers of frames.
+ *
+ * @param <R> the messages received
+ * @param <S> the messages sent
+ */
+public final class FrameDialer<R extends MessageLite, S extends MessageLite> {
+
+    private final EventLoops loops;
+    private final Outbox outbox;
+    private final FrameProtocol<R> protocol;
+    private final int connectTimeoutMillis;
+
+    private FrameDialer(EventLoops loops, Outbox outbox, FrameProtocol<R> protocol, int connectTimeoutMillis) {
+        this.loops = Objects.requireNonNull(loops, "loops is null");
+        this.outbox = Objects.requireNonNull(outbox, "outbox is null");
+        this.protocol = Objects.requireNonNull(protocol, "protocol is null");
+        this.connectTimeoutMillis = connectTimeoutMillis;
+    }
+
+    /**
+     * Returns a dialer.
+     *
+     * @param loops the traffic threads
+     * @param outbox writes what the connections send
+     * @param protocol what is received
+     * @param connectTimeoutMillis the longest wait for a connection
+     * @param <R> the messages received
+     * @param <S> the messages sent
+     * @return a new dialer
+     */
+    public static <R extends MessageLite, S extends MessageLite> FrameDialer<R, S> of(
+            EventLoops loops, Outbox outbox, FrameProtocol<R> protocol, int connectTimeoutMillis) {
+        return new FrameDialer<>(loops, outbox, protocol, connectTimeoutMillis);
+    }
+
+    /**
+     * Opens a connection. What is sent before it is open waits for that.
+     *
+     * @param address the server's address
+     * @param listener told what happens on the connection
+     * @return the connection
+     */
+    public FrameConnection<S> dial(InetSocketAddress address, FrameListener<R, S> listener) {
+        FrameConnection<S> connection = new FrameConnection<>(address, outbox);
+        new Bootstrap()
+                .group(loops.group())
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        protocol.install(channel, connection, listener);
+                    }
+                })
+                .connect(address)
+                .addListener(result -> {
+                    if (!result.isSuccess()) {
+                        connection.ended();
+                        listener.ended(connection, String.valueOf(result.cause().getMessage()));
+                    }
+                });
+        return connection;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/teaselhook/node/frame/FrameEncoding.java
@@ -0,0 +1,43 @@
+package org.teaselhook.node.frame;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.List;
+
+import com.google.protobuf.CodedOutputStream;
+import com.google.protobuf.MessageLite;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+
+/**
+ * The bytes of messages: each after its length, a number of four bytes, the most significant first.
+ */
+final class FrameEncoding {
+
+    /** The bytes of a length. */
+    static final int LENGTH_BYTES = 4;
+
+    private FrameEncoding() {}
+
+    static ByteBuf encode(List<? extends MessageLite> messages) {
+        int size = messages.stream()
+                .mapToInt(m -> LENGTH_BYTES + m.getSerializedSize())
+                .sum();
+        ByteBuf buffer = Unpooled.buffer(size);
+        messages.forEach(message -> write(message, buffer));
+        return buffer;
+    }
+
+    private static void write(MessageLite message, ByteBuf buffer) {
+        int length = message.getSerializedSize();
+        buffer.writeInt(length);
+        CodedOutputStream out =
+                CodedOutputStream.newInstance(buffer.array(), buffer.arrayOffset() + buffer.writerIndex(), length);
+        try {
+            message.writeTo(out);
+        } catch (IOException e) {
+            throw new UncheckedIOException("a message is longer than it said", e);
+        }
+        buffer.writerIndex(buffer.writerIndex() + length);
+    }
+}
--- a/node/src/main/java/org/teaselhook/node/job/JobEntryNode.java
+++ b/node/src/main/java/org/teaselhook/node/job/JobEntryNode.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
-import io.grpc.Server;
 import org.teaselhook.core.id.Incarnation;
 import org.teaselhook.core.job.Job;
 import org.teaselhook.core.job.JobResult;
@@ -29,11 +28,14 @@
 import org.teaselhook.node.config.MemberListener;
 import org.teaselhook.node.control.ControlLoop;
 import org.teaselhook.node.control.PauseDetector;
-import org.teaselhook.node.grpc.EntryGrpcServer;
+import org.teaselhook.node.frame.FrameProtocol;
+import org.teaselhook.node.frame.FrameServer;
+import org.teaselhook.node.frame.Outbox;
 import org.teaselhook.node.health.MetricsServer;
 import org.teaselhook.node.route.RoutePoller;
 import org.teaselhook.node.settings.JobEntrySettings;
 import org.teaselhook.node.settings.SocketAddresses;
+import org.teaselhook.wire.RunReport;
 
 /**
  * An entry for jobs whose tasks ask for amounts: one control thread and one traffic thread.
@@ -46,8 +48,8 @@
     /** How often readiness and due reads are looked at, in ms: a fraction of the balancer's second. */
     private static final long SLOW_TICK_MILLIS = 100;
 
-    /** The greatest frame, in bytes: an order with the longest text, or the routes of some hundred services. */
-    private static final int MAX_FRAME_BYTES = 1024 * 1024;
+    /** The greatest message of an agent, in bytes: the routes of some thousand services and paths. */
+    private static final int MAX_FRAME_BYTES = 4 * 1024 * 1024;
 
     /** The greatest body of a request, in bytes: the limit in the operators' configurations so far. */
     private static final int MAX_BODY_BYTES = 256 * 1024;
@@ -70,7 +72,7 @@
     private final JobEntryControl control;
     private final RoutePoller poller;
     private final EntryRegistry members;
-    private final Server grpc;
+    private final FrameServer agents;
     private final HttpServer ready;
     private final HttpServer callers;
     private final JobMetrics metrics = new JobMetrics(this::status);
@@ -97,8 +99,12 @@
                 settings.name(), settings.zone(), incarnation, this::knownEntries, loop::nowNanos, metrics);
         this.poller = RoutePoller.of(source, loop, control::read);
         this.members = EntryRegistry.of(table, member(incarnation), new Members(), loop, new Random());
-        this.grpc = EntryGrpcServer.start(
-                loops.group(), settings.grpc(), new JobEntryGrpc(loop, control.sessions()), MAX_FRAME_BYTES);
+        this.agents = FrameServer.start(
+                loops,
+                settings.agents(),
+                Outbox.of(loop),
+                new FrameProtocol<>(RunReport.parser(), MAX_FRAME_BYTES),
+                new AgentStreams(loop, control.sessions()));
         HttpLimits limits = HttpLimits.of(MAX_BODY_BYTES, MAX_CONNECTIONS, IDLE_MILLIS);
         this.callers = HttpServer.start(loops, settings.callers(), front.apply(new Jobs()), limits);
         this.ready =
@@ -137,9 +143,9 @@
     }
 
     private Member member(Incarnation incarnation) {
-        String grpcAddress = SocketAddresses.format(settings.grpc());
+        String agentsAddress = SocketAddresses.format(settings.agents());
         String httpAddress = SocketAddresses.format(settings.callers());
-        return new Member(settings.name(), incarnation, settings.zone(), grpcAddress, httpAddress, 0);
+        return new Member(settings.name(), incarnation, settings.zone(), agentsAddress, httpAddress, 0);
     }
 
     /**
@@ -189,7 +195,7 @@
     @Override
     public void close() {
         loop.close();
-        grpc.shutdownNow();
+        agents.close();
         callers.close();
         ready.close();
         metricsServer.close();
--- a/node/src/main/java/org/teaselhook/node/job/RunSession.java
+++ b/node/src/main/java/org/teaselhook/node/job/RunSession.java
@@ -3,9 +3,8 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
-import io.grpc.stub.StreamObserver;
 import org.teaselhook.core.id.Incarnation;
-import org.teaselhook.node.session.SessionStreams;
+import org.teaselhook.node.frame.FrameConnection;
 import org.teaselhook.wire.RunCommand;
 
 /**
@@ -18,7 +17,7 @@
 
     private final Incarnation agent;
     private final String name;
-    private final StreamObserver<RunCommand> stream;
+    private final FrameConnection<RunCommand> stream;
     private long agentNanos;
     private long heardAt;
     private long routesVersion;
@@ -26,7 +25,7 @@
     private List<String> entriesSent = List.of();
     private long entriesSentAt;
 
-    RunSession(Incarnation agent, String name, StreamObserver<RunCommand> stream, long nowNanos) {
+    RunSession(Incarnation agent, String name, FrameConnection<RunCommand> stream, long nowNanos) {
         this.agent = agent;
         this.name = name;
         this.stream = stream;
@@ -43,7 +42,7 @@
         return name;
     }
 
-    StreamObserver<RunCommand> stream() {
+    FrameConnection<RunCommand> stream() {
         return stream;
     }
 
@@ -89,6 +88,6 @@
     }
 
     void send(RunCommand command) {
-        SessionStreams.send(stream, command);
+        stream.send(command);
     }
 }
--- a/node/src/main/java/org/teaselhook/node/job/RunSessions.java
+++ b/node/src/main/java/org/teaselhook/node/job/RunSessions.java
@@ -8,15 +8,14 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
-import io.grpc.stub.StreamObserver;
 import org.teaselhook.core.id.Incarnation;
 import org.teaselhook.core.job.JobDispatcher;
 import org.teaselhook.core.job.PlacedRun;
 import org.teaselhook.core.lease.LeaseTimes;
 import org.teaselhook.core.route.Routes;
 import org.teaselhook.net.log.LogLine;
+import org.teaselhook.node.frame.FrameConnection;
 import org.teaselhook.node.route.RouteMessages;
-import org.teaselhook.node.session.SessionStreams;
 import org.teaselhook.wire.RunCommand;
 import org.teaselhook.wire.RunEnd;
 import org.teaselhook.wire.RunHello;
@@ -39,6 +38,7 @@
     private final Supplier<List<String>> entries;
     private final Consumer<Routes> learned;
     private final Map<Incarnation, RunSession> sessions = new HashMap<>();
+    private final Map<FrameConnection<RunCommand>, RunSession> byStream = new HashMap<>();
     private boolean leaving;
 
     RunSessions(
@@ -58,12 +58,14 @@
 
     // -- connections
 
-    void connected(long nowNanos, StreamObserver<RunCommand> stream, RunHello hello) {
+    private void connected(long nowNanos, FrameConnection<RunCommand> stream, RunHello hello) {
         Incarnation agent = Incarnation.of(hello.getIncarnation());
         RunSession session = new RunSession(agent, hello.getName(), stream, nowNanos);
         RunSession older = sessions.put(agent, session);
+        byStream.put(stream, session);
         if (older != null) {
-            SessionStreams.close(older.stream());
+            byStream.remove(older.stream());
+            older.stream().close("replaced by a newer connection");
         }
         List<Long> orders = dispatcher.ordersAt(agent);
         LogLine.of("agent-connected")
@@ -76,22 +78,23 @@
         dispatcher.connected(nowNanos, agent, hello.getName(), hello.getZone());
     }
 
-    void disconnected(long nowNanos, Incarnation agent, StreamObserver<RunCommand> stream) {
-        RunSession session = sessions.get(agent);
-        if (session != null && session.stream() == stream) {
-            drop(nowNanos, session, "connection ended");
+    void ended(long nowNanos, FrameConnection<RunCommand> stream, String reason) {
+        RunSession session = byStream.get(stream);
+        if (session != null) {
+            drop(nowNanos, session, reason);
         }
     }
 
     private void drop(long nowNanos, RunSession session, String reason) {
         sessions.remove(session.agent());
+        byStream.remove(session.stream());
         LogLine.of("agent-lost")
                 .with("agent", session.name())
                 .with("incarnation", session.agent())
                 .with("reason", reason)
                 .with("orders", dispatcher.ordersAt(session.agent()).size())
                 .warn();
-        SessionStreams.close(session.stream());
+        session.stream().close(reason);
         dispatcher.disconnected(nowNanos, session.agent());
     }
 
@@ -103,11 +106,35 @@
 
     // -- frames
 
-    void received(long nowNanos, Incarnation agent, StreamObserver<RunCommand> stream, RunReport report) {
-        RunSession session = sessions.get(agent);
-        if (session == null || session.stream() != stream) {
-            return;
+    /**
+     * Takes what an agent sent, in order, and places waiting tasks once for all of it. A report that makes no sense
+     * ends its connection, and nothing else.
+     */
+    void received(long nowNanos, FrameConnection<RunCommand> stream, List<RunReport> reports) {
+        dispatcher.together(nowNanos, () -> {
+            try {
+                reports.forEach(report -> received(nowNanos, stream, report));
+            } catch (RuntimeException e) {
+                LogLine.of("agent-message-invalid")
+                        .with("remote", stream.remote())
+                        .with("failure", e)
+                        .warn();
+                stream.close("invalid message");
+                ended(nowNanos, stream, "invalid message");
+            }
+        });
+    }
+
+    private void received(long nowNanos, FrameConnection<RunCommand> stream, RunReport report) {
+        RunSession session = byStream.get(stream);
+        if (session != null) {
+            received(nowNanos, session, report);
+        } else if (report.hasHello()) {
+            connected(nowNanos, stream, report.getHello());
         }
+    }
+
+    private void received(long nowNanos, RunSession session, RunReport report) {
         switch (report.getReportCase()) {
             case STATE -> state(nowNanos, session, report.getState());
             case END -> ended(nowNanos, report.getEnd());
--- a/node/src/main/java/org/teaselhook/node/lease/LeaseAgentControl.java
+++ b/node/src/main/java/org/teaselhook/node/lease/LeaseAgentControl.java
@@ -19,6 +19,7 @@
 import org.teaselhook.core.lease.WorkerRuns;
 import org.teaselhook.core.route.Routes;
 import org.teaselhook.net.log.LogLine;
+import org.teaselhook.node.frame.FrameConnection;
 import org.teaselhook.node.route.AmountMessages;
 import org.teaselhook.node.route.RouteMessages;
 import org.teaselhook.node.settings.SocketAddresses;
@@ -94,29 +95,38 @@
 
     // -- entries
 
-    void ended(CommandStream stream, String reason, long nowNanos) {
+    void ended(FrameConnection<RunReport> stream, String reason, long nowNanos) {
         now = nowNanos;
         links.ended(stream, reason, nowNanos);
     }
 
-    void received(CommandStream stream, RunCommand command, long nowNanos) {
+    /** Takes what an entry sent, in order. A command that makes no sense ends its connection, and nothing else. */
+    void received(FrameConnection<RunReport> stream, List<RunCommand> commands, long nowNanos) {
         now = nowNanos;
-        Optional<RunLink> link = links.on(stream);
-        if (link.isEmpty()) {
-            return;
+        try {
+            commands.forEach(command -> links.on(stream).ifPresent(link -> received(link, command, nowNanos)));
+        } catch (RuntimeException e) {
+            LogLine.of("entry-message-invalid")
+                    .with("remote", stream.remote())
+                    .with("failure", e)
+                    .warn();
+            links.drop(stream, "invalid message", nowNanos);
         }
+    }
+
+    private void received(RunLink link, RunCommand command, long nowNanos) {
         if (command.hasGreeting()) {
-            greeted(link.get(), command.getGreeting(), nowNanos);
+            greeted(link, command.getGreeting(), nowNanos);
             return;
         }
-        Optional<Incarnation> entry = link.get().entry();
+        Optional<Incarnation> entry = link.entry();
         if (entry.isEmpty()) {
             return;
         }
         switch (command.getCommandCase()) {
-            case PULSE -> pulsed(link.get(), command.getPulse(), nowNanos);
+            case PULSE -> pulsed(link, command.getPulse(), nowNanos);
             case ORDER -> {
-                link.get().ordered(nowNanos);
+                link.ordered(nowNanos);
                 ordered(entry.get(), command.getOrder(), nowNanos);
             }
             case STOP -> stopped(entry.get(), command.getStop().getOrder(), nowNanos);
@@ -257,7 +267,7 @@
         answers.keep(order, answer);
         links.to(order.entry()).ifPresent(link -> {
             link.stream().ifPresent(stream -> stream.send(answer));
-            link.stateDue(now + GATHER_NANOS);
+            link.stateDue(now);
         });
     }
 
--- a/node/src/main/java/org/teaselhook/node/lease/LeaseAgentNode.java
+++ b/node/src/main/java/org/teaselhook/node/lease/LeaseAgentNode.java
@@ -1,6 +1,7 @@
 package org.teaselhook.node.lease;
 
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Objects;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
@@ -24,10 +25,15 @@
 import org.teaselhook.node.config.EntryAddresses;
 import org.teaselhook.node.control.ControlLoop;
 import org.teaselhook.node.control.PauseDetector;
-import org.teaselhook.node.grpc.EntryChannels;
+import org.teaselhook.node.frame.FrameConnection;
+import org.teaselhook.node.frame.FrameDialer;
+import org.teaselhook.node.frame.FrameListener;
+import org.teaselhook.node.frame.FrameProtocol;
+import org.teaselhook.node.frame.Outbox;
 import org.teaselhook.node.health.MetricsServer;
 import org.teaselhook.node.settings.LeaseAgentSettings;
 import org.teaselhook.wire.RunCommand;
+import org.teaselhook.wire.RunReport;
 
 /**
  * The agent of a worker that runs tasks under leases: one control thread and one traffic thread.
@@ -46,6 +52,9 @@
     /** How long runs may go on after SIGTERM, in ns: less than the time until the process is killed. */
     private static final long DRAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(4_500);
 
+    /** The greatest message of an entry, in bytes: the routes of some thousand services and paths. */
+    private static final int MAX_COMMAND_BYTES = 4 * 1024 * 1024;
+
     /** The greatest report of a worker, in bytes; usual ones have some hundred. */
     private static final int MAX_REPORT_BYTES = 64 * 1024;
 
@@ -58,6 +67,7 @@
     private final LeaseAgentSettings settings;
     private final EventLoops loops;
     private final ControlLoop loop;
+    private final FrameDialer<RunCommand, RunReport> dialer;
     private final RunLinks links;
     private final LeaseAgentControl control;
     private final WorkerRuns runs;
@@ -82,6 +92,9 @@
         this.table = table;
         this.loop = ControlLoop.start("agent-control", System::nanoTime, LeaseAgentNode::failed);
         Incarnation incarnation = Incarnation.random(new Random());
+        this.dialer = FrameDialer.of(
+                loops, Outbox.of(loop), new FrameProtocol<>(RunCommand.parser(), MAX_COMMAND_BYTES), (int)
+                        LeaseTimes.ENTRY_SILENCE_MILLIS);
         this.links = new RunLinks(this::dial, LeaseFrames.hello(settings.name(), incarnation, settings.zone()));
         this.control = new LeaseAgentControl(settings.zone(), links, metrics);
         this.runs = WorkerRuns.of(System.currentTimeMillis(), calls, new OnLoop(), control, new RunLog());
@@ -194,9 +207,8 @@
         }
     }
 
-    private CommandStream dial(InetSocketAddress address) {
-        int timeout = (int) LeaseTimes.ENTRY_SILENCE_MILLIS;
-        return CommandStream.open(address, EntryChannels.open(loops, address, timeout), new StreamEvents());
+    private FrameConnection<RunReport> dial(InetSocketAddress address) {
+        return dialer.dial(address, new Commands());
     }
 
     private static void failed(Throwable failure) {
@@ -204,18 +216,19 @@
         failure.printStackTrace();
     }
 
-    private final class StreamEvents implements CommandStream.Events {
+    /** Hands what entries send to the control thread. */
+    private final class Commands implements FrameListener<RunCommand, RunReport> {
 
         @Override
-        public void received(CommandStream stream, RunCommand command) {
+        public void received(FrameConnection<RunReport> stream, List<RunCommand> commands) {
             loop.execute(() -> {
                 noticePause(loop.nowNanos());
-                control.received(stream, command, loop.nowNanos());
+                control.received(stream, commands, loop.nowNanos());
             });
         }
 
         @Override
-        public void ended(CommandStream stream, String reason) {
+        public void ended(FrameConnection<RunReport> stream, String reason) {
             loop.execute(() -> control.ended(stream, reason, loop.nowNanos()));
         }
     }
--- a/node/src/main/java/org/teaselhook/node/lease/RunLink.java
+++ b/node/src/main/java/org/teaselhook/node/lease/RunLink.java
@@ -6,6 +6,8 @@
 
 import org.teaselhook.core.id.Incarnation;
 import org.teaselhook.core.lease.LeaseTimes;
+import org.teaselhook.node.frame.FrameConnection;
+import org.teaselhook.wire.RunReport;
 
 /**
  * The connection to one address of an entry, and the word of the entry on it.
@@ -32,7 +34,7 @@
     private static final long MAX_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
     private final InetSocketAddress address;
-    private Optional<CommandStream> stream = Optional.empty();
+    private Optional<FrameConnection<RunReport>> stream = Optional.empty();
     private Optional<Incarnation> entry = Optional.empty();
     private long namedAt;
     private long dialAt;
@@ -59,7 +61,7 @@
         return address;
     }
 
-    Optional<CommandStream> stream() {
+    Optional<FrameConnection<RunReport>> stream() {
         return stream;
     }
 
@@ -68,7 +70,7 @@
         return entry;
     }
 
-    boolean isOn(CommandStream other) {
+    boolean isOn(FrameConnection<RunReport> other) {
         return stream.filter(s -> s == other).isPresent();
     }
 
@@ -127,7 +129,7 @@
         namedAt = nowNanos;
     }
 
-    void dialed(CommandStream opened, long nowNanos) {
+    void dialed(FrameConnection<RunReport> opened, long nowNanos) {
         stream = Optional.of(opened);
         entry = Optional.empty();
         dialedAt = nowNanos;
--- a/node/src/main/java/org/teaselhook/node/lease/RunLinks.java
+++ b/node/src/main/java/org/teaselhook/node/lease/RunLinks.java
@@ -12,6 +12,7 @@
 
 import org.teaselhook.core.id.Incarnation;
 import org.teaselhook.net.log.LogLine;
+import org.teaselhook.node.frame.FrameConnection;
 import org.teaselhook.wire.RunReport;
 
 /**
@@ -20,10 +21,10 @@
 final class RunLinks {
 
     private final Map<InetSocketAddress, RunLink> links = new LinkedHashMap<>();
-    private final Function<InetSocketAddress, CommandStream> dialer;
+    private final Function<InetSocketAddress, FrameConnection<RunReport>> dialer;
     private final RunReport hello;
 
-    RunLinks(Function<InetSocketAddress, CommandStream> dialer, RunReport hello) {
+    RunLinks(Function<InetSocketAddress, FrameConnection<RunReport>> dialer, RunReport hello) {
         this.dialer = Objects.requireNonNull(dialer, "dialer is null");
         this.hello = Objects.requireNonNull(hello, "hello is null");
     }
@@ -34,8 +35,8 @@
         return new ArrayList<>(links.values());
     }
 
-    Optional<RunLink> on(CommandStream stream) {
-        return Optional.ofNullable(links.get(stream.address())).filter(link -> link.isOn(stream));
+    Optional<RunLink> on(FrameConnection<RunReport> stream) {
+        return Optional.ofNullable(links.get(stream.remote())).filter(link -> link.isOn(stream));
     }
 
     /** Returns the link on which an entry greeted. */
@@ -76,7 +77,7 @@
                 drop(link, nowNanos, "named by no entry");
                 links.remove(link.address());
             } else if (link.isDialDue(nowNanos)) {
-                CommandStream stream = dialer.apply(link.address());
+                FrameConnection<RunReport> stream = dialer.apply(link.address());
                 link.dialed(stream, nowNanos);
                 stream.send(hello);
             }
@@ -87,18 +88,23 @@
         all().forEach(link -> drop(link, nowNanos, reason));
     }
 
-    void ended(CommandStream stream, String reason, long nowNanos) {
+    void ended(FrameConnection<RunReport> stream, String reason, long nowNanos) {
         on(stream).ifPresent(link -> {
             logLost(link, reason);
             link.dropped(nowNanos);
         });
     }
 
+    /** Ends a connection on which an entry sent what makes no sense. */
+    void drop(FrameConnection<RunReport> stream, String reason, long nowNanos) {
+        on(stream).ifPresent(link -> drop(link, nowNanos, reason));
+    }
+
     private void drop(RunLink link, long nowNanos, String reason) {
         link.stream().ifPresent(stream -> {
             logLost(link, reason);
             link.dropped(nowNanos);
-            stream.abort(reason);
+            stream.close(reason);
         });
     }
 
--- a/node/src/main/java/org/teaselhook/node/settings/JobEntrySettings.java
+++ b/node/src/main/java/org/teaselhook/node/settings/JobEntrySettings.java
@@ -11,7 +11,7 @@
  * zone: thrissur
  * callers: 10.2.0.3:8161
  * ready: 10.2.0.3:8167
- * grpc: 10.2.0.3:7720
+ * agents: 10.2.0.3:7720
  * table: 10.200.1.7:8169
  * metrics: 10.2.0.3:9464           # optional
  * }</pre>
@@ -20,7 +20,7 @@
  * @param zone the availability zone
  * @param callers where callers' requests are taken
  * @param ready where the balancer asks whether the entry is ready
- * @param grpc where agents are served
+ * @param agents where agents are served
  * @param table the table service
  * @param metrics where metrics are served, or empty
  */
@@ -29,7 +29,7 @@
         String zone,
         InetSocketAddress callers,
         InetSocketAddress ready,
-        InetSocketAddress grpc,
+        InetSocketAddress agents,
         InetSocketAddress table,
         Optional<InetSocketAddress> metrics) {
 
@@ -49,7 +49,7 @@
                 root.name("zone"),
                 root.address("callers"),
                 root.address("ready"),
-                root.address("grpc"),
+                root.address("agents"),
                 root.address("table"),
                 root.optionalAddress("metrics"));
     }
--- a/node/src/test/java/org/teaselhook/node/lease/RunLinkTest.java
+++ b/node/src/test/java/org/teaselhook/node/lease/RunLinkTest.java
@@ -1,11 +1,18 @@
 package org.teaselhook.node.lease;
 
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 import org.teaselhook.net.http.EventLoops;
-import org.teaselhook.node.grpc.EntryChannels;
+import org.teaselhook.node.control.ControlLoop;
+import org.teaselhook.node.frame.FrameConnection;
+import org.teaselhook.node.frame.FrameDialer;
+import org.teaselhook.node.frame.FrameListener;
+import org.teaselhook.node.frame.FrameProtocol;
+import org.teaselhook.node.frame.Outbox;
 import org.teaselhook.wire.RunCommand;
+import org.teaselhook.wire.RunReport;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -21,10 +28,12 @@
     private static final InetSocketAddress ADDRESS = new InetSocketAddress("127.0.0.1", 1);
 
     private final EventLoops loops = EventLoops.of(1);
+    private final ControlLoop control = ControlLoop.start("test", System::nanoTime, failure -> {});
 
     @AfterClass
     public void closeLoops() {
         loops.close();
+        control.close();
     }
 
     @DataProvider
@@ -61,17 +70,19 @@
         assertFalse(link.isForgotten(later + MILLI));
     }
 
-    private CommandStream stream() {
-        return CommandStream.open(ADDRESS, EntryChannels.open(loops, ADDRESS, 100), new CommandStream.Events() {
-            @Override
-            public void received(CommandStream stream, RunCommand command) {
-                // Nothing answers there.
-            }
+    private FrameConnection<RunReport> stream() {
+        FrameProtocol<RunCommand> protocol = new FrameProtocol<>(RunCommand.parser(), 1_000);
+        return FrameDialer.<RunCommand, RunReport>of(loops, Outbox.of(control), protocol, 100)
+                .dial(ADDRESS, new FrameListener<>() {
+                    @Override
+                    public void received(FrameConnection<RunReport> stream, List<RunCommand> commands) {
+                        // Nothing answers there.
+                    }
 
-            @Override
-            public void ended(CommandStream stream, String reason) {
-                // Nothing answers there.
-            }
-        });
+                    @Override
+                    public void ended(FrameConnection<RunReport> stream, String reason) {
+                        // Nothing answers there.
+                    }
+                });
     }
 }
--- a/wire/src/main/java/org/teaselhook/wire/EntryServiceGrpc.java
+++ b/wire/src/main/java/org/teaselhook/wire/EntryServiceGrpc.java
@@ -136,37 +136,6 @@
     return getAgentsMethod;
   }
 
-  private static volatile io.grpc.MethodDescriptor<org.teaselhook.wire.RunReport,
-      org.teaselhook.wire.RunCommand> getRunsMethod;
-
-  @io.grpc.stub.annotations.RpcMethod(
-      fullMethodName = SERVICE_NAME + '/' + "Runs",
-      requestType = org.teaselhook.wire.RunReport.class,
-      responseType = org.teaselhook.wire.RunCommand.class,
-      methodType = io.grpc.MethodDescriptor.MethodType.BIDI_STREAMING)
-  public static io.grpc.MethodDescriptor<org.teaselhook.wire.RunReport,
-      org.teaselhook.wire.RunCommand> getRunsMethod() {
-    io.grpc.MethodDescriptor<org.teaselhook.wire.RunReport, org.teaselhook.wire.RunCommand> getRunsMethod;
-    if ((getRunsMethod = EntryServiceGrpc.getRunsMethod) == null) {
-      synchronized (EntryServiceGrpc.class) {
-        if ((getRunsMethod = EntryServiceGrpc.getRunsMethod) == null) {
-          EntryServiceGrpc.getRunsMethod = getRunsMethod =
-              io.grpc.MethodDescriptor.<org.teaselhook.wire.RunReport, org.teaselhook.wire.RunCommand>newBuilder()
-              .setType(io.grpc.MethodDescriptor.MethodType.BIDI_STREAMING)
-              .setFullMethodName(generateFullMethodName(SERVICE_NAME, "Runs"))
-              .setSampledToLocalTracing(true)
-              .setRequestMarshaller(io.grpc.protobuf.ProtoUtils.marshaller(
-                  org.teaselhook.wire.RunReport.getDefaultInstance()))
-              .setResponseMarshaller(io.grpc.protobuf.ProtoUtils.marshaller(
-                  org.teaselhook.wire.RunCommand.getDefaultInstance()))
-              .setSchemaDescriptor(new EntryServiceMethodDescriptorSupplier("Runs"))
-              .build();
-        }
-      }
-    }
-    return getRunsMethod;
-  }
-
   /**
    * Creates a new async stub that supports all call types for the service
    */
@@ -269,16 +238,6 @@
         io.grpc.stub.StreamObserver<org.teaselhook.wire.AgentsReply> responseObserver) {
       io.grpc.stub.ServerCalls.asyncUnimplementedUnaryCall(getAgentsMethod(), responseObserver);
     }
-
-    /**
-     * <pre>
-     * Runs of tasks that ask for amounts, under leases. One stream per agent and entry; the agent dials.
-     * </pre>
-     */
-    default io.grpc.stub.StreamObserver<org.teaselhook.wire.RunReport> runs(
-        io.grpc.stub.StreamObserver<org.teaselhook.wire.RunCommand> responseObserver) {
-      return io.grpc.stub.ServerCalls.asyncUnimplementedStreamingCall(getRunsMethod(), responseObserver);
-    }
   }
 
   /**
@@ -351,17 +310,6 @@
       io.grpc.stub.ClientCalls.asyncUnaryCall(
           getChannel().newCall(getAgentsMethod(), getCallOptions()), request, responseObserver);
     }
-
-    /**
-     * <pre>
-     * Runs of tasks that ask for amounts, under leases. One stream per agent and entry; the agent dials.
-     * </pre>
-     */
-    public io.grpc.stub.StreamObserver<org.teaselhook.wire.RunReport> runs(
-        io.grpc.stub.StreamObserver<org.teaselhook.wire.RunCommand> responseObserver) {
-      return io.grpc.stub.ClientCalls.asyncBidiStreamingCall(
-          getChannel().newCall(getRunsMethod(), getCallOptions()), responseObserver);
-    }
   }
 
   /**
@@ -423,18 +371,6 @@
       return io.grpc.stub.ClientCalls.blockingV2UnaryCall(
           getChannel(), getAgentsMethod(), getCallOptions(), request);
     }
-
-    /**
-     * <pre>
-     * Runs of tasks that ask for amounts, under leases. One stream per agent and entry; the agent dials.
-     * </pre>
-     */
-    @io.grpc.ExperimentalApi("https://github.com/grpc/grpc-java/issues/10918")
-    public io.grpc.stub.BlockingClientCall<org.teaselhook.wire.RunReport, org.teaselhook.wire.RunCommand>
-        runs() {
-      return io.grpc.stub.ClientCalls.blockingBidiStreamingCall(
-          getChannel(), getRunsMethod(), getCallOptions());
-    }
   }
 
   /**
@@ -517,7 +453,6 @@
   private static final int METHODID_AGENTS = 1;
   private static final int METHODID_SESSION = 2;
   private static final int METHODID_PEER = 3;
-  private static final int METHODID_RUNS = 4;
 
   private static final class MethodHandlers<Req, Resp> implements
       io.grpc.stub.ServerCalls.UnaryMethod<Req, Resp>,
@@ -560,9 +495,6 @@
         case METHODID_PEER:
           return (io.grpc.stub.StreamObserver<Req>) serviceImpl.peer(
               (io.grpc.stub.StreamObserver<org.teaselhook.wire.PeerFrame>) responseObserver);
-        case METHODID_RUNS:
-          return (io.grpc.stub.StreamObserver<Req>) serviceImpl.runs(
-              (io.grpc.stub.StreamObserver<org.teaselhook.wire.RunCommand>) responseObserver);
         default:
           throw new AssertionError();
       }
@@ -599,13 +531,6 @@
               org.teaselhook.wire.AgentsRequest,
               org.teaselhook.wire.AgentsReply>(
                 service, METHODID_AGENTS)))
-        .addMethod(
-          getRunsMethod(),
-          io.grpc.stub.ServerCalls.asyncBidiStreamingCall(
-            new MethodHandlers<
-              org.teaselhook.wire.RunReport,
-              org.teaselhook.wire.RunCommand>(
-                service, METHODID_RUNS)))
         .build();
   }
 
@@ -658,7 +583,6 @@
               .addMethod(getPeerMethod())
               .addMethod(getForwardMethod())
               .addMethod(getAgentsMethod())
-              .addMethod(getRunsMethod())
               .build();
         }
       }
--- a/wire/src/main/java/org/teaselhook/wire/Teaselhook.java
+++ b/wire/src/main/java/org/teaselhook/wire/Teaselhook.java
@@ -399,17 +399,15 @@
       "\n\017RUN_STALE_ENTRY\020\003\022\027\n\023RUN_START_BY_PASS" +
       "ED\020\004\022\020\n\014RUN_ZONE_OUT\020\005\022\021\n\rRUN_NO_WORKER\020" +
       "\006\022\026\n\022RUN_WORKER_REFUSED\020\007\022\021\n\rRUN_CANCELL" +
-      "ED\020\010\022\022\n\016RUN_UNANSWERED\020\t2\337\002\n\014EntryServic" +
+      "ED\020\010\022\022\n\016RUN_UNANSWERED\020\t2\236\002\n\014EntryServic" +
       "e\022C\n\007Session\022\031.teaselhook.v1.AgentFrame\032" +
       "\031.teaselhook.v1.EntryFrame(\0010\001\022>\n\004Peer\022\030" +
       ".teaselhook.v1.PeerFrame\032\030.teaselhook.v1" +
       ".PeerFrame(\0010\001\022E\n\007Forward\022\035.teaselhook.v" +
       "1.ForwardRequest\032\033.teaselhook.v1.Forward" +
       "Reply\022B\n\006Agents\022\034.teaselhook.v1.AgentsRe" +
-      "quest\032\032.teaselhook.v1.AgentsReply\022?\n\004Run" +
-      "s\022\030.teaselhook.v1.RunReport\032\031.teaselhook" +
-      ".v1.RunCommand(\0010\001B\027\n\023org.teaselhook.wir" +
-      "eP\001b\006proto3"
+      "quest\032\032.teaselhook.v1.AgentsReplyB\027\n\023org" +
+      ".teaselhook.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
