Keep tasks of a job together; tell entries of large sites no more than of small

Cause: a job of eight tasks went to eight workers: eight writes and reads, and as many chances to meet a slow or lost worker. Each agent told all entries that order there of its use at 400 messages a second; at 80 agents and 15 entries that is 2,000 a second at each entry.

Change: WorkerChoice prefers a worker that runs tasks of the job, after speed and home and before emptiness. StateRates divides by the number of entries.

--- a/core/src/main/java/org/teaselhook/core/job/ActiveJob.java
+++ b/core/src/main/java/org/teaselhook/core/job/ActiveJob.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 
@@ -98,6 +100,13 @@
                 .sum();
     }
 
+    /** Returns the workers that its tasks are ordered on. */
+    Set<WorkerRecord> workers() {
+        Set<WorkerRecord> result = new HashSet<>();
+        tasks.forEach(task -> task.placement().ifPresent(placement -> result.add(placement.worker())));
+        return result;
+    }
+
     int placedOn(WorkerRecord worker, int step) {
         return Math.toIntExact(IntStream.range(0, tasks.size())
                 .mapToObj(tasks::get)
--- a/core/src/main/java/org/teaselhook/core/job/WorkerChoice.java
+++ b/core/src/main/java/org/teaselhook/core/job/WorkerChoice.java
@@ -3,14 +3,16 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
 
 import org.teaselhook.core.amount.Amounts;
 
 /**
  * Chooses where a task runs. Answers load that comes in waves on unequal workers: a job is as late as its slowest task,
- * so workers of the usual speed go first; among these this entry's own, which the others leave to it; then the
- * emptiest, which is least likely to be full when the order arrives.
+ * so workers of the usual speed go first; among these this entry's own, which the others leave to it; of these the ones
+ * that run tasks of the job already, since a job on few workers is hit by fewer slow or lost ones, and its orders and
+ * ends travel together; then the emptiest, which is least likely to be full when the order arrives.
  */
 final class WorkerChoice {
 
@@ -26,6 +28,7 @@
     private static final Comparator<Candidate> BETTER = Comparator.comparing(Candidate::isNearData)
             .thenComparing(Candidate::isUsuallyQuick)
             .thenComparing(Candidate::isHome)
+            .thenComparing(Candidate::runsJob)
             .thenComparingDouble(Candidate::emptiness);
 
     private final String ownZone;
@@ -35,12 +38,18 @@
     }
 
     private record Candidate(
-            WorkerRecord worker, boolean isNearData, boolean isUsuallyQuick, boolean isHome, double emptiness) {}
+            WorkerRecord worker,
+            boolean isNearData,
+            boolean isUsuallyQuick,
+            boolean isHome,
+            boolean runsJob,
+            double emptiness) {}
 
     /** Returns the worker for a task, or empty if none has room for it now. */
     Optional<WorkerRecord> choose(
             long nowNanos, JobTask task, Collection<WorkerRecord> workers, Predicate<String> zoneOut) {
         String service = task.job().job().route().service();
+        Set<WorkerRecord> ofJob = task.job().workers();
         Candidate best = null;
         Candidate bestQuick = null;
         boolean allSlow = true;
@@ -52,7 +61,7 @@
             boolean quick = slowness < TOO_SLOW;
             allSlow &= !quick;
             if (isUsable(nowNanos, task, worker) && !zoneOut.test(worker.zone())) {
-                Candidate candidate = candidate(task, worker, slowness);
+                Candidate candidate = candidate(task, worker, slowness, ofJob.contains(worker));
                 best = better(best, candidate);
                 bestQuick = quick ? better(bestQuick, candidate) : bestQuick;
             }
@@ -64,12 +73,12 @@
         return known == null || BETTER.compare(other, known) > 0 ? other : known;
     }
 
-    private Candidate candidate(JobTask task, WorkerRecord worker, double slowness) {
+    private Candidate candidate(JobTask task, WorkerRecord worker, double slowness, boolean runsJob) {
         boolean nearData = task.step()
                 .preferredRack()
                 .filter(worker.view().labels()::contains)
                 .isPresent();
-        return new Candidate(worker, nearData, slowness < USUAL, worker.isHome(), emptiness(worker));
+        return new Candidate(worker, nearData, slowness < USUAL, worker.isHome(), runsJob, emptiness(worker));
     }
 
     private static boolean isUsable(long nowNanos, JobTask task, WorkerRecord worker) {
--- a/node/src/main/java/org/teaselhook/node/lease/LeaseAgentControl.java
+++ b/node/src/main/java/org/teaselhook/node/lease/LeaseAgentControl.java
@@ -280,7 +280,7 @@
         queue.roomChanged();
         List<RunLink> ordering =
                 links.all().stream().filter(link -> link.isOrdering(now)).toList();
-        long interval = StateRates.sharedInterval(ordering.size());
+        long interval = StateRates.sharedInterval(ordering.size(), links.heard(now));
         ordering.forEach(link -> link.stateDue(Math.max(now + GATHER_NANOS, link.stateSentAt() + interval)));
     }
 
--- a/node/src/main/java/org/teaselhook/node/lease/StateRates.java
+++ b/node/src/main/java/org/teaselhook/node/lease/StateRates.java
@@ -6,13 +6,14 @@
 
 /**
  * How often entries are told of a worker. Answers fleets in which every change at each of many workers told to each of
- * many entries costs more than the tasks themselves: what an agent sends for entries that share its worker does not
- * grow with their number, and entries that order nothing here are told by heartbeats alone.
+ * many entries costs more than the tasks themselves: what an entry is told of workers that it shares does not grow with
+ * the site, whose agents are more the more entries there are; entries that order nothing here are told by heartbeats
+ * alone.
  */
 final class StateRates {
 
-    /** How many messages a second an agent spends on telling entries of each other's use: one each 2.5 ms. */
-    private static final long SHARED_PER_SECOND = 400;
+    /** Messages a second about use by other entries, of an agent and times the entries: 400 among three of them. */
+    private static final long SHARED_PER_SECOND = 1_200;
 
     /** Between two heartbeats to an entry that orders, in ns: several fit into the silence that is borne. */
     private static final long HEARTBEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
@@ -23,9 +24,14 @@
 
     private StateRates() {}
 
-    /** Returns the least time between two messages to one of the entries that order here, in ns. */
-    static long sharedInterval(int orderingEntries) {
-        return TimeUnit.SECONDS.toNanos(1) * orderingEntries / SHARED_PER_SECOND;
+    /**
+     * Returns the least time between two messages to one of the entries that order here, in ns.
+     *
+     * @param orderingEntries the entries that order here
+     * @param entries all entries that are heard
+     */
+    static long sharedInterval(int orderingEntries, int entries) {
+        return TimeUnit.SECONDS.toNanos(1) * orderingEntries * Math.max(1, entries) / SHARED_PER_SECOND;
     }
 
     /** Returns the time between two heartbeats to an entry, in ns. */
