--- a/core/src/main/java/org/teaselhook/core/route/RouteSource.java
+++ b/core/src/main/java/org/teaselhook/core/route/RouteSource.java
@@ -8,7 +8,8 @@
 public interface RouteSource {
 
     /**
-     * Reads the newest decisions. Does not block.
+     * Reads the newest decisions. Does not block. A source that can may answer only when they have changed since the
+     * last read, or after a while. To be called again when the last read has completed.
      *
      * @return what was read, within a bounded time; never completes exceptionally
      */
--- a/node/src/main/java/org/teaselhook/node/job/JobEntryControl.java
+++ b/node/src/main/java/org/teaselhook/node/job/JobEntryControl.java
@@ -150,7 +150,6 @@
                     .with("routes", next.routes().size())
                     .with("zones_out", next.zonesOut())
                     .info();
-            sessions.pushRoutes();
             dispatcher.routes(clock.getAsLong(), next);
         }
     }
--- a/node/src/main/java/org/teaselhook/node/job/JobFrames.java
+++ b/node/src/main/java/org/teaselhook/node/job/JobFrames.java
@@ -13,6 +13,7 @@
 import org.teaselhook.core.route.Routes;
 import org.teaselhook.node.route.AmountMessages;
 import org.teaselhook.node.route.RouteMessages;
+import org.teaselhook.wire.RoutesWanted;
 import org.teaselhook.wire.RunCommand;
 import org.teaselhook.wire.RunGreeting;
 import org.teaselhook.wire.RunOrder;
@@ -42,11 +43,12 @@
                 .build();
     }
 
-    static RunCommand pulse(long echoNanos, long routesVersion, List<String> entries, boolean leaving) {
+    static RunCommand pulse(long echoNanos, Routes routes, List<String> entries, boolean leaving) {
         return RunCommand.newBuilder()
                 .setPulse(RunPulse.newBuilder()
                         .setEchoAgentNanos(echoNanos)
-                        .setRoutesVersion(routesVersion)
+                        .setRoutesVersion(routes.version())
+                        .addAllZonesOut(routes.zonesOut())
                         .addAllEntries(entries)
                         .setLeaving(leaving))
                 .build();
@@ -56,6 +58,12 @@
         return RunCommand.newBuilder().setRoutes(RouteMessages.document(routes)).build();
     }
 
+    static RunCommand routesWanted(long heldVersion) {
+        return RunCommand.newBuilder()
+                .setRoutesWanted(RoutesWanted.newBuilder().setHeldVersion(heldVersion))
+                .build();
+    }
+
     static RunCommand order(PlacedRun run, long echoNanos, long startByAgentNanos) {
         return RunCommand.newBuilder()
                 .setOrder(RunOrder.newBuilder()
--- a/node/src/main/java/org/teaselhook/node/job/RunSession.java
+++ b/node/src/main/java/org/teaselhook/node/job/RunSession.java
@@ -20,8 +20,6 @@
     private final FrameConnection<RunCommand> stream;
     private long agentNanos;
     private long heardAt;
-    private long routesVersion;
-    private long routesSent;
     private List<String> entriesSent = List.of();
     private long entriesSentAt;
 
@@ -55,11 +53,6 @@
         return heardAt;
     }
 
-    /** Whether the agent holds older routes than the given ones, and was not sent them. */
-    boolean lacksRoutes(long version) {
-        return Math.max(routesVersion, routesSent) < version;
-    }
-
     /** Converts an instant to the agent's clock; never later than the true time. */
     long onAgentClock(long instantNanos) {
         return agentNanos + instantNanos - heardAt;
@@ -77,14 +70,9 @@
 
     // -- updates
 
-    void heard(long nowNanos, long newAgentNanos, long heldRoutes) {
+    void heard(long nowNanos, long newAgentNanos) {
         agentNanos = newAgentNanos;
         heardAt = nowNanos;
-        routesVersion = heldRoutes;
-    }
-
-    void routesSent(long version) {
-        routesSent = version;
     }
 
     void send(RunCommand command) {
--- a/node/src/main/java/org/teaselhook/node/job/RunSessions.java
+++ b/node/src/main/java/org/teaselhook/node/job/RunSessions.java
@@ -12,6 +12,7 @@
 import org.teaselhook.core.job.JobDispatcher;
 import org.teaselhook.core.job.PlacedRun;
 import org.teaselhook.core.lease.LeaseTimes;
+import org.teaselhook.core.route.RouteGap;
 import org.teaselhook.core.route.Routes;
 import org.teaselhook.net.log.LogLine;
 import org.teaselhook.node.frame.FrameConnection;
@@ -39,6 +40,7 @@
     private final Consumer<Routes> learned;
     private final Map<Incarnation, RunSession> sessions = new HashMap<>();
     private final Map<FrameConnection<RunCommand>, RunSession> byStream = new HashMap<>();
+    private final RouteGap gap = RouteGap.none();
     private boolean leaving;
 
     RunSessions(
@@ -74,7 +76,6 @@
                 .with("orders", orders.size())
                 .info();
         session.send(JobFrames.greeting(name, entry, orders));
-        sendRoutes(session);
         dispatcher.connected(nowNanos, agent, hello.getName(), hello.getZone());
     }
 
@@ -139,7 +140,8 @@
             case STATE -> state(nowNanos, session, report.getState());
             case END -> ended(nowNanos, report.getEnd());
             case REFUSAL -> refused(nowNanos, report.getRefusal());
-            case ROUTES -> learned.accept(RouteMessages.routes(report.getRoutes()));
+            case ROUTES -> learned(RouteMessages.routes(report.getRoutes()));
+            case ROUTES_WANTED -> sendRoutes(session, report.getRoutesWanted().getHeldVersion());
             default ->
                 LogLine.of("frame-ignored")
                         .with("frame", report.getReportCase())
@@ -148,11 +150,18 @@
     }
 
     private void state(long nowNanos, RunSession session, WorkerState state) {
-        session.heard(nowNanos, state.getAgentNanos(), state.getRoutesVersion());
+        session.heard(nowNanos, state.getAgentNanos());
+        if (gap.shouldAsk(nowNanos, routes.get(), state.getRoutesVersion())) {
+            LogLine.of("routes-asked")
+                    .with("agent", session.name())
+                    .with("held", routes.get().version())
+                    .with("heard", state.getRoutesVersion())
+                    .info();
+            session.send(JobFrames.routesWanted(routes.get().version()));
+        }
         if (state.getHeartbeat()) {
-            sendRoutes(session);
             List<String> known = session.takeEntries(nowNanos, entries.get());
-            session.send(JobFrames.pulse(state.getAgentNanos(), routes.get().version(), known, leaving));
+            session.send(JobFrames.pulse(state.getAgentNanos(), routes.get(), known, leaving));
             dispatcher.entries(Math.max(1, state.getEntries()));
         }
         dispatcher.heard(nowNanos, session.agent(), JobFrames.view(state));
@@ -185,15 +194,15 @@
         }
     }
 
-    void pushRoutes() {
-        sessions.values().forEach(this::sendRoutes);
+    private void learned(Routes offered) {
+        gap.received(offered.version());
+        learned.accept(offered);
     }
 
-    private void sendRoutes(RunSession session) {
+    private void sendRoutes(RunSession session, long heldVersion) {
         Routes held = routes.get();
-        if (held.isKnown() && session.lacksRoutes(held.version())) {
+        if (held.isKnown() && held.version() > heldVersion) {
             session.send(JobFrames.routes(held));
-            session.routesSent(held.version());
         }
     }
 
--- a/node/src/main/java/org/teaselhook/node/lease/LeaseAgentControl.java
+++ b/node/src/main/java/org/teaselhook/node/lease/LeaseAgentControl.java
@@ -1,9 +1,11 @@
 package org.teaselhook.node.lease;
 
 import java.net.InetSocketAddress;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import org.teaselhook.core.id.Incarnation;
@@ -17,12 +19,12 @@
 import org.teaselhook.core.lease.RunRequest;
 import org.teaselhook.core.lease.WorkerReport;
 import org.teaselhook.core.lease.WorkerRuns;
-import org.teaselhook.core.route.Routes;
 import org.teaselhook.net.log.LogLine;
 import org.teaselhook.node.frame.FrameConnection;
 import org.teaselhook.node.route.AmountMessages;
-import org.teaselhook.node.route.RouteMessages;
 import org.teaselhook.node.settings.SocketAddresses;
+import org.teaselhook.wire.RouteDocument;
+import org.teaselhook.wire.RoutesWanted;
 import org.teaselhook.wire.RunCommand;
 import org.teaselhook.wire.RunGreeting;
 import org.teaselhook.wire.RunOrder;
@@ -48,7 +50,8 @@
     private final EntryWatch watch = EntryWatch.empty();
     private WorkerRuns runs;
     private RunQueue queue;
-    private Routes routes = Routes.none();
+    private final RouteCopy routes = new RouteCopy();
+    private final Set<Incarnation> routesWantedBy = new HashSet<>();
     private long now;
     private boolean leaving;
 
@@ -78,7 +81,7 @@
         int used = runs.used().cpuMillis();
         int free = runs.open().isPresent() ? freeCpu() : 0;
         return new LeaseMetrics.Status(
-                runs.size(), used, free, links.heard(nowNanos), runs.open().isPresent(), routes.configVersion());
+                runs.size(), used, free, links.heard(nowNanos), runs.open().isPresent(), routes.version());
     }
 
     // -- the worker
@@ -130,7 +133,8 @@
                 ordered(entry.get(), command.getOrder(), nowNanos);
             }
             case STOP -> stopped(entry.get(), command.getStop().getOrder(), nowNanos);
-            case ROUTES -> learn(RouteMessages.routes(command.getRoutes()));
+            case ROUTES -> received(command.getRoutes());
+            case ROUTES_WANTED -> routesWanted(link, entry.get(), command.getRoutesWanted(), nowNanos);
             default ->
                 LogLine.of("frame-ignored")
                         .with("frame", command.getCommandCase())
@@ -170,24 +174,46 @@
                 .flatMap(text -> SocketAddresses.parse(text).stream())
                 .toList();
         links.know(named, nowNanos);
-        if (routes.isKnown() && pulse.getRoutesVersion() < routes.version()) {
-            link.stream().ifPresent(stream -> stream.send(LeaseFrames.routes(routes)));
+        if (routes.heard(pulse.getRoutesVersion(), Set.copyOf(pulse.getZonesOutList()))) {
+            LogLine.of("zones-changed")
+                    .with("version", pulse.getRoutesVersion())
+                    .with("zones_out", pulse.getZonesOutList())
+                    .info();
+            workerChanged();
+        }
+        if (routes.isFetchDue(nowNanos) && link.routesVersion() == routes.version()) {
+            fetchRoutes(link, nowNanos);
         }
     }
 
-    private void learn(Routes offered) {
-        Routes next = routes.newer(offered);
-        if (next != routes) {
-            routes = next;
-            LogLine.of("routes-applied")
-                    .with("version", next.version())
-                    .with("config", next.configVersion())
-                    .with("zones_out", next.zonesOut())
-                    .info();
-            workerChanged();
+    private void fetchRoutes(RunLink link, long nowNanos) {
+        routes.fetching(nowNanos);
+        link.stream().ifPresent(stream -> stream.send(LeaseFrames.routesWanted(routes.copyVersion())));
+    }
+
+    private void received(RouteDocument document) {
+        routes.received(document);
+        Set<Incarnation> wanting = Set.copyOf(routesWantedBy);
+        routesWantedBy.clear();
+        wanting.forEach(entry -> links.to(entry).ifPresent(link -> sendRoutes(link, document)));
+    }
+
+    /** An entry that cannot read the store asks for what others have told this agent of. */
+    private void routesWanted(RunLink link, Incarnation entry, RoutesWanted wanted, long nowNanos) {
+        routes.newerThan(wanted.getHeldVersion()).ifPresent(document -> sendRoutes(link, document));
+        if (routes.isBehind()) {
+            routesWantedBy.add(entry);
+            links.all().stream()
+                    .filter(other -> other.routesVersion() == routes.version())
+                    .findFirst()
+                    .ifPresent(newest -> fetchRoutes(newest, nowNanos));
         }
     }
 
+    private static void sendRoutes(RunLink link, RouteDocument document) {
+        link.stream().ifPresent(stream -> stream.send(LeaseFrames.routes(document)));
+    }
+
     private void ordered(Incarnation entry, RunOrder order, long nowNanos) {
         OrderId id = new OrderId(entry, order.getOrder());
         answers.seen(id);
--- a/node/src/main/java/org/teaselhook/node/lease/LeaseFrames.java
+++ b/node/src/main/java/org/teaselhook/node/lease/LeaseFrames.java
@@ -4,8 +4,8 @@
 import org.teaselhook.core.lease.RunForecast;
 import org.teaselhook.core.lease.RunOutcome;
 import org.teaselhook.core.lease.RunRefusal;
-import org.teaselhook.core.route.Routes;
-import org.teaselhook.node.route.RouteMessages;
+import org.teaselhook.wire.RouteDocument;
+import org.teaselhook.wire.RoutesWanted;
 import org.teaselhook.wire.RunEnd;
 import org.teaselhook.wire.RunHello;
 import org.teaselhook.wire.RunProgress;
@@ -58,8 +58,14 @@
                 .build();
     }
 
-    static RunReport routes(Routes routes) {
-        return RunReport.newBuilder().setRoutes(RouteMessages.document(routes)).build();
+    static RunReport routes(RouteDocument document) {
+        return RunReport.newBuilder().setRoutes(document).build();
+    }
+
+    static RunReport routesWanted(long heldVersion) {
+        return RunReport.newBuilder()
+                .setRoutesWanted(RoutesWanted.newBuilder().setHeldVersion(heldVersion))
+                .build();
     }
 
     private static org.teaselhook.wire.RunOutcome outcome(RunOutcome outcome) {
--- a/node/src/main/java/org/teaselhook/node/lease/LeaseMetrics.java
+++ b/node/src/main/java/org/teaselhook/node/lease/LeaseMetrics.java
@@ -33,7 +33,7 @@
             .register(registry);
 
     /** What gauges show, taken on the control thread. */
-    record Status(int runs, int usedCpu, int freeCpu, int entries, boolean open, long configVersion) {
+    record Status(int runs, int usedCpu, int freeCpu, int entries, boolean open, long routesVersion) {
 
         static final Status INITIAL = new Status(0, 0, 0, 0, false, 0);
     }
@@ -44,7 +44,7 @@
         gauge("cpu_free_millis", "What the worker has free, in thousandths of a core", status, Status::freeCpu);
         gauge("entries", "Entries heard from of late", status, Status::entries);
         gauge("worker_open", "1 while the worker takes work", status, s -> s.open() ? 1 : 0);
-        gauge("config_version", "Version of the routes held", status, Status::configVersion);
+        gauge("routes_version", "Newest version of the operators' decisions heard of", status, Status::routesVersion);
     }
 
     PrometheusRegistry registry() {
--- a/node/src/main/java/org/teaselhook/node/route/RoutePoller.java
+++ b/node/src/main/java/org/teaselhook/node/route/RoutePoller.java
@@ -11,21 +11,20 @@
 import org.teaselhook.net.log.LogLine;
 
 /**
- * Reads the operators' decisions about every half second. A change has to be in force 2 s after its acknowledgement, so
- * that three reads in a row may fail. Confined to the control thread.
+ * Keeps a read of the operators' decisions under way, which is answered when they change. A read that failed is
+ * repeated after half a second. Confined to the control thread.
  */
 public final class RoutePoller {
 
-    /** Between two reads, in ns. */
-    private static final long INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+    /** Between a failed read and the next, in ns: a store that is down is not pressed. */
+    private static final long RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
     private final RouteSource source;
     private final Executor control;
     private final Consumer<Routes> found;
     private boolean reading;
     private boolean failing;
-    private long dueAt;
-    private boolean started;
+    private long startedAt;
 
     private RoutePoller(RouteSource source, Executor control, Consumer<Routes> found) {
         this.source = Objects.requireNonNull(source, "source is null");
@@ -51,12 +50,11 @@
      * @param nowNanos the present time
      */
     public void tick(long nowNanos) {
-        if (reading || started && dueAt - nowNanos > 0) {
+        if (reading || failing && nowNanos - startedAt < RETRY_NANOS) {
             return;
         }
-        started = true;
         reading = true;
-        dueAt = nowNanos + INTERVAL_NANOS;
+        startedAt = nowNanos;
         source.read().thenAccept(read -> control.execute(() -> onRead(read)));
     }
 
--- a/node/src/test/java/org/teaselhook/node/frame/FrameConnectionTest.java
+++ b/node/src/test/java/org/teaselhook/node/frame/FrameConnectionTest.java
@@ -116,8 +116,9 @@
             RunReport large = RunReport.newBuilder()
                     .setHello(org.teaselhook.wire.RunHello.newBuilder().setName("x".repeat(1 << 20)))
                     .build();
-            for (int i = 0; i < 64; i++) {
+            for (int i = 0; i < 64 && atServer.ends.isEmpty(); i++) {
                 control.execute(() -> accepted.send(large));
+                Thread.sleep(10);
             }
             assertEquals(atServer.ends.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS), "the other end reads too slowly");
         }
--- a/wire/src/main/java/org/teaselhook/wire/RunCommand.java
+++ b/wire/src/main/java/org/teaselhook/wire/RunCommand.java
@@ -59,6 +59,7 @@
     ORDER(3),
     STOP(4),
     ROUTES(5),
+    ROUTES_WANTED(6),
     COMMAND_NOT_SET(0);
     private final int value;
     private CommandCase(int value) {
@@ -81,6 +82,7 @@
         case 3: return ORDER;
         case 4: return STOP;
         case 5: return ROUTES;
+        case 6: return ROUTES_WANTED;
         case 0: return COMMAND_NOT_SET;
         default: return null;
       }
@@ -222,6 +224,10 @@
 
   public static final int ROUTES_FIELD_NUMBER = 5;
   /**
+   * <pre>
+   * The routes held, sent to an agent that asked.
+   * </pre>
+   *
    * <code>.teaselhook.v1.RouteDocument routes = 5;</code>
    * @return Whether the routes field is set.
    */
@@ -230,6 +236,10 @@
     return commandCase_ == 5;
   }
   /**
+   * <pre>
+   * The routes held, sent to an agent that asked.
+   * </pre>
+   *
    * <code>.teaselhook.v1.RouteDocument routes = 5;</code>
    * @return The routes.
    */
@@ -241,6 +251,10 @@
     return org.teaselhook.wire.RouteDocument.getDefaultInstance();
   }
   /**
+   * <pre>
+   * The routes held, sent to an agent that asked.
+   * </pre>
+   *
    * <code>.teaselhook.v1.RouteDocument routes = 5;</code>
    */
   @java.lang.Override
@@ -251,6 +265,49 @@
     return org.teaselhook.wire.RouteDocument.getDefaultInstance();
   }
 
+  public static final int ROUTES_WANTED_FIELD_NUMBER = 6;
+  /**
+   * <pre>
+   * The entry wants newer routes than it holds.
+   * </pre>
+   *
+   * <code>.teaselhook.v1.RoutesWanted routes_wanted = 6;</code>
+   * @return Whether the routesWanted field is set.
+   */
+  @java.lang.Override
+  public boolean hasRoutesWanted() {
+    return commandCase_ == 6;
+  }
+  /**
+   * <pre>
+   * The entry wants newer routes than it holds.
+   * </pre>
+   *
+   * <code>.teaselhook.v1.RoutesWanted routes_wanted = 6;</code>
+   * @return The routesWanted.
+   */
+  @java.lang.Override
+  public org.teaselhook.wire.RoutesWanted getRoutesWanted() {
+    if (commandCase_ == 6) {
+       return (org.teaselhook.wire.RoutesWanted) command_;
+    }
+    return org.teaselhook.wire.RoutesWanted.getDefaultInstance();
+  }
+  /**
+   * <pre>
+   * The entry wants newer routes than it holds.
+   * </pre>
+   *
+   * <code>.teaselhook.v1.RoutesWanted routes_wanted = 6;</code>
+   */
+  @java.lang.Override
+  public org.teaselhook.wire.RoutesWantedOrBuilder getRoutesWantedOrBuilder() {
+    if (commandCase_ == 6) {
+       return (org.teaselhook.wire.RoutesWanted) command_;
+    }
+    return org.teaselhook.wire.RoutesWanted.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -280,6 +337,9 @@
     if (commandCase_ == 5) {
       output.writeMessage(5, (org.teaselhook.wire.RouteDocument) command_);
     }
+    if (commandCase_ == 6) {
+      output.writeMessage(6, (org.teaselhook.wire.RoutesWanted) command_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -304,6 +364,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(5, (org.teaselhook.wire.RouteDocument) command_);
     }
+    if (commandCase_ == 6) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(6, (org.teaselhook.wire.RoutesWanted) command_);
+    }
     return size;
   }
   @java.lang.Override
@@ -350,6 +414,10 @@
         if (!getRoutes()
             .equals(other.getRoutes())) return false;
         break;
+      case 6:
+        if (!getRoutesWanted()
+            .equals(other.getRoutesWanted())) return false;
+        break;
       case 0:
       default:
     }
@@ -385,6 +453,10 @@
         hash = (37 * hash) + ROUTES_FIELD_NUMBER;
         hash = (53 * hash) + getRoutes().hashCode();
         break;
+      case 6:
+        hash = (37 * hash) + ROUTES_WANTED_FIELD_NUMBER;
+        hash = (53 * hash) + getRoutesWanted().hashCode();
+        break;
       case 0:
       default:
     }
@@ -534,6 +606,9 @@
       if (routesBuilder_ != null) {
         routesBuilder_.clear();
       }
+      if (routesWantedBuilder_ != null) {
+        routesWantedBuilder_.clear();
+      }
       commandCase_ = 0;
       command_ = null;
       return this;
@@ -595,6 +670,10 @@
           routesBuilder_ != null) {
         result.command_ = routesBuilder_.build();
       }
+      if (commandCase_ == 6 &&
+          routesWantedBuilder_ != null) {
+        result.command_ = routesWantedBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -630,6 +709,10 @@
           mergeRoutes(other.getRoutes());
           break;
         }
+        case ROUTES_WANTED: {
+          mergeRoutesWanted(other.getRoutesWanted());
+          break;
+        }
         case COMMAND_NOT_SET: {
           break;
         }
@@ -693,6 +776,13 @@
               commandCase_ = 5;
               break;
             } // case 42
+            case 50: {
+              input.readMessage(
+                  internalGetRoutesWantedFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              commandCase_ = 6;
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1288,6 +1378,10 @@
     private com.google.protobuf.SingleFieldBuilder<
         org.teaselhook.wire.RouteDocument, org.teaselhook.wire.RouteDocument.Builder, org.teaselhook.wire.RouteDocumentOrBuilder> routesBuilder_;
     /**
+     * <pre>
+     * The routes held, sent to an agent that asked.
+     * </pre>
+     *
      * <code>.teaselhook.v1.RouteDocument routes = 5;</code>
      * @return Whether the routes field is set.
      */
@@ -1296,6 +1390,10 @@
       return commandCase_ == 5;
     }
     /**
+     * <pre>
+     * The routes held, sent to an agent that asked.
+     * </pre>
+     *
      * <code>.teaselhook.v1.RouteDocument routes = 5;</code>
      * @return The routes.
      */
@@ -1314,6 +1412,10 @@
       }
     }
     /**
+     * <pre>
+     * The routes held, sent to an agent that asked.
+     * </pre>
+     *
      * <code>.teaselhook.v1.RouteDocument routes = 5;</code>
      */
     public Builder setRoutes(org.teaselhook.wire.RouteDocument value) {
@@ -1328,6 +1430,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The routes held, sent to an agent that asked.
+     * </pre>
+     *
      * <code>.teaselhook.v1.RouteDocument routes = 5;</code>
      */
     public Builder setRoutes(
@@ -1342,6 +1448,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The routes held, sent to an agent that asked.
+     * </pre>
+     *
      * <code>.teaselhook.v1.RouteDocument routes = 5;</code>
      */
     public Builder mergeRoutes(org.teaselhook.wire.RouteDocument value) {
@@ -1365,6 +1475,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The routes held, sent to an agent that asked.
+     * </pre>
+     *
      * <code>.teaselhook.v1.RouteDocument routes = 5;</code>
      */
     public Builder clearRoutes() {
@@ -1384,12 +1498,20 @@
       return this;
     }
     /**
+     * <pre>
+     * The routes held, sent to an agent that asked.
+     * </pre>
+     *
      * <code>.teaselhook.v1.RouteDocument routes = 5;</code>
      */
     public org.teaselhook.wire.RouteDocument.Builder getRoutesBuilder() {
       return internalGetRoutesFieldBuilder().getBuilder();
     }
     /**
+     * <pre>
+     * The routes held, sent to an agent that asked.
+     * </pre>
+     *
      * <code>.teaselhook.v1.RouteDocument routes = 5;</code>
      */
     @java.lang.Override
@@ -1404,6 +1526,10 @@
       }
     }
     /**
+     * <pre>
+     * The routes held, sent to an agent that asked.
+     * </pre>
+     *
      * <code>.teaselhook.v1.RouteDocument routes = 5;</code>
      */
     private com.google.protobuf.SingleFieldBuilder<
@@ -1425,6 +1551,182 @@
       return routesBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.teaselhook.wire.RoutesWanted, org.teaselhook.wire.RoutesWanted.Builder, org.teaselhook.wire.RoutesWantedOrBuilder> routesWantedBuilder_;
+    /**
+     * <pre>
+     * The entry wants newer routes than it holds.
+     * </pre>
+     *
+     * <code>.teaselhook.v1.RoutesWanted routes_wanted = 6;</code>
+     * @return Whether the routesWanted field is set.
+     */
+    @java.lang.Override
+    public boolean hasRoutesWanted() {
+      return commandCase_ == 6;
+    }
+    /**
+     * <pre>
+     * The entry wants newer routes than it holds.
+     * </pre>
+     *
+     * <code>.teaselhook.v1.RoutesWanted routes_wanted = 6;</code>
+     * @return The routesWanted.
+     */
+    @java.lang.Override
+    public org.teaselhook.wire.RoutesWanted getRoutesWanted() {
+      if (routesWantedBuilder_ == null) {
+        if (commandCase_ == 6) {
+          return (org.teaselhook.wire.RoutesWanted) command_;
+        }
+        return org.teaselhook.wire.RoutesWanted.getDefaultInstance();
+      } else {
+        if (commandCase_ == 6) {
+          return routesWantedBuilder_.getMessage();
+        }
+        return org.teaselhook.wire.RoutesWanted.getDefaultInstance();
+      }
+    }
+    /**
+     * <pre>
+     * The entry wants newer routes than it holds.
+     * </pre>
+     *
+     * <code>.teaselhook.v1.RoutesWanted routes_wanted = 6;</code>
+     */
+    public Builder setRoutesWanted(org.teaselhook.wire.RoutesWanted value) {
+      if (routesWantedBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        command_ = value;
+        onChanged();
+      } else {
+        routesWantedBuilder_.setMessage(value);
+      }
+      commandCase_ = 6;
+      return this;
+    }
+    /**
+     * <pre>
+     * The entry wants newer routes than it holds.
+     * </pre>
+     *
+     * <code>.teaselhook.v1.RoutesWanted routes_wanted = 6;</code>
+     */
+    public Builder setRoutesWanted(
+        org.teaselhook.wire.RoutesWanted.Builder builderForValue) {
+      if (routesWantedBuilder_ == null) {
+        command_ = builderForValue.build();
+        onChanged();
+      } else {
+        routesWantedBuilder_.setMessage(builderForValue.build());
+      }
+      commandCase_ = 6;
+      return this;
+    }
+    /**
+     * <pre>
+     * The entry wants newer routes than it holds.
+     * </pre>
+     *
+     * <code>.teaselhook.v1.RoutesWanted routes_wanted = 6;</code>
+     */
+    public Builder mergeRoutesWanted(org.teaselhook.wire.RoutesWanted value) {
+      if (routesWantedBuilder_ == null) {
+        if (commandCase_ == 6 &&
+            command_ != org.teaselhook.wire.RoutesWanted.getDefaultInstance()) {
+          command_ = org.teaselhook.wire.RoutesWanted.newBuilder((org.teaselhook.wire.RoutesWanted) command_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          command_ = value;
+        }
+        onChanged();
+      } else {
+        if (commandCase_ == 6) {
+          routesWantedBuilder_.mergeFrom(value);
+        } else {
+          routesWantedBuilder_.setMessage(value);
+        }
+      }
+      commandCase_ = 6;
+      return this;
+    }
+    /**
+     * <pre>
+     * The entry wants newer routes than it holds.
+     * </pre>
+     *
+     * <code>.teaselhook.v1.RoutesWanted routes_wanted = 6;</code>
+     */
+    public Builder clearRoutesWanted() {
+      if (routesWantedBuilder_ == null) {
+        if (commandCase_ == 6) {
+          commandCase_ = 0;
+          command_ = null;
+          onChanged();
+        }
+      } else {
+        if (commandCase_ == 6) {
+          commandCase_ = 0;
+          command_ = null;
+        }
+        routesWantedBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The entry wants newer routes than it holds.
+     * </pre>
+     *
+     * <code>.teaselhook.v1.RoutesWanted routes_wanted = 6;</code>
+     */
+    public org.teaselhook.wire.RoutesWanted.Builder getRoutesWantedBuilder() {
+      return internalGetRoutesWantedFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * The entry wants newer routes than it holds.
+     * </pre>
+     *
+     * <code>.teaselhook.v1.RoutesWanted routes_wanted = 6;</code>
+     */
+    @java.lang.Override
+    public org.teaselhook.wire.RoutesWantedOrBuilder getRoutesWantedOrBuilder() {
+      if ((commandCase_ == 6) && (routesWantedBuilder_ != null)) {
+        return routesWantedBuilder_.getMessageOrBuilder();
+      } else {
+        if (commandCase_ == 6) {
+          return (org.teaselhook.wire.RoutesWanted) command_;
+        }
+        return org.teaselhook.wire.RoutesWanted.getDefaultInstance();
+      }
+    }
+    /**
+     * <pre>
+     * The entry wants newer routes than it holds.
+     * </pre>
+     *
+     * <code>.teaselhook.v1.RoutesWanted routes_wanted = 6;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.teaselhook.wire.RoutesWanted, org.teaselhook.wire.RoutesWanted.Builder, org.teaselhook.wire.RoutesWantedOrBuilder> 
+        internalGetRoutesWantedFieldBuilder() {
+      if (routesWantedBuilder_ == null) {
+        if (!(commandCase_ == 6)) {
+          command_ = org.teaselhook.wire.RoutesWanted.getDefaultInstance();
+        }
+        routesWantedBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.teaselhook.wire.RoutesWanted, org.teaselhook.wire.RoutesWanted.Builder, org.teaselhook.wire.RoutesWantedOrBuilder>(
+                (org.teaselhook.wire.RoutesWanted) command_,
+                getParentForChildren(),
+                isClean());
+        command_ = null;
+      }
+      commandCase_ = 6;
+      onChanged();
+      return routesWantedBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:teaselhook.v1.RunCommand)
   }
 
--- a/wire/src/main/java/org/teaselhook/wire/RunCommandOrBuilder.java
+++ b/wire/src/main/java/org/teaselhook/wire/RunCommandOrBuilder.java
@@ -71,19 +71,58 @@
   org.teaselhook.wire.RunStopOrBuilder getStopOrBuilder();
 
   /**
+   * <pre>
+   * The routes held, sent to an agent that asked.
+   * </pre>
+   *
    * <code>.teaselhook.v1.RouteDocument routes = 5;</code>
    * @return Whether the routes field is set.
    */
   boolean hasRoutes();
   /**
+   * <pre>
+   * The routes held, sent to an agent that asked.
+   * </pre>
+   *
    * <code>.teaselhook.v1.RouteDocument routes = 5;</code>
    * @return The routes.
    */
   org.teaselhook.wire.RouteDocument getRoutes();
   /**
+   * <pre>
+   * The routes held, sent to an agent that asked.
+   * </pre>
+   *
    * <code>.teaselhook.v1.RouteDocument routes = 5;</code>
    */
   org.teaselhook.wire.RouteDocumentOrBuilder getRoutesOrBuilder();
 
+  /**
+   * <pre>
+   * The entry wants newer routes than it holds.
+   * </pre>
+   *
+   * <code>.teaselhook.v1.RoutesWanted routes_wanted = 6;</code>
+   * @return Whether the routesWanted field is set.
+   */
+  boolean hasRoutesWanted();
+  /**
+   * <pre>
+   * The entry wants newer routes than it holds.
+   * </pre>
+   *
+   * <code>.teaselhook.v1.RoutesWanted routes_wanted = 6;</code>
+   * @return The routesWanted.
+   */
+  org.teaselhook.wire.RoutesWanted getRoutesWanted();
+  /**
+   * <pre>
+   * The entry wants newer routes than it holds.
+   * </pre>
+   *
+   * <code>.teaselhook.v1.RoutesWanted routes_wanted = 6;</code>
+   */
+  org.teaselhook.wire.RoutesWantedOrBuilder getRoutesWantedOrBuilder();
+
   org.teaselhook.wire.RunCommand.CommandCase getCommandCase();
 }
--- a/wire/src/main/java/org/teaselhook/wire/RunPulse.java
+++ b/wire/src/main/java/org/teaselhook/wire/RunPulse.java
@@ -30,6 +30,8 @@
   private RunPulse() {
     entries_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
+    zonesOut_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -78,7 +80,7 @@
       com.google.protobuf.LazyStringArrayList.emptyList();
   /**
    * <pre>
-   * gRPC addresses (host:port) of all entries known.
+   * Addresses (host:port) of all entries known, where they serve agents.
    * </pre>
    *
    * <code>repeated string entries = 3;</code>
@@ -90,7 +92,7 @@
   }
   /**
    * <pre>
-   * gRPC addresses (host:port) of all entries known.
+   * Addresses (host:port) of all entries known, where they serve agents.
    * </pre>
    *
    * <code>repeated string entries = 3;</code>
@@ -101,7 +103,7 @@
   }
   /**
    * <pre>
-   * gRPC addresses (host:port) of all entries known.
+   * Addresses (host:port) of all entries known, where they serve agents.
    * </pre>
    *
    * <code>repeated string entries = 3;</code>
@@ -113,7 +115,7 @@
   }
   /**
    * <pre>
-   * gRPC addresses (host:port) of all entries known.
+   * Addresses (host:port) of all entries known, where they serve agents.
    * </pre>
    *
    * <code>repeated string entries = 3;</code>
@@ -136,6 +138,59 @@
     return leaving_;
   }
 
+  public static final int ZONES_OUT_FIELD_NUMBER = 5;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList zonesOut_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * The availability zones that get no new work, as of routes_version.
+   * </pre>
+   *
+   * <code>repeated string zones_out = 5;</code>
+   * @return A list containing the zonesOut.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getZonesOutList() {
+    return zonesOut_;
+  }
+  /**
+   * <pre>
+   * The availability zones that get no new work, as of routes_version.
+   * </pre>
+   *
+   * <code>repeated string zones_out = 5;</code>
+   * @return The count of zonesOut.
+   */
+  public int getZonesOutCount() {
+    return zonesOut_.size();
+  }
+  /**
+   * <pre>
+   * The availability zones that get no new work, as of routes_version.
+   * </pre>
+   *
+   * <code>repeated string zones_out = 5;</code>
+   * @param index The index of the element to return.
+   * @return The zonesOut at the given index.
+   */
+  public java.lang.String getZonesOut(int index) {
+    return zonesOut_.get(index);
+  }
+  /**
+   * <pre>
+   * The availability zones that get no new work, as of routes_version.
+   * </pre>
+   *
+   * <code>repeated string zones_out = 5;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the zonesOut at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getZonesOutBytes(int index) {
+    return zonesOut_.getByteString(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -162,6 +217,9 @@
     if (leaving_ != false) {
       output.writeBool(4, leaving_);
     }
+    for (int i = 0; i < zonesOut_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 5, zonesOut_.getRaw(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -186,6 +244,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(4, leaving_);
     }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < zonesOut_.size(); i++) {
+        dataSize += computeStringSizeNoTag(zonesOut_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getZonesOutList().size();
+    }
     return size;
   }
   @java.lang.Override
@@ -218,6 +284,8 @@
         .equals(other.getEntriesList())) return false;
     if (getLeaving()
         != other.getLeaving()) return false;
+    if (!getZonesOutList()
+        .equals(other.getZonesOutList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -242,6 +310,10 @@
     hash = (37 * hash) + LEAVING_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getLeaving());
+    if (getZonesOutCount() > 0) {
+      hash = (37 * hash) + ZONES_OUT_FIELD_NUMBER;
+      hash = (53 * hash) + getZonesOutList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -378,6 +450,8 @@
       entries_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
       leaving_ = false;
+      zonesOut_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
       return this;
     }
 
@@ -424,6 +498,10 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.leaving_ = leaving_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        zonesOut_.makeImmutable();
+        result.zonesOut_ = zonesOut_;
+      }
     }
 
     @java.lang.Override
@@ -457,6 +535,16 @@
       if (other.getLeaving() != false) {
         setLeaving(other.getLeaving());
       }
+      if (!other.zonesOut_.isEmpty()) {
+        if (zonesOut_.isEmpty()) {
+          zonesOut_ = other.zonesOut_;
+          bitField0_ |= 0x00000010;
+        } else {
+          ensureZonesOutIsMutable();
+          zonesOut_.addAll(other.zonesOut_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -501,6 +589,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
+            case 42: {
+              ensureZonesOutIsMutable();
+              zonesOut_.add(input.readStringRequireUtf8());
+              break;
+            } // case 42
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -592,7 +685,7 @@
     }
     /**
      * <pre>
-     * gRPC addresses (host:port) of all entries known.
+     * Addresses (host:port) of all entries known, where they serve agents.
      * </pre>
      *
      * <code>repeated string entries = 3;</code>
@@ -605,7 +698,7 @@
     }
     /**
      * <pre>
-     * gRPC addresses (host:port) of all entries known.
+     * Addresses (host:port) of all entries known, where they serve agents.
      * </pre>
      *
      * <code>repeated string entries = 3;</code>
@@ -616,7 +709,7 @@
     }
     /**
      * <pre>
-     * gRPC addresses (host:port) of all entries known.
+     * Addresses (host:port) of all entries known, where they serve agents.
      * </pre>
      *
      * <code>repeated string entries = 3;</code>
@@ -628,7 +721,7 @@
     }
     /**
      * <pre>
-     * gRPC addresses (host:port) of all entries known.
+     * Addresses (host:port) of all entries known, where they serve agents.
      * </pre>
      *
      * <code>repeated string entries = 3;</code>
@@ -641,7 +734,7 @@
     }
     /**
      * <pre>
-     * gRPC addresses (host:port) of all entries known.
+     * Addresses (host:port) of all entries known, where they serve agents.
      * </pre>
      *
      * <code>repeated string entries = 3;</code>
@@ -660,7 +753,7 @@
     }
     /**
      * <pre>
-     * gRPC addresses (host:port) of all entries known.
+     * Addresses (host:port) of all entries known, where they serve agents.
      * </pre>
      *
      * <code>repeated string entries = 3;</code>
@@ -678,7 +771,7 @@
     }
     /**
      * <pre>
-     * gRPC addresses (host:port) of all entries known.
+     * Addresses (host:port) of all entries known, where they serve agents.
      * </pre>
      *
      * <code>repeated string entries = 3;</code>
@@ -696,7 +789,7 @@
     }
     /**
      * <pre>
-     * gRPC addresses (host:port) of all entries known.
+     * Addresses (host:port) of all entries known, where they serve agents.
      * </pre>
      *
      * <code>repeated string entries = 3;</code>
@@ -711,7 +804,7 @@
     }
     /**
      * <pre>
-     * gRPC addresses (host:port) of all entries known.
+     * Addresses (host:port) of all entries known, where they serve agents.
      * </pre>
      *
      * <code>repeated string entries = 3;</code>
@@ -761,6 +854,153 @@
       return this;
     }
 
+    private com.google.protobuf.LazyStringArrayList zonesOut_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureZonesOutIsMutable() {
+      if (!zonesOut_.isModifiable()) {
+        zonesOut_ = new com.google.protobuf.LazyStringArrayList(zonesOut_);
+      }
+      bitField0_ |= 0x00000010;
+    }
+    /**
+     * <pre>
+     * The availability zones that get no new work, as of routes_version.
+     * </pre>
+     *
+     * <code>repeated string zones_out = 5;</code>
+     * @return A list containing the zonesOut.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getZonesOutList() {
+      zonesOut_.makeImmutable();
+      return zonesOut_;
+    }
+    /**
+     * <pre>
+     * The availability zones that get no new work, as of routes_version.
+     * </pre>
+     *
+     * <code>repeated string zones_out = 5;</code>
+     * @return The count of zonesOut.
+     */
+    public int getZonesOutCount() {
+      return zonesOut_.size();
+    }
+    /**
+     * <pre>
+     * The availability zones that get no new work, as of routes_version.
+     * </pre>
+     *
+     * <code>repeated string zones_out = 5;</code>
+     * @param index The index of the element to return.
+     * @return The zonesOut at the given index.
+     */
+    public java.lang.String getZonesOut(int index) {
+      return zonesOut_.get(index);
+    }
+    /**
+     * <pre>
+     * The availability zones that get no new work, as of routes_version.
+     * </pre>
+     *
+     * <code>repeated string zones_out = 5;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the zonesOut at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getZonesOutBytes(int index) {
+      return zonesOut_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * The availability zones that get no new work, as of routes_version.
+     * </pre>
+     *
+     * <code>repeated string zones_out = 5;</code>
+     * @param index The index to set the value at.
+     * @param value The zonesOut to set.
+     * @return This builder for chaining.
+     */
+    public Builder setZonesOut(
+        int index, java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      ensureZonesOutIsMutable();
+      zonesOut_.set(index, value);
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The availability zones that get no new work, as of routes_version.
+     * </pre>
+     *
+     * <code>repeated string zones_out = 5;</code>
+     * @param value The zonesOut to add.
+     * @return This builder for chaining.
+     */
+    public Builder addZonesOut(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      ensureZonesOutIsMutable();
+      zonesOut_.add(value);
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The availability zones that get no new work, as of routes_version.
+     * </pre>
+     *
+     * <code>repeated string zones_out = 5;</code>
+     * @param values The zonesOut to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllZonesOut(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureZonesOutIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, zonesOut_);
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The availability zones that get no new work, as of routes_version.
+     * </pre>
+     *
+     * <code>repeated string zones_out = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearZonesOut() {
+      zonesOut_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000010);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The availability zones that get no new work, as of routes_version.
+     * </pre>
+     *
+     * <code>repeated string zones_out = 5;</code>
+     * @param value The bytes of the zonesOut to add.
+     * @return This builder for chaining.
+     */
+    public Builder addZonesOutBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      ensureZonesOutIsMutable();
+      zonesOut_.add(value);
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:teaselhook.v1.RunPulse)
   }
 
--- a/wire/src/main/java/org/teaselhook/wire/RunPulseOrBuilder.java
+++ b/wire/src/main/java/org/teaselhook/wire/RunPulseOrBuilder.java
@@ -24,7 +24,7 @@
 
   /**
    * <pre>
-   * gRPC addresses (host:port) of all entries known.
+   * Addresses (host:port) of all entries known, where they serve agents.
    * </pre>
    *
    * <code>repeated string entries = 3;</code>
@@ -34,7 +34,7 @@
       getEntriesList();
   /**
    * <pre>
-   * gRPC addresses (host:port) of all entries known.
+   * Addresses (host:port) of all entries known, where they serve agents.
    * </pre>
    *
    * <code>repeated string entries = 3;</code>
@@ -43,7 +43,7 @@
   int getEntriesCount();
   /**
    * <pre>
-   * gRPC addresses (host:port) of all entries known.
+   * Addresses (host:port) of all entries known, where they serve agents.
    * </pre>
    *
    * <code>repeated string entries = 3;</code>
@@ -53,7 +53,7 @@
   java.lang.String getEntries(int index);
   /**
    * <pre>
-   * gRPC addresses (host:port) of all entries known.
+   * Addresses (host:port) of all entries known, where they serve agents.
    * </pre>
    *
    * <code>repeated string entries = 3;</code>
@@ -68,4 +68,45 @@
    * @return The leaving.
    */
   boolean getLeaving();
+
+  /**
+   * <pre>
+   * The availability zones that get no new work, as of routes_version.
+   * </pre>
+   *
+   * <code>repeated string zones_out = 5;</code>
+   * @return A list containing the zonesOut.
+   */
+  java.util.List<java.lang.String>
+      getZonesOutList();
+  /**
+   * <pre>
+   * The availability zones that get no new work, as of routes_version.
+   * </pre>
+   *
+   * <code>repeated string zones_out = 5;</code>
+   * @return The count of zonesOut.
+   */
+  int getZonesOutCount();
+  /**
+   * <pre>
+   * The availability zones that get no new work, as of routes_version.
+   * </pre>
+   *
+   * <code>repeated string zones_out = 5;</code>
+   * @param index The index of the element to return.
+   * @return The zonesOut at the given index.
+   */
+  java.lang.String getZonesOut(int index);
+  /**
+   * <pre>
+   * The availability zones that get no new work, as of routes_version.
+   * </pre>
+   *
+   * <code>repeated string zones_out = 5;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the zonesOut at the given index.
+   */
+  com.google.protobuf.ByteString
+      getZonesOutBytes(int index);
 }
--- a/wire/src/main/java/org/teaselhook/wire/RunReport.java
+++ b/wire/src/main/java/org/teaselhook/wire/RunReport.java
@@ -59,6 +59,7 @@
     END(3),
     REFUSAL(4),
     ROUTES(5),
+    ROUTES_WANTED(6),
     REPORT_NOT_SET(0);
     private final int value;
     private ReportCase(int value) {
@@ -81,6 +82,7 @@
         case 3: return END;
         case 4: return REFUSAL;
         case 5: return ROUTES;
+        case 6: return ROUTES_WANTED;
         case 0: return REPORT_NOT_SET;
         default: return null;
       }
@@ -223,7 +225,7 @@
   public static final int ROUTES_FIELD_NUMBER = 5;
   /**
    * <pre>
-   * The routes held, sent to an entry that holds older ones.
+   * The routes held, sent to an entry that asked.
    * </pre>
    *
    * <code>.teaselhook.v1.RouteDocument routes = 5;</code>
@@ -235,7 +237,7 @@
   }
   /**
    * <pre>
-   * The routes held, sent to an entry that holds older ones.
+   * The routes held, sent to an entry that asked.
    * </pre>
    *
    * <code>.teaselhook.v1.RouteDocument routes = 5;</code>
@@ -250,7 +252,7 @@
   }
   /**
    * <pre>
-   * The routes held, sent to an entry that holds older ones.
+   * The routes held, sent to an entry that asked.
    * </pre>
    *
    * <code>.teaselhook.v1.RouteDocument routes = 5;</code>
@@ -263,6 +265,49 @@
     return org.teaselhook.wire.RouteDocument.getDefaultInstance();
   }
 
+  public static final int ROUTES_WANTED_FIELD_NUMBER = 6;
+  /**
+   * <pre>
+   * The agent wants the routes that the entry holds.
+   * </pre>
+   *
+   * <code>.teaselhook.v1.RoutesWanted routes_wanted = 6;</code>
+   * @return Whether the routesWanted field is set.
+   */
+  @java.lang.Override
+  public boolean hasRoutesWanted() {
+    return reportCase_ == 6;
+  }
+  /**
+   * <pre>
+   * The agent wants the routes that the entry holds.
+   * </pre>
+   *
+   * <code>.teaselhook.v1.RoutesWanted routes_wanted = 6;</code>
+   * @return The routesWanted.
+   */
+  @java.lang.Override
+  public org.teaselhook.wire.RoutesWanted getRoutesWanted() {
+    if (reportCase_ == 6) {
+       return (org.teaselhook.wire.RoutesWanted) report_;
+    }
+    return org.teaselhook.wire.RoutesWanted.getDefaultInstance();
+  }
+  /**
+   * <pre>
+   * The agent wants the routes that the entry holds.
+   * </pre>
+   *
+   * <code>.teaselhook.v1.RoutesWanted routes_wanted = 6;</code>
+   */
+  @java.lang.Override
+  public org.teaselhook.wire.RoutesWantedOrBuilder getRoutesWantedOrBuilder() {
+    if (reportCase_ == 6) {
+       return (org.teaselhook.wire.RoutesWanted) report_;
+    }
+    return org.teaselhook.wire.RoutesWanted.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -292,6 +337,9 @@
     if (reportCase_ == 5) {
       output.writeMessage(5, (org.teaselhook.wire.RouteDocument) report_);
     }
+    if (reportCase_ == 6) {
+      output.writeMessage(6, (org.teaselhook.wire.RoutesWanted) report_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -316,6 +364,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(5, (org.teaselhook.wire.RouteDocument) report_);
     }
+    if (reportCase_ == 6) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(6, (org.teaselhook.wire.RoutesWanted) report_);
+    }
     return size;
   }
   @java.lang.Override
@@ -362,6 +414,10 @@
         if (!getRoutes()
             .equals(other.getRoutes())) return false;
         break;
+      case 6:
+        if (!getRoutesWanted()
+            .equals(other.getRoutesWanted())) return false;
+        break;
       case 0:
       default:
     }
@@ -397,6 +453,10 @@
         hash = (37 * hash) + ROUTES_FIELD_NUMBER;
         hash = (53 * hash) + getRoutes().hashCode();
         break;
+      case 6:
+        hash = (37 * hash) + ROUTES_WANTED_FIELD_NUMBER;
+        hash = (53 * hash) + getRoutesWanted().hashCode();
+        break;
       case 0:
       default:
     }
@@ -546,6 +606,9 @@
       if (routesBuilder_ != null) {
         routesBuilder_.clear();
       }
+      if (routesWantedBuilder_ != null) {
+        routesWantedBuilder_.clear();
+      }
       reportCase_ = 0;
       report_ = null;
       return this;
@@ -607,6 +670,10 @@
           routesBuilder_ != null) {
         result.report_ = routesBuilder_.build();
       }
+      if (reportCase_ == 6 &&
+          routesWantedBuilder_ != null) {
+        result.report_ = routesWantedBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -642,6 +709,10 @@
           mergeRoutes(other.getRoutes());
           break;
         }
+        case ROUTES_WANTED: {
+          mergeRoutesWanted(other.getRoutesWanted());
+          break;
+        }
         case REPORT_NOT_SET: {
           break;
         }
@@ -705,6 +776,13 @@
               reportCase_ = 5;
               break;
             } // case 42
+            case 50: {
+              input.readMessage(
+                  internalGetRoutesWantedFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              reportCase_ = 6;
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1301,7 +1379,7 @@
         org.teaselhook.wire.RouteDocument, org.teaselhook.wire.RouteDocument.Builder, org.teaselhook.wire.RouteDocumentOrBuilder> routesBuilder_;
     /**
      * <pre>
-     * The routes held, sent to an entry that holds older ones.
+     * The routes held, sent to an entry that asked.
      * </pre>
      *
      * <code>.teaselhook.v1.RouteDocument routes = 5;</code>
@@ -1313,7 +1391,7 @@
     }
     /**
      * <pre>
-     * The routes held, sent to an entry that holds older ones.
+     * The routes held, sent to an entry that asked.
      * </pre>
      *
      * <code>.teaselhook.v1.RouteDocument routes = 5;</code>
@@ -1335,7 +1413,7 @@
     }
     /**
      * <pre>
-     * The routes held, sent to an entry that holds older ones.
+     * The routes held, sent to an entry that asked.
      * </pre>
      *
      * <code>.teaselhook.v1.RouteDocument routes = 5;</code>
@@ -1353,7 +1431,7 @@
     }
     /**
      * <pre>
-     * The routes held, sent to an entry that holds older ones.
+     * The routes held, sent to an entry that asked.
      * </pre>
      *
      * <code>.teaselhook.v1.RouteDocument routes = 5;</code>
@@ -1371,7 +1449,7 @@
     }
     /**
      * <pre>
-     * The routes held, sent to an entry that holds older ones.
+     * The routes held, sent to an entry that asked.
      * </pre>
      *
      * <code>.teaselhook.v1.RouteDocument routes = 5;</code>
@@ -1398,7 +1476,7 @@
     }
     /**
      * <pre>
-     * The routes held, sent to an entry that holds older ones.
+     * The routes held, sent to an entry that asked.
      * </pre>
      *
      * <code>.teaselhook.v1.RouteDocument routes = 5;</code>
@@ -1421,7 +1499,7 @@
     }
     /**
      * <pre>
-     * The routes held, sent to an entry that holds older ones.
+     * The routes held, sent to an entry that asked.
      * </pre>
      *
      * <code>.teaselhook.v1.RouteDocument routes = 5;</code>
@@ -1431,7 +1509,7 @@
     }
     /**
      * <pre>
-     * The routes held, sent to an entry that holds older ones.
+     * The routes held, sent to an entry that asked.
      * </pre>
      *
      * <code>.teaselhook.v1.RouteDocument routes = 5;</code>
@@ -1449,7 +1527,7 @@
     }
     /**
      * <pre>
-     * The routes held, sent to an entry that holds older ones.
+     * The routes held, sent to an entry that asked.
      * </pre>
      *
      * <code>.teaselhook.v1.RouteDocument routes = 5;</code>
@@ -1473,6 +1551,182 @@
       return routesBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.teaselhook.wire.RoutesWanted, org.teaselhook.wire.RoutesWanted.Builder, org.teaselhook.wire.RoutesWantedOrBuilder> routesWantedBuilder_;
+    /**
+     * <pre>
+     * The agent wants the routes that the entry holds.
+     * </pre>
+     *
+     * <code>.teaselhook.v1.RoutesWanted routes_wanted = 6;</code>
+     * @return Whether the routesWanted field is set.
+     */
+    @java.lang.Override
+    public boolean hasRoutesWanted() {
+      return reportCase_ == 6;
+    }
+    /**
+     * <pre>
+     * The agent wants the routes that the entry holds.
+     * </pre>
+     *
+     * <code>.teaselhook.v1.RoutesWanted routes_wanted = 6;</code>
+     * @return The routesWanted.
+     */
+    @java.lang.Override
+    public org.teaselhook.wire.RoutesWanted getRoutesWanted() {
+      if (routesWantedBuilder_ == null) {
+        if (reportCase_ == 6) {
+          return (org.teaselhook.wire.RoutesWanted) report_;
+        }
+        return org.teaselhook.wire.RoutesWanted.getDefaultInstance();
+      } else {
+        if (reportCase_ == 6) {
+          return routesWantedBuilder_.getMessage();
+        }
+        return org.teaselhook.wire.RoutesWanted.getDefaultInstance();
+      }
+    }
+    /**
+     * <pre>
+     * The agent wants the routes that the entry holds.
+     * </pre>
+     *
+     * <code>.teaselhook.v1.RoutesWanted routes_wanted = 6;</code>
+     */
+    public Builder setRoutesWanted(org.teaselhook.wire.RoutesWanted value) {
+      if (routesWantedBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        report_ = value;
+        onChanged();
+      } else {
+        routesWantedBuilder_.setMessage(value);
+      }
+      reportCase_ = 6;
+      return this;
+    }
+    /**
+     * <pre>
+     * The agent wants the routes that the entry holds.
+     * </pre>
+     *
+     * <code>.teaselhook.v1.RoutesWanted routes_wanted = 6;</code>
+     */
+    public Builder setRoutesWanted(
+        org.teaselhook.wire.RoutesWanted.Builder builderForValue) {
+      if (routesWantedBuilder_ == null) {
+        report_ = builderForValue.build();
+        onChanged();
+      } else {
+        routesWantedBuilder_.setMessage(builderForValue.build());
+      }
+      reportCase_ = 6;
+      return this;
+    }
+    /**
+     * <pre>
+     * The agent wants the routes that the entry holds.
+     * </pre>
+     *
+     * <code>.teaselhook.v1.RoutesWanted routes_wanted = 6;</code>
+     */
+    public Builder mergeRoutesWanted(org.teaselhook.wire.RoutesWanted value) {
+      if (routesWantedBuilder_ == null) {
+        if (reportCase_ == 6 &&
+            report_ != org.teaselhook.wire.RoutesWanted.getDefaultInstance()) {
+          report_ = org.teaselhook.wire.RoutesWanted.newBuilder((org.teaselhook.wire.RoutesWanted) report_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          report_ = value;
+        }
+        onChanged();
+      } else {
+        if (reportCase_ == 6) {
+          routesWantedBuilder_.mergeFrom(value);
+        } else {
+          routesWantedBuilder_.setMessage(value);
+        }
+      }
+      reportCase_ = 6;
+      return this;
+    }
+    /**
+     * <pre>
+     * The agent wants the routes that the entry holds.
+     * </pre>
+     *
+     * <code>.teaselhook.v1.RoutesWanted routes_wanted = 6;</code>
+     */
+    public Builder clearRoutesWanted() {
+      if (routesWantedBuilder_ == null) {
+        if (reportCase_ == 6) {
+          reportCase_ = 0;
+          report_ = null;
+          onChanged();
+        }
+      } else {
+        if (reportCase_ == 6) {
+          reportCase_ = 0;
+          report_ = null;
+        }
+        routesWantedBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The agent wants the routes that the entry holds.
+     * </pre>
+     *
+     * <code>.teaselhook.v1.RoutesWanted routes_wanted = 6;</code>
+     */
+    public org.teaselhook.wire.RoutesWanted.Builder getRoutesWantedBuilder() {
+      return internalGetRoutesWantedFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * The agent wants the routes that the entry holds.
+     * </pre>
+     *
+     * <code>.teaselhook.v1.RoutesWanted routes_wanted = 6;</code>
+     */
+    @java.lang.Override
+    public org.teaselhook.wire.RoutesWantedOrBuilder getRoutesWantedOrBuilder() {
+      if ((reportCase_ == 6) && (routesWantedBuilder_ != null)) {
+        return routesWantedBuilder_.getMessageOrBuilder();
+      } else {
+        if (reportCase_ == 6) {
+          return (org.teaselhook.wire.RoutesWanted) report_;
+        }
+        return org.teaselhook.wire.RoutesWanted.getDefaultInstance();
+      }
+    }
+    /**
+     * <pre>
+     * The agent wants the routes that the entry holds.
+     * </pre>
+     *
+     * <code>.teaselhook.v1.RoutesWanted routes_wanted = 6;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.teaselhook.wire.RoutesWanted, org.teaselhook.wire.RoutesWanted.Builder, org.teaselhook.wire.RoutesWantedOrBuilder> 
+        internalGetRoutesWantedFieldBuilder() {
+      if (routesWantedBuilder_ == null) {
+        if (!(reportCase_ == 6)) {
+          report_ = org.teaselhook.wire.RoutesWanted.getDefaultInstance();
+        }
+        routesWantedBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.teaselhook.wire.RoutesWanted, org.teaselhook.wire.RoutesWanted.Builder, org.teaselhook.wire.RoutesWantedOrBuilder>(
+                (org.teaselhook.wire.RoutesWanted) report_,
+                getParentForChildren(),
+                isClean());
+        report_ = null;
+      }
+      reportCase_ = 6;
+      onChanged();
+      return routesWantedBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:teaselhook.v1.RunReport)
   }
 
--- a/wire/src/main/java/org/teaselhook/wire/RunReportOrBuilder.java
+++ b/wire/src/main/java/org/teaselhook/wire/RunReportOrBuilder.java
@@ -72,7 +72,7 @@
 
   /**
    * <pre>
-   * The routes held, sent to an entry that holds older ones.
+   * The routes held, sent to an entry that asked.
    * </pre>
    *
    * <code>.teaselhook.v1.RouteDocument routes = 5;</code>
@@ -81,7 +81,7 @@
   boolean hasRoutes();
   /**
    * <pre>
-   * The routes held, sent to an entry that holds older ones.
+   * The routes held, sent to an entry that asked.
    * </pre>
    *
    * <code>.teaselhook.v1.RouteDocument routes = 5;</code>
@@ -90,12 +90,39 @@
   org.teaselhook.wire.RouteDocument getRoutes();
   /**
    * <pre>
-   * The routes held, sent to an entry that holds older ones.
+   * The routes held, sent to an entry that asked.
    * </pre>
    *
    * <code>.teaselhook.v1.RouteDocument routes = 5;</code>
    */
   org.teaselhook.wire.RouteDocumentOrBuilder getRoutesOrBuilder();
 
+  /**
+   * <pre>
+   * The agent wants the routes that the entry holds.
+   * </pre>
+   *
+   * <code>.teaselhook.v1.RoutesWanted routes_wanted = 6;</code>
+   * @return Whether the routesWanted field is set.
+   */
+  boolean hasRoutesWanted();
+  /**
+   * <pre>
+   * The agent wants the routes that the entry holds.
+   * </pre>
+   *
+   * <code>.teaselhook.v1.RoutesWanted routes_wanted = 6;</code>
+   * @return The routesWanted.
+   */
+  org.teaselhook.wire.RoutesWanted getRoutesWanted();
+  /**
+   * <pre>
+   * The agent wants the routes that the entry holds.
+   * </pre>
+   *
+   * <code>.teaselhook.v1.RoutesWanted routes_wanted = 6;</code>
+   */
+  org.teaselhook.wire.RoutesWantedOrBuilder getRoutesWantedOrBuilder();
+
   org.teaselhook.wire.RunReport.ReportCase getReportCase();
 }
--- a/wire/src/main/java/org/teaselhook/wire/Teaselhook.java
+++ b/wire/src/main/java/org/teaselhook/wire/Teaselhook.java
@@ -201,6 +201,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_teaselhook_v1_RunCommand_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_teaselhook_v1_RoutesWanted_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_teaselhook_v1_RoutesWanted_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_teaselhook_v1_RunGreeting_descriptor;
   static final 
@@ -331,83 +336,87 @@
       "blem\030\003 \001(\t\022\016\n\006detail\030\004 \001(\t\022\032\n\022retry_afte" +
       "r_millis\030\005 \001(\004\022\022\n\nsubmission\030\006 \001(\t\"E\n\nTa" +
       "skAnswer\022\023\n\013http_status\030\001 \001(\r\022\024\n\014content" +
-      "_type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\"\360\001\n\tRunReport\022" +
+      "_type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\"\246\002\n\tRunReport\022" +
       "(\n\005hello\030\001 \001(\0132\027.teaselhook.v1.RunHelloH" +
       "\000\022+\n\005state\030\002 \001(\0132\032.teaselhook.v1.WorkerS" +
       "tateH\000\022$\n\003end\030\003 \001(\0132\025.teaselhook.v1.RunE" +
       "ndH\000\022,\n\007refusal\030\004 \001(\0132\031.teaselhook.v1.Ru" +
       "nRefusalH\000\022.\n\006routes\030\005 \001(\0132\034.teaselhook." +
-      "v1.RouteDocumentH\000B\010\n\006report\";\n\010RunHello" +
-      "\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\014\n\004z" +
-      "one\030\003 \001(\t\"\265\002\n\013WorkerState\022\023\n\013agent_nanos" +
-      "\030\001 \001(\006\022\026\n\016routes_version\030\002 \001(\004\022\017\n\007servic" +
-      "e\030\003 \001(\t\022/\n\010capacity\030\004 \001(\0132\035.teaselhook.v" +
-      "1.AmountsMessage\022+\n\004used\030\005 \001(\0132\035.teaselh" +
-      "ook.v1.AmountsMessage\022\016\n\006labels\030\006 \003(\t\022\022\n" +
-      "\nseen_order\030\007 \001(\004\022\021\n\theartbeat\030\010 \001(\010\022\017\n\007" +
-      "entries\030\t \001(\r\022\024\n\014pace_percent\030\n \001(\r\022,\n\010p" +
-      "rogress\030\013 \003(\0132\032.teaselhook.v1.RunProgres" +
-      "s\"J\n\013RunProgress\022\r\n\005order\030\001 \001(\004\022\024\n\014total" +
-      "_millis\030\002 \001(\004\022\026\n\016elapsed_millis\030\003 \001(\004\"E\n" +
-      "\016AmountsMessage\022\022\n\ncpu_millis\030\001 \001(\r\022\021\n\tm" +
-      "emory_mb\030\002 \001(\r\022\014\n\004gpus\030\003 \001(\r\"W\n\006RunEnd\022\r" +
-      "\n\005order\030\001 \001(\004\022*\n\007outcome\030\002 \001(\0162\031.teaselh" +
-      "ook.v1.RunOutcome\022\022\n\nrun_millis\030\003 \001(\004\"L\n" +
-      "\nRunRefusal\022\r\n\005order\030\001 \001(\004\022/\n\006reason\030\002 \001" +
-      "(\0162\037.teaselhook.v1.RunRefusalReason\"\363\001\n\n" +
-      "RunCommand\022.\n\010greeting\030\001 \001(\0132\032.teaselhoo" +
-      "k.v1.RunGreetingH\000\022(\n\005pulse\030\002 \001(\0132\027.teas" +
-      "elhook.v1.RunPulseH\000\022(\n\005order\030\003 \001(\0132\027.te" +
-      "aselhook.v1.RunOrderH\000\022&\n\004stop\030\004 \001(\0132\026.t" +
-      "easelhook.v1.RunStopH\000\022.\n\006routes\030\005 \001(\0132\034" +
-      ".teaselhook.v1.RouteDocumentH\000B\t\n\007comman" +
-      "d\"E\n\013RunGreeting\022\014\n\004name\030\001 \001(\t\022\023\n\013incarn" +
-      "ation\030\002 \001(\006\022\023\n\013in_progress\030\003 \003(\004\"^\n\010RunP" +
-      "ulse\022\030\n\020echo_agent_nanos\030\001 \001(\006\022\026\n\016routes" +
-      "_version\030\002 \001(\004\022\017\n\007entries\030\003 \003(\t\022\017\n\007leavi" +
-      "ng\030\004 \001(\010\"\324\001\n\010RunOrder\022\r\n\005order\030\001 \001(\004\022\030\n\020" +
-      "echo_agent_nanos\030\002 \001(\006\022\034\n\024start_by_agent" +
-      "_nanos\030\003 \001(\006\022\014\n\004task\030\004 \001(\t\022\013\n\003run\030\005 \001(\r\022" +
-      "\017\n\007service\030\006 \001(\t\022\014\n\004spec\030\007 \001(\t\022.\n\007amount" +
-      "s\030\010 \001(\0132\035.teaselhook.v1.AmountsMessage\022\027" +
-      "\n\017estimate_millis\030\t \001(\004\"\030\n\007RunStop\022\r\n\005or" +
-      "der\030\001 \001(\004\"x\n\rRouteDocument\022\017\n\007version\030\001 " +
-      "\001(\004\022\026\n\016config_version\030\002 \001(\004\022+\n\006routes\030\003 " +
-      "\003(\0132\033.teaselhook.v1.RouteMessage\022\021\n\tzone" +
-      "s_out\030\004 \003(\t\"\300\001\n\014RouteMessage\022\014\n\004name\030\001 \001" +
-      "(\t\022\014\n\004host\030\002 \001(\t\022\023\n\013path_prefix\030\003 \001(\t\022\017\n" +
-      "\007service\030\004 \001(\t\022\020\n\010priority\030\005 \001(\r\022\024\n\014max_" +
-      "attempts\030\006 \001(\r\022\017\n\007stretch\030\007 \001(\001\022\035\n\025targe" +
-      "t_latency_millis\030\010 \001(\004\022\026\n\016timeout_millis" +
-      "\030\t \001(\004*V\n\nTaskStatus\022\033\n\027TASK_STATUS_UNSP" +
-      "ECIFIED\020\000\022\014\n\010COMPLETE\020\001\022\020\n\014TARGET_ERROR\020" +
-      "\002\022\013\n\007UNKNOWN\020\003*\204\002\n\rRefusalReason\022\036\n\032REFU" +
-      "SAL_REASON_UNSPECIFIED\020\000\022\020\n\014NO_FREE_SLOT" +
-      "\020\001\022\020\n\014ALREADY_SEEN\020\002\022\023\n\017START_BY_PASSED\020" +
-      "\003\022\014\n\010ZONE_OUT\020\004\022\013\n\007LEAVING\020\005\022\r\n\tNO_TARGE" +
-      "T\020\006\022\017\n\013STALE_ENTRY\020\007\022\025\n\021WRONG_INCARNATIO" +
-      "N\020\010\022\021\n\rNEVER_ARRIVED\020\t\022\r\n\tCANCELLED\020\n\022\022\n" +
-      "\016CONNECT_FAILED\020\013\022\022\n\016CONFIG_UNKNOWN\020\014*v\n" +
-      "\016ForwardOutcome\022\037\n\033FORWARD_OUTCOME_UNSPE" +
-      "CIFIED\020\000\022\024\n\020FORWARD_COMPLETE\020\001\022\023\n\017FORWAR" +
-      "D_NOT_RUN\020\002\022\030\n\024FORWARD_MAY_HAVE_RUN\020\003*f\n" +
-      "\nRunOutcome\022\033\n\027RUN_OUTCOME_UNSPECIFIED\020\000" +
-      "\022\014\n\010RUN_DONE\020\001\022\016\n\nRUN_FAILED\020\002\022\017\n\013RUN_ST" +
-      "OPPED\020\003\022\014\n\010RUN_LOST\020\004*\360\001\n\020RunRefusalReas" +
-      "on\022\"\n\036RUN_REFUSAL_REASON_UNSPECIFIED\020\000\022\017" +
-      "\n\013RUN_NO_ROOM\020\001\022\025\n\021RUN_NEVER_ARRIVED\020\002\022\023" +
-      "\n\017RUN_STALE_ENTRY\020\003\022\027\n\023RUN_START_BY_PASS" +
-      "ED\020\004\022\020\n\014RUN_ZONE_OUT\020\005\022\021\n\rRUN_NO_WORKER\020" +
-      "\006\022\026\n\022RUN_WORKER_REFUSED\020\007\022\021\n\rRUN_CANCELL" +
-      "ED\020\010\022\022\n\016RUN_UNANSWERED\020\t2\236\002\n\014EntryServic" +
-      "e\022C\n\007Session\022\031.teaselhook.v1.AgentFrame\032" +
-      "\031.teaselhook.v1.EntryFrame(\0010\001\022>\n\004Peer\022\030" +
-      ".teaselhook.v1.PeerFrame\032\030.teaselhook.v1" +
-      ".PeerFrame(\0010\001\022E\n\007Forward\022\035.teaselhook.v" +
-      "1.ForwardRequest\032\033.teaselhook.v1.Forward" +
-      "Reply\022B\n\006Agents\022\034.teaselhook.v1.AgentsRe" +
-      "quest\032\032.teaselhook.v1.AgentsReplyB\027\n\023org" +
-      ".teaselhook.wireP\001b\006proto3"
+      "v1.RouteDocumentH\000\0224\n\rroutes_wanted\030\006 \001(" +
+      "\0132\033.teaselhook.v1.RoutesWantedH\000B\010\n\006repo" +
+      "rt\";\n\010RunHello\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnat" +
+      "ion\030\002 \001(\006\022\014\n\004zone\030\003 \001(\t\"\265\002\n\013WorkerState\022" +
+      "\023\n\013agent_nanos\030\001 \001(\006\022\026\n\016routes_version\030\002" +
+      " \001(\004\022\017\n\007service\030\003 \001(\t\022/\n\010capacity\030\004 \001(\0132" +
+      "\035.teaselhook.v1.AmountsMessage\022+\n\004used\030\005" +
+      " \001(\0132\035.teaselhook.v1.AmountsMessage\022\016\n\006l" +
+      "abels\030\006 \003(\t\022\022\n\nseen_order\030\007 \001(\004\022\021\n\theart" +
+      "beat\030\010 \001(\010\022\017\n\007entries\030\t \001(\r\022\024\n\014pace_perc" +
+      "ent\030\n \001(\r\022,\n\010progress\030\013 \003(\0132\032.teaselhook" +
+      ".v1.RunProgress\"J\n\013RunProgress\022\r\n\005order\030" +
+      "\001 \001(\004\022\024\n\014total_millis\030\002 \001(\004\022\026\n\016elapsed_m" +
+      "illis\030\003 \001(\004\"E\n\016AmountsMessage\022\022\n\ncpu_mil" +
+      "lis\030\001 \001(\r\022\021\n\tmemory_mb\030\002 \001(\r\022\014\n\004gpus\030\003 \001" +
+      "(\r\"W\n\006RunEnd\022\r\n\005order\030\001 \001(\004\022*\n\007outcome\030\002" +
+      " \001(\0162\031.teaselhook.v1.RunOutcome\022\022\n\nrun_m" +
+      "illis\030\003 \001(\004\"L\n\nRunRefusal\022\r\n\005order\030\001 \001(\004" +
+      "\022/\n\006reason\030\002 \001(\0162\037.teaselhook.v1.RunRefu" +
+      "salReason\"\251\002\n\nRunCommand\022.\n\010greeting\030\001 \001" +
+      "(\0132\032.teaselhook.v1.RunGreetingH\000\022(\n\005puls" +
+      "e\030\002 \001(\0132\027.teaselhook.v1.RunPulseH\000\022(\n\005or" +
+      "der\030\003 \001(\0132\027.teaselhook.v1.RunOrderH\000\022&\n\004" +
+      "stop\030\004 \001(\0132\026.teaselhook.v1.RunStopH\000\022.\n\006" +
+      "routes\030\005 \001(\0132\034.teaselhook.v1.RouteDocume" +
+      "ntH\000\0224\n\rroutes_wanted\030\006 \001(\0132\033.teaselhook" +
+      ".v1.RoutesWantedH\000B\t\n\007command\"$\n\014RoutesW" +
+      "anted\022\024\n\014held_version\030\001 \001(\004\"E\n\013RunGreeti" +
+      "ng\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\023\n" +
+      "\013in_progress\030\003 \003(\004\"q\n\010RunPulse\022\030\n\020echo_a" +
+      "gent_nanos\030\001 \001(\006\022\026\n\016routes_version\030\002 \001(\004" +
+      "\022\017\n\007entries\030\003 \003(\t\022\017\n\007leaving\030\004 \001(\010\022\021\n\tzo" +
+      "nes_out\030\005 \003(\t\"\324\001\n\010RunOrder\022\r\n\005order\030\001 \001(" +
+      "\004\022\030\n\020echo_agent_nanos\030\002 \001(\006\022\034\n\024start_by_" +
+      "agent_nanos\030\003 \001(\006\022\014\n\004task\030\004 \001(\t\022\013\n\003run\030\005" +
+      " \001(\r\022\017\n\007service\030\006 \001(\t\022\014\n\004spec\030\007 \001(\t\022.\n\007a" +
+      "mounts\030\010 \001(\0132\035.teaselhook.v1.AmountsMess" +
+      "age\022\027\n\017estimate_millis\030\t \001(\004\"\030\n\007RunStop\022" +
+      "\r\n\005order\030\001 \001(\004\"x\n\rRouteDocument\022\017\n\007versi" +
+      "on\030\001 \001(\004\022\026\n\016config_version\030\002 \001(\004\022+\n\006rout" +
+      "es\030\003 \003(\0132\033.teaselhook.v1.RouteMessage\022\021\n" +
+      "\tzones_out\030\004 \003(\t\"\300\001\n\014RouteMessage\022\014\n\004nam" +
+      "e\030\001 \001(\t\022\014\n\004host\030\002 \001(\t\022\023\n\013path_prefix\030\003 \001" +
+      "(\t\022\017\n\007service\030\004 \001(\t\022\020\n\010priority\030\005 \001(\r\022\024\n" +
+      "\014max_attempts\030\006 \001(\r\022\017\n\007stretch\030\007 \001(\001\022\035\n\025" +
+      "target_latency_millis\030\010 \001(\004\022\026\n\016timeout_m" +
+      "illis\030\t \001(\004*V\n\nTaskStatus\022\033\n\027TASK_STATUS" +
+      "_UNSPECIFIED\020\000\022\014\n\010COMPLETE\020\001\022\020\n\014TARGET_E" +
+      "RROR\020\002\022\013\n\007UNKNOWN\020\003*\204\002\n\rRefusalReason\022\036\n" +
+      "\032REFUSAL_REASON_UNSPECIFIED\020\000\022\020\n\014NO_FREE" +
+      "_SLOT\020\001\022\020\n\014ALREADY_SEEN\020\002\022\023\n\017START_BY_PA" +
+      "SSED\020\003\022\014\n\010ZONE_OUT\020\004\022\013\n\007LEAVING\020\005\022\r\n\tNO_" +
+      "TARGET\020\006\022\017\n\013STALE_ENTRY\020\007\022\025\n\021WRONG_INCAR" +
+      "NATION\020\010\022\021\n\rNEVER_ARRIVED\020\t\022\r\n\tCANCELLED" +
+      "\020\n\022\022\n\016CONNECT_FAILED\020\013\022\022\n\016CONFIG_UNKNOWN" +
+      "\020\014*v\n\016ForwardOutcome\022\037\n\033FORWARD_OUTCOME_" +
+      "UNSPECIFIED\020\000\022\024\n\020FORWARD_COMPLETE\020\001\022\023\n\017F" +
+      "ORWARD_NOT_RUN\020\002\022\030\n\024FORWARD_MAY_HAVE_RUN" +
+      "\020\003*f\n\nRunOutcome\022\033\n\027RUN_OUTCOME_UNSPECIF" +
+      "IED\020\000\022\014\n\010RUN_DONE\020\001\022\016\n\nRUN_FAILED\020\002\022\017\n\013R" +
+      "UN_STOPPED\020\003\022\014\n\010RUN_LOST\020\004*\360\001\n\020RunRefusa" +
+      "lReason\022\"\n\036RUN_REFUSAL_REASON_UNSPECIFIE" +
+      "D\020\000\022\017\n\013RUN_NO_ROOM\020\001\022\025\n\021RUN_NEVER_ARRIVE" +
+      "D\020\002\022\023\n\017RUN_STALE_ENTRY\020\003\022\027\n\023RUN_START_BY" +
+      "_PASSED\020\004\022\020\n\014RUN_ZONE_OUT\020\005\022\021\n\rRUN_NO_WO" +
+      "RKER\020\006\022\026\n\022RUN_WORKER_REFUSED\020\007\022\021\n\rRUN_CA" +
+      "NCELLED\020\010\022\022\n\016RUN_UNANSWERED\020\t2\236\002\n\014EntryS" +
+      "ervice\022C\n\007Session\022\031.teaselhook.v1.AgentF" +
+      "rame\032\031.teaselhook.v1.EntryFrame(\0010\001\022>\n\004P" +
+      "eer\022\030.teaselhook.v1.PeerFrame\032\030.teaselho" +
+      "ok.v1.PeerFrame(\0010\001\022E\n\007Forward\022\035.teaselh" +
+      "ook.v1.ForwardRequest\032\033.teaselhook.v1.Fo" +
+      "rwardReply\022B\n\006Agents\022\034.teaselhook.v1.Age" +
+      "ntsRequest\032\032.teaselhook.v1.AgentsReplyB\027" +
+      "\n\023org.teaselhook.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -580,7 +589,7 @@
     internal_static_teaselhook_v1_RunReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_RunReport_descriptor,
-        new java.lang.String[] { "Hello", "State", "End", "Refusal", "Routes", "Report", });
+        new java.lang.String[] { "Hello", "State", "End", "Refusal", "Routes", "RoutesWanted", "Report", });
     internal_static_teaselhook_v1_RunHello_descriptor =
       getDescriptor().getMessageType(28);
     internal_static_teaselhook_v1_RunHello_fieldAccessorTable = new
@@ -622,39 +631,45 @@
     internal_static_teaselhook_v1_RunCommand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_RunCommand_descriptor,
-        new java.lang.String[] { "Greeting", "Pulse", "Order", "Stop", "Routes", "Command", });
-    internal_static_teaselhook_v1_RunGreeting_descriptor =
+        new java.lang.String[] { "Greeting", "Pulse", "Order", "Stop", "Routes", "RoutesWanted", "Command", });
+    internal_static_teaselhook_v1_RoutesWanted_descriptor =
       getDescriptor().getMessageType(35);
+    internal_static_teaselhook_v1_RoutesWanted_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_teaselhook_v1_RoutesWanted_descriptor,
+        new java.lang.String[] { "HeldVersion", });
+    internal_static_teaselhook_v1_RunGreeting_descriptor =
+      getDescriptor().getMessageType(36);
     internal_static_teaselhook_v1_RunGreeting_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_RunGreeting_descriptor,
         new java.lang.String[] { "Name", "Incarnation", "InProgress", });
     internal_static_teaselhook_v1_RunPulse_descriptor =
-      getDescriptor().getMessageType(36);
+      getDescriptor().getMessageType(37);
     internal_static_teaselhook_v1_RunPulse_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_RunPulse_descriptor,
-        new java.lang.String[] { "EchoAgentNanos", "RoutesVersion", "Entries", "Leaving", });
+        new java.lang.String[] { "EchoAgentNanos", "RoutesVersion", "Entries", "Leaving", "ZonesOut", });
     internal_static_teaselhook_v1_RunOrder_descriptor =
-      getDescriptor().getMessageType(37);
+      getDescriptor().getMessageType(38);
     internal_static_teaselhook_v1_RunOrder_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_RunOrder_descriptor,
         new java.lang.String[] { "Order", "EchoAgentNanos", "StartByAgentNanos", "Task", "Run", "Service", "Spec", "Amounts", "EstimateMillis", });
     internal_static_teaselhook_v1_RunStop_descriptor =
-      getDescriptor().getMessageType(38);
+      getDescriptor().getMessageType(39);
     internal_static_teaselhook_v1_RunStop_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_RunStop_descriptor,
         new java.lang.String[] { "Order", });
     internal_static_teaselhook_v1_RouteDocument_descriptor =
-      getDescriptor().getMessageType(39);
+      getDescriptor().getMessageType(40);
     internal_static_teaselhook_v1_RouteDocument_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_RouteDocument_descriptor,
         new java.lang.String[] { "Version", "ConfigVersion", "Routes", "ZonesOut", });
     internal_static_teaselhook_v1_RouteMessage_descriptor =
-      getDescriptor().getMessageType(40);
+      getDescriptor().getMessageType(41);
     internal_static_teaselhook_v1_RouteMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_RouteMessage_descriptor,
