--- a/core/src/main/java/org/teaselhook/core/job/ActiveJob.java
+++ b/core/src/main/java/org/teaselhook/core/job/ActiveJob.java
@@ -27,6 +27,9 @@
     private final long latestStart;
     private final long giveUpAt;
     private final List<JobTask> tasks = new ArrayList<>();
+    private List<JobTask> ready = List.of();
+    private long readyCpuMillis;
+    private boolean readyKnown;
     private boolean begun;
     private boolean ran;
 
@@ -80,9 +83,21 @@
 
     /** Returns the tasks that wait for a worker, the steps before them being done. */
     List<JobTask> ready() {
-        return tasks.stream()
-                .filter(task -> task.isWaiting() && isUnlocked(task.step()))
-                .toList();
+        findReady();
+        return ready;
+    }
+
+    /** Looks through the tasks only when one of them has changed: with many jobs in line, all are asked for each. */
+    private void findReady() {
+        if (!readyKnown) {
+            ready = tasks.stream()
+                    .filter(task -> task.isWaiting() && isUnlocked(task.step()))
+                    .toList();
+            readyCpuMillis = ready.stream()
+                    .mapToLong(task -> task.step().amounts().cpuMillis())
+                    .sum();
+            readyKnown = true;
+        }
     }
 
     private boolean isUnlocked(Step step) {
@@ -95,9 +110,8 @@
 
     /** Returns the processor time that its ready tasks ask for, in thousandths of a core. */
     long readyCpuMillis() {
-        return ready().stream()
-                .mapToLong(task -> task.step().amounts().cpuMillis())
-                .sum();
+        findReady();
+        return readyCpuMillis;
     }
 
     /** Returns the workers that its tasks are ordered on. */
@@ -134,6 +148,11 @@
 
     // -- updates
 
+    /** Notes that a task was placed, released or done. */
+    void taskChanged() {
+        readyKnown = false;
+    }
+
     void begin() {
         begun = true;
     }
--- a/core/src/main/java/org/teaselhook/core/job/JobTask.java
+++ b/core/src/main/java/org/teaselhook/core/job/JobTask.java
@@ -83,10 +83,12 @@
     void placed(Placement newPlacement) {
         placement = Optional.of(newPlacement);
         runs++;
+        job.taskChanged();
     }
 
     void released() {
         placement = Optional.empty();
+        job.taskChanged();
     }
 
     void failed(Incarnation agent) {
@@ -109,5 +111,6 @@
 
     void done() {
         done = true;
+        job.taskChanged();
     }
 }
--- a/core/src/main/java/org/teaselhook/core/route/Route.java
+++ b/core/src/main/java/org/teaselhook/core/route/Route.java
@@ -43,8 +43,4 @@
     public long objectiveMillis(double workMillis) {
         return Math.round(stretch * workMillis) + targetLatencyMillis;
     }
-
-    boolean matches(String requestHost, String path) {
-        return host.equalsIgnoreCase(requestHost) && path.startsWith(pathPrefix);
-    }
 }
--- a/core/src/main/java/org/teaselhook/core/route/Routes.java
+++ b/core/src/main/java/org/teaselhook/core/route/Routes.java
@@ -1,8 +1,6 @@
 package org.teaselhook.core.route;
 
-import java.util.Comparator;
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -45,19 +43,6 @@
         return configVersion > 0;
     }
 
-    /**
-     * Finds the route with the longest matching prefix.
-     *
-     * @param host the host that the caller named, without port
-     * @param path the request's path
-     * @return the route, or empty if none matches
-     */
-    public Optional<Route> find(String host, String path) {
-        return routes.stream()
-                .filter(route -> route.matches(host, path))
-                .max(Comparator.comparingInt(route -> route.pathPrefix().length()));
-    }
-
     /**
      * Tells whether a zone gets no new work.
      *
--- a/node/src/main/java/org/teaselhook/node/job/JobEntryNode.java
+++ b/node/src/main/java/org/teaselhook/node/job/JobEntryNode.java
@@ -15,6 +15,7 @@
 import org.teaselhook.core.job.Step;
 import org.teaselhook.core.member.Member;
 import org.teaselhook.core.route.Route;
+import org.teaselhook.core.route.RouteIndex;
 import org.teaselhook.core.route.RouteSource;
 import org.teaselhook.core.route.Routes;
 import org.teaselhook.core.table.TableService;
@@ -80,6 +81,7 @@
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
     private final PauseDetector pauses = PauseDetector.startingAt(System.nanoTime(), System.currentTimeMillis());
     private volatile Routes routes = Routes.none();
+    private volatile RouteIndex index = RouteIndex.empty();
     private volatile JobMetrics.Status status = JobMetrics.Status.INITIAL;
     private volatile Optional<String> unready = Optional.of("starting");
     private List<String> entryAddresses = List.of();
@@ -215,7 +217,14 @@
     private void tick(long nowNanos) {
         noticePause(nowNanos);
         control.tick(nowNanos);
-        routes = control.routes();
+        noteRoutes(control.routes());
+    }
+
+    private void noteRoutes(Routes now) {
+        if (now != routes) {
+            index = RouteIndex.of(now.routes());
+            routes = now;
+        }
     }
 
     private void slowTick(long nowNanos) {
@@ -282,7 +291,7 @@
 
         @Override
         public Optional<Route> route(String host, String path) {
-            return routes.find(host, path);
+            return index.find(host, path);
         }
 
         @Override
