Turn requests away by an entry's own lag; never say "not run" of a copy that ran

Change: LoadShedder turns a share of new requests away unread; the share follows the time that a token needs through both threads. JobEnds remembers jobs that may have run. A job sent here before is never shed.

--- a/core/src/main/java/org/teaselhook/core/job/JobDispatcher.java
+++ b/core/src/main/java/org/teaselhook/core/job/JobDispatcher.java
@@ -141,7 +141,7 @@
                     "",
                     "reason",
                     refusal.get().detail());
-            output.answered(nowNanos, job, new JobResult.NotRun(refusal.get()));
+            output.answered(nowNanos, job, ends.truthOf(active, new JobResult.NotRun(refusal.get())));
             return;
         }
         jobs.add(active);
--- a/core/src/main/java/org/teaselhook/core/job/JobEnds.java
+++ b/core/src/main/java/org/teaselhook/core/job/JobEnds.java
@@ -13,6 +13,7 @@
     private final ActiveJobs jobs;
     private final JobOutput output;
     private final RecentResults recent = new RecentResults();
+    private final RecentIds mayHaveRun = RecentIds.none();
 
     JobEnds(ActiveJobs jobs, JobOutput output) {
         this.jobs = jobs;
@@ -42,13 +43,26 @@
     /** Answers a job. */
     void finish(long nowNanos, ActiveJob active, JobResult result) {
         recent.keep(active.job().id(), result);
+        JobResult truth = truthOf(active, result);
         remove(active);
-        output.answered(nowNanos, active.job(), result);
+        output.answered(nowNanos, active.job(), truth);
+    }
+
+    /** Returns the answer of a job, considering earlier copies of it: what they ran was not undone by their ends. */
+    JobResult truthOf(ActiveJob active, JobResult result) {
+        return result instanceof JobResult.NotRun notRun
+                        && mayHaveRun.contains(active.job().id())
+                ? new JobResult.GivenUp("an earlier copy may have run; this one: "
+                        + notRun.problem().detail())
+                : result;
     }
 
     /** Takes a job out without an answer, as its caller has gone. */
     void remove(ActiveJob active) {
         jobs.remove(active);
+        if (active.mayHaveRun()) {
+            mayHaveRun.add(active.job().id());
+        }
         active.tasks().stream()
                 .flatMap(task -> task.placement().stream())
                 .forEach(p -> output.stop(p.worker().agent(), p.number()));
--- a/node/src/main/java/org/teaselhook/node/frame/FrameConnection.java
+++ b/node/src/main/java/org/teaselhook/node/frame/FrameConnection.java
@@ -78,7 +78,7 @@
     private void write(Channel open) {
         if (open.isWritable()) {
             open.writeAndFlush(FrameEncoding.encode(waiting), open.voidPromise());
-        } else {
+        } else if (open.isActive()) {
             // The other end reads nothing: what lies in the buffers is out of date, and more would only add to it.
             close("the other end reads too slowly");
         }
--- a/node/src/main/java/org/teaselhook/node/job/JobEntryNode.java
+++ b/node/src/main/java/org/teaselhook/node/job/JobEntryNode.java
@@ -1,5 +1,6 @@
 package org.teaselhook.node.job;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
@@ -12,6 +13,8 @@
 import org.teaselhook.core.id.Incarnation;
 import org.teaselhook.core.job.Job;
 import org.teaselhook.core.job.JobResult;
+import org.teaselhook.core.job.LoadShedder;
+import org.teaselhook.core.job.RecentIds;
 import org.teaselhook.core.job.Step;
 import org.teaselhook.core.member.Member;
 import org.teaselhook.core.route.Route;
@@ -83,9 +86,12 @@
     private volatile Routes routes = Routes.none();
     private volatile RouteIndex index = RouteIndex.empty();
     private volatile JobMetrics.Status status = JobMetrics.Status.INITIAL;
+    private final LoadShedder shedder = LoadShedder.measuredEvery(SLOW_TICK_MILLIS);
     private volatile Optional<String> unready = Optional.of("starting");
     private List<String> entryAddresses = List.of();
     private long leftAt = Long.MAX_VALUE;
+    private boolean measuring;
+    private long measuredAt;
 
     private JobEntryNode(
             JobEntrySettings settings,
@@ -227,7 +233,23 @@
         }
     }
 
+    /** Measures how long the threads let work wait: a token goes to the traffic thread and back to this one. */
+    private void measureLag(long nowNanos) {
+        if (measuring) {
+            shedder.measured(nowNanos - measuredAt);
+            return;
+        }
+        measuring = true;
+        measuredAt = nowNanos;
+        loops.group()
+                .execute(() -> loop.execute(() -> {
+                    measuring = false;
+                    shedder.measured(loop.nowNanos() - measuredAt);
+                }));
+    }
+
     private void slowTick(long nowNanos) {
+        measureLag(nowNanos);
         poller.tick(nowNanos);
         status = control.status(nowNanos);
         members.tick(nowNanos);
@@ -284,11 +306,19 @@
     /** Hands callers' requests to the control thread. */
     private final class Jobs implements JobService {
 
+        private final RecentIds taken = RecentIds.none();
+
         @Override
         public boolean knowsRoutes() {
             return routes.isKnown();
         }
 
+        @Override
+        public Optional<Duration> shed(String jobId) {
+            boolean sheds = !taken.contains(jobId) && shedder.shedsNext();
+            return sheds ? Optional.of(shedder.comeBack()) : Optional.empty();
+        }
+
         @Override
         public Optional<Route> route(String host, String path) {
             return index.find(host, path);
@@ -303,6 +333,7 @@
                 long timeoutMillis,
                 CompletionStage<Void> closed) {
             CompletableFuture<JobResult> answer = new CompletableFuture<>();
+            taken.add(jobId);
             long arrivedAt = loop.nowNanos();
             long deadline = arrivedAt + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
             Job job = new Job(jobId, route, spec, steps, arrivedAt, deadline);
--- a/node/src/main/java/org/teaselhook/node/job/JobService.java
+++ b/node/src/main/java/org/teaselhook/node/job/JobService.java
@@ -1,5 +1,6 @@
 package org.teaselhook.node.job;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
@@ -20,6 +21,15 @@
      */
     boolean knowsRoutes();
 
+    /**
+     * Tells whether a job is to be turned away unread, because the entry is behind with its work. A job that was sent
+     * here before never is, as its earlier copy may have run.
+     *
+     * @param jobId the job's id
+     * @return when its caller may come back, or empty if the job is to be read
+     */
+    Optional<Duration> shed(String jobId);
+
     /**
      * Finds the route of a request.
      *
