--- a/node/src/main/java/org/teaselhook/node/frame/FrameConnection.java
+++ b/node/src/main/java/org/teaselhook/node/frame/FrameConnection.java
@@ -87,6 +87,17 @@
 
     // -- used by the traffic thread
 
+    /**
+     * Answers a message at once, on the traffic thread that received it.
+     *
+     * @param message the answer
+     */
+    public void reply(S message) {
+        Optional<Channel> open = channel.filter(Channel::isWritable);
+        open.ifPresent(
+                writable -> writable.writeAndFlush(FrameEncoding.encode(List.of(message)), writable.voidPromise()));
+    }
+
     void opened(Channel active) {
         channel = Optional.of(active);
         if (ended) {
--- a/node/src/main/java/org/teaselhook/node/job/JobEntryControl.java
+++ b/node/src/main/java/org/teaselhook/node/job/JobEntryControl.java
@@ -144,6 +144,7 @@
         Routes next = routes.newer(offered);
         if (next != routes) {
             routes = next;
+            sessions.routesChanged();
             LogLine.of("routes-applied")
                     .with("version", next.version())
                     .with("config", next.configVersion())
--- a/node/src/main/java/org/teaselhook/node/job/JobEntryNode.java
+++ b/node/src/main/java/org/teaselhook/node/job/JobEntryNode.java
@@ -76,6 +76,7 @@
     private final JobEntryControl control;
     private final RoutePoller poller;
     private final EntryRegistry members;
+    private final AgentStreams agentStreams;
     private final FrameServer agents;
     private final HttpServer ready;
     private final HttpServer callers;
@@ -107,12 +108,13 @@
                 settings.name(), settings.zone(), incarnation, this::knownEntries, loop::nowNanos, metrics);
         this.poller = RoutePoller.of(source, loop, control::read);
         this.members = EntryRegistry.of(table, member(incarnation), new Members(), loop, new Random());
+        this.agentStreams = new AgentStreams(loop, control.sessions());
         this.agents = FrameServer.start(
                 loops,
                 settings.agents(),
                 Outbox.of(loop),
                 new FrameProtocol<>(RunReport.parser(), MAX_FRAME_BYTES),
-                new AgentStreams(loop, control.sessions()));
+                agentStreams);
         HttpLimits limits = HttpLimits.of(MAX_BODY_BYTES, MAX_CONNECTIONS, IDLE_MILLIS);
         this.callers = HttpServer.start(loops, settings.callers(), front.apply(new Jobs()), limits);
         this.ready =
@@ -222,6 +224,7 @@
 
     private void tick(long nowNanos) {
         noticePause(nowNanos);
+        agentStreams.tick(nowNanos);
         control.tick(nowNanos);
         noteRoutes(control.routes());
     }
--- a/node/src/main/java/org/teaselhook/node/job/JobFrames.java
+++ b/node/src/main/java/org/teaselhook/node/job/JobFrames.java
@@ -43,14 +43,14 @@
                 .build();
     }
 
-    static RunCommand pulse(long echoNanos, Routes routes, List<String> entries, boolean leaving) {
+    static RunCommand pulse(long echoNanos, Pulse pulse, List<String> entries) {
         return RunCommand.newBuilder()
                 .setPulse(RunPulse.newBuilder()
                         .setEchoAgentNanos(echoNanos)
-                        .setRoutesVersion(routes.version())
-                        .addAllZonesOut(routes.zonesOut())
+                        .setRoutesVersion(pulse.routesVersion())
+                        .addAllZonesOut(pulse.zonesOut())
                         .addAllEntries(entries)
-                        .setLeaving(leaving))
+                        .setLeaving(pulse.leaving()))
                 .build();
     }
 
--- a/node/src/main/java/org/teaselhook/node/job/RunSessions.java
+++ b/node/src/main/java/org/teaselhook/node/job/RunSessions.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -41,7 +42,7 @@
     private final Map<Incarnation, RunSession> sessions = new HashMap<>();
     private final Map<FrameConnection<RunCommand>, RunSession> byStream = new HashMap<>();
     private final RouteGap gap = RouteGap.none();
-    private boolean leaving;
+    private volatile Pulse pulse = new Pulse(0, Set.of(), false);
 
     RunSessions(
             String name,
@@ -58,6 +59,11 @@
         this.learned = Objects.requireNonNull(learned, "learned is null");
     }
 
+    /** What heartbeats are answered with; read on traffic threads. */
+    Pulse pulse() {
+        return pulse;
+    }
+
     // -- connections
 
     private void connected(long nowNanos, FrameConnection<RunCommand> stream, RunHello hello) {
@@ -161,7 +167,9 @@
         }
         if (state.getHeartbeat()) {
             List<String> known = session.takeEntries(nowNanos, entries.get());
-            session.send(JobFrames.pulse(state.getAgentNanos(), routes.get(), known, leaving));
+            if (!known.isEmpty()) {
+                session.send(JobFrames.pulse(state.getAgentNanos(), pulse, known));
+            }
             dispatcher.entries(Math.max(1, state.getEntries()));
         }
         dispatcher.heard(nowNanos, session.agent(), JobFrames.view(state));
@@ -206,7 +214,11 @@
         }
     }
 
+    void routesChanged() {
+        pulse = new Pulse(routes.get().version(), routes.get().zonesOut(), pulse.leaving());
+    }
+
     void leave() {
-        leaving = true;
+        pulse = new Pulse(pulse.routesVersion(), pulse.zonesOut(), true);
     }
 }
