--- a/node/src/main/java/org/teaselhook/node/job/JobEntryControl.java
+++ b/node/src/main/java/org/teaselhook/node/job/JobEntryControl.java
@@ -70,12 +70,12 @@
         return dispatcher.queued(route.name());
     }
 
-    JobMetrics.Status status(long nowNanos) {
+    JobMetrics.Status status(long nowNanos, double shedShare) {
         int queued = routes.routes().stream()
                 .mapToInt(route -> dispatcher.queued(route.name()))
                 .sum();
         long ageMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - routesReadAt);
-        return new JobMetrics.Status(jobs(), openWorkers(), queued, routes.configVersion(), ageMillis);
+        return new JobMetrics.Status(jobs(), openWorkers(), queued, routes.configVersion(), ageMillis, shedShare);
     }
 
     // -- jobs
--- a/node/src/main/java/org/teaselhook/node/job/JobEntryNode.java
+++ b/node/src/main/java/org/teaselhook/node/job/JobEntryNode.java
@@ -254,7 +254,7 @@
     private void slowTick(long nowNanos) {
         measureLag(nowNanos);
         poller.tick(nowNanos);
-        status = control.status(nowNanos);
+        status = control.status(nowNanos, shedder.share());
         members.tick(nowNanos);
         if (leftAt != Long.MAX_VALUE) {
             closeIfDrained(nowNanos);
--- a/node/src/main/java/org/teaselhook/node/job/JobMetrics.java
+++ b/node/src/main/java/org/teaselhook/node/job/JobMetrics.java
@@ -34,9 +34,9 @@
             .register(registry);
 
     /** What gauges show, taken on the control thread. */
-    record Status(int jobs, int openWorkers, int queued, long configVersion, long routesAgeMillis) {
+    record Status(int jobs, int openWorkers, int queued, long configVersion, long routesAgeMillis, double shedShare) {
 
-        static final Status INITIAL = new Status(0, 0, 0, 0, 0);
+        static final Status INITIAL = new Status(0, 0, 0, 0, 0, 0);
     }
 
     JobMetrics(Supplier<Status> status) {
@@ -44,6 +44,7 @@
         gauge("jobs_queued", "Jobs that no worker has begun", status, Status::queued);
         gauge("workers_open", "Workers that take work", status, Status::openWorkers);
         gauge("config_version", "Version of the routes held", status, Status::configVersion);
+        gauge("shed_share", "Share of new jobs turned away because the entry is behind", status, Status::shedShare);
         gauge("routes_age_seconds", "Time since the routes were last read", status, s -> s.routesAgeMillis() / 1e3);
     }
 
