--- a/core/src/main/java/org/teaselhook/core/job/LoadShedder.java
+++ b/core/src/main/java/org/teaselhook/core/job/LoadShedder.java
@@ -11,8 +11,8 @@
  */
 public final class LoadShedder {
 
-    /** The lag that is borne, in ns: half of the usual time that an objective leaves beside the work (60 ms). */
-    private static final double BORNE_NANOS = TimeUnit.MILLISECONDS.toNanos(30);
+    /** The lag that is borne, in ns: a job passes the threads twice, in half of the 60 ms that an objective leaves. */
+    private static final double BORNE_NANOS = TimeUnit.MILLISECONDS.toNanos(15);
 
     /** How much the share falls with each measurement without lag, and rises with one of twice the lag borne. */
     private static final double STEP = 0.1;
