Send the text of a job once to each agent

Cause: each order carried the job's text, 1,000 bytes in the mean and up to 4,000, though most orders follow one for the same job on the same connection since tasks stay together. Links of small entries carry 25 Mbit/s, and bytes between zones are paid for.

Change: an order whose text is that of the order before on its connection leaves it out. A repetition that is the first on a connection ends it.

--- a/node/src/main/java/org/teaselhook/node/job/JobFrames.java
+++ b/node/src/main/java/org/teaselhook/node/job/JobFrames.java
@@ -64,7 +64,7 @@
                 .build();
     }
 
-    static RunCommand order(PlacedRun run, long echoNanos, long startByAgentNanos) {
+    static RunCommand order(PlacedRun run, long echoNanos, long startByAgentNanos, boolean sameSpec) {
         return RunCommand.newBuilder()
                 .setOrder(RunOrder.newBuilder()
                         .setOrder(run.number())
@@ -73,7 +73,8 @@
                         .setTask(run.task())
                         .setRun(run.run())
                         .setService(run.service())
-                        .setSpec(run.spec())
+                        .setSpec(sameSpec ? "" : run.spec())
+                        .setSameSpec(sameSpec)
                         .setAmounts(AmountMessages.message(run.amounts()))
                         .setEstimateMillis(run.estimateMillis()))
                 .build();
--- a/node/src/main/java/org/teaselhook/node/job/RunSession.java
+++ b/node/src/main/java/org/teaselhook/node/job/RunSession.java
@@ -1,6 +1,7 @@
 package org.teaselhook.node.job;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import org.teaselhook.core.id.Incarnation;
@@ -20,6 +21,7 @@
     private final FrameConnection<RunCommand> stream;
     private long agentNanos;
     private long heardAt;
+    private Optional<String> specSent = Optional.empty();
     private List<String> entriesSent = List.of();
     private long entriesSentAt;
 
@@ -68,6 +70,13 @@
         return live;
     }
 
+    /** Notes the spec of an order that is sent now, and tells whether the order before had the same. */
+    boolean repeatsSpec(String spec) {
+        boolean repeats = specSent.filter(spec::equals).isPresent();
+        specSent = Optional.of(spec);
+        return repeats;
+    }
+
     // -- updates
 
     void heard(long nowNanos, long newAgentNanos) {
--- a/node/src/main/java/org/teaselhook/node/job/RunSessions.java
+++ b/node/src/main/java/org/teaselhook/node/job/RunSessions.java
@@ -191,7 +191,8 @@
     void order(PlacedRun run) {
         RunSession session = sessions.get(run.agent());
         if (session != null) {
-            session.send(JobFrames.order(run, session.agentNanos(), session.onAgentClock(run.startBy())));
+            boolean sameSpec = session.repeatsSpec(run.spec());
+            session.send(JobFrames.order(run, session.agentNanos(), session.onAgentClock(run.startBy()), sameSpec));
         }
     }
 
--- a/node/src/main/java/org/teaselhook/node/lease/LeaseAgentControl.java
+++ b/node/src/main/java/org/teaselhook/node/lease/LeaseAgentControl.java
@@ -130,7 +130,7 @@
             case PULSE -> pulsed(link, command.getPulse(), nowNanos);
             case ORDER -> {
                 link.ordered(nowNanos);
-                ordered(entry.get(), command.getOrder(), nowNanos);
+                ordered(entry.get(), command.getOrder(), link.specOf(command.getOrder()), nowNanos);
             }
             case STOP -> stopped(entry.get(), command.getStop().getOrder(), nowNanos);
             case ROUTES -> received(command.getRoutes());
@@ -214,14 +214,14 @@
         link.stream().ifPresent(stream -> stream.send(LeaseFrames.routes(document)));
     }
 
-    private void ordered(Incarnation entry, RunOrder order, long nowNanos) {
+    private void ordered(Incarnation entry, RunOrder order, String spec, long nowNanos) {
         OrderId id = new OrderId(entry, order.getOrder());
         answers.seen(id);
         RunRequest request = new RunRequest(
                 id,
                 new RunId(order.getTask(), order.getRun()),
                 order.getService(),
-                order.getSpec(),
+                spec,
                 AmountMessages.amounts(order.getAmounts()),
                 order.getEstimateMillis(),
                 order.getStartByAgentNanos());
--- a/node/src/main/java/org/teaselhook/node/lease/RunLink.java
+++ b/node/src/main/java/org/teaselhook/node/lease/RunLink.java
@@ -7,6 +7,7 @@
 import org.teaselhook.core.id.Incarnation;
 import org.teaselhook.core.lease.LeaseTimes;
 import org.teaselhook.node.frame.FrameConnection;
+import org.teaselhook.wire.RunOrder;
 import org.teaselhook.wire.RunReport;
 
 /**
@@ -46,6 +47,7 @@
     private long heartbeatAt;
     private long orderedAt;
     private boolean ordered;
+    private Optional<String> lastSpec = Optional.empty();
     private boolean leaving;
     private long routesVersion;
 
@@ -132,6 +134,7 @@
     void dialed(FrameConnection<RunReport> opened, long nowNanos) {
         stream = Optional.of(opened);
         entry = Optional.empty();
+        lastSpec = Optional.empty();
         dialedAt = nowNanos;
         stateDueAt = Long.MAX_VALUE;
         ordered = false;
@@ -163,6 +166,15 @@
         heartbeatAt = nowNanos;
     }
 
+    /** Returns the spec of an order: its own, or that of the order before. */
+    String specOf(RunOrder order) {
+        if (!order.getSameSpec()) {
+            lastSpec = Optional.of(order.getSpec());
+        }
+        return lastSpec.orElseThrow(() -> new IllegalArgumentException(
+                "order " + order.getOrder() + " repeats a spec, but is the first on its connection"));
+    }
+
     void ordered(long nowNanos) {
         ordered = true;
         orderedAt = nowNanos;
--- a/node/src/test/java/org/teaselhook/node/lease/RunLinkTest.java
+++ b/node/src/test/java/org/teaselhook/node/lease/RunLinkTest.java
@@ -12,6 +12,7 @@
 import org.teaselhook.node.frame.FrameProtocol;
 import org.teaselhook.node.frame.Outbox;
 import org.teaselhook.wire.RunCommand;
+import org.teaselhook.wire.RunOrder;
 import org.teaselhook.wire.RunReport;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.DataProvider;
@@ -19,6 +20,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
 public class RunLinkTest {
@@ -70,6 +72,29 @@
         assertFalse(link.isForgotten(later + MILLI));
     }
 
+    /** The tasks of a job that stay together bring its text once, which may have 4,000 bytes. */
+    @Test
+    public void shouldTakeSpecOfOrderBeforeWhereItIsRepeated() {
+        RunLink link = new RunLink(ADDRESS, START);
+        RunOrder repeating = RunOrder.newBuilder().setSameSpec(true).build();
+        assertThrows(IllegalArgumentException.class, () -> link.specOf(repeating));
+
+        assertEquals(link.specOf(RunOrder.newBuilder().setSpec("one").build()), "one");
+        assertEquals(link.specOf(repeating), "one");
+        assertEquals(link.specOf(RunOrder.newBuilder().setSpec("").build()), "");
+        assertEquals(link.specOf(repeating), "");
+    }
+
+    @Test
+    public void shouldNotRepeatSpecAcrossConnections() {
+        RunLink link = new RunLink(ADDRESS, START);
+        link.specOf(RunOrder.newBuilder().setSpec("one").build());
+        link.dialed(stream(), START);
+
+        RunOrder repeating = RunOrder.newBuilder().setSameSpec(true).build();
+        assertThrows(IllegalArgumentException.class, () -> link.specOf(repeating));
+    }
+
     private FrameConnection<RunReport> stream() {
         FrameProtocol<RunCommand> protocol = new FrameProtocol<>(RunCommand.parser(), 1_000);
         return FrameDialer.<RunCommand, RunReport>of(loops, Outbox.of(control), protocol, 100)
--- a/wire/src/main/java/org/teaselhook/wire/RunOrder.java
+++ b/wire/src/main/java/org/teaselhook/wire/RunOrder.java
@@ -262,6 +262,21 @@
     return estimateMillis_;
   }
 
+  public static final int SAME_SPEC_FIELD_NUMBER = 10;
+  private boolean sameSpec_ = false;
+  /**
+   * <pre>
+   * The spec is that of the order before on this connection, and left out here.
+   * </pre>
+   *
+   * <code>bool same_spec = 10;</code>
+   * @return The sameSpec.
+   */
+  @java.lang.Override
+  public boolean getSameSpec() {
+    return sameSpec_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -303,6 +318,9 @@
     if (estimateMillis_ != 0L) {
       output.writeUInt64(9, estimateMillis_);
     }
+    if (sameSpec_ != false) {
+      output.writeBool(10, sameSpec_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -340,6 +358,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(9, estimateMillis_);
     }
+    if (sameSpec_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(10, sameSpec_);
+    }
     return size;
   }
   @java.lang.Override
@@ -385,6 +407,8 @@
     }
     if (getEstimateMillis()
         != other.getEstimateMillis()) return false;
+    if (getSameSpec()
+        != other.getSameSpec()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -420,6 +444,9 @@
     hash = (37 * hash) + ESTIMATE_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getEstimateMillis());
+    hash = (37 * hash) + SAME_SPEC_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getSameSpec());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -570,6 +597,7 @@
         amountsBuilder_ = null;
       }
       estimateMillis_ = 0L;
+      sameSpec_ = false;
       return this;
     }
 
@@ -634,6 +662,9 @@
       if (((from_bitField0_ & 0x00000100) != 0)) {
         result.estimateMillis_ = estimateMillis_;
       }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.sameSpec_ = sameSpec_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -682,6 +713,9 @@
       if (other.getEstimateMillis() != 0L) {
         setEstimateMillis(other.getEstimateMillis());
       }
+      if (other.getSameSpec() != false) {
+        setSameSpec(other.getSameSpec());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -753,6 +787,11 @@
               bitField0_ |= 0x00000100;
               break;
             } // case 72
+            case 80: {
+              sameSpec_ = input.readBool();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 80
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1301,6 +1340,50 @@
       return this;
     }
 
+    private boolean sameSpec_ ;
+    /**
+     * <pre>
+     * The spec is that of the order before on this connection, and left out here.
+     * </pre>
+     *
+     * <code>bool same_spec = 10;</code>
+     * @return The sameSpec.
+     */
+    @java.lang.Override
+    public boolean getSameSpec() {
+      return sameSpec_;
+    }
+    /**
+     * <pre>
+     * The spec is that of the order before on this connection, and left out here.
+     * </pre>
+     *
+     * <code>bool same_spec = 10;</code>
+     * @param value The sameSpec to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSameSpec(boolean value) {
+
+      sameSpec_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The spec is that of the order before on this connection, and left out here.
+     * </pre>
+     *
+     * <code>bool same_spec = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSameSpec() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      sameSpec_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:teaselhook.v1.RunOrder)
   }
 
--- a/wire/src/main/java/org/teaselhook/wire/RunOrderOrBuilder.java
+++ b/wire/src/main/java/org/teaselhook/wire/RunOrderOrBuilder.java
@@ -102,4 +102,14 @@
    * @return The estimateMillis.
    */
   long getEstimateMillis();
+
+  /**
+   * <pre>
+   * The spec is that of the order before on this connection, and left out here.
+   * </pre>
+   *
+   * <code>bool same_spec = 10;</code>
+   * @return The sameSpec.
+   */
+  boolean getSameSpec();
 }
--- a/wire/src/main/java/org/teaselhook/wire/Teaselhook.java
+++ b/wire/src/main/java/org/teaselhook/wire/Teaselhook.java
@@ -374,49 +374,50 @@
       "\013in_progress\030\003 \003(\004\"q\n\010RunPulse\022\030\n\020echo_a" +
       "gent_nanos\030\001 \001(\006\022\026\n\016routes_version\030\002 \001(\004" +
       "\022\017\n\007entries\030\003 \003(\t\022\017\n\007leaving\030\004 \001(\010\022\021\n\tzo" +
-      "nes_out\030\005 \003(\t\"\324\001\n\010RunOrder\022\r\n\005order\030\001 \001(" +
+      "nes_out\030\005 \003(\t\"\347\001\n\010RunOrder\022\r\n\005order\030\001 \001(" +
       "\004\022\030\n\020echo_agent_nanos\030\002 \001(\006\022\034\n\024start_by_" +
       "agent_nanos\030\003 \001(\006\022\014\n\004task\030\004 \001(\t\022\013\n\003run\030\005" +
       " \001(\r\022\017\n\007service\030\006 \001(\t\022\014\n\004spec\030\007 \001(\t\022.\n\007a" +
       "mounts\030\010 \001(\0132\035.teaselhook.v1.AmountsMess" +
-      "age\022\027\n\017estimate_millis\030\t \001(\004\"\030\n\007RunStop\022" +
-      "\r\n\005order\030\001 \001(\004\"x\n\rRouteDocument\022\017\n\007versi" +
-      "on\030\001 \001(\004\022\026\n\016config_version\030\002 \001(\004\022+\n\006rout" +
-      "es\030\003 \003(\0132\033.teaselhook.v1.RouteMessage\022\021\n" +
-      "\tzones_out\030\004 \003(\t\"\300\001\n\014RouteMessage\022\014\n\004nam" +
-      "e\030\001 \001(\t\022\014\n\004host\030\002 \001(\t\022\023\n\013path_prefix\030\003 \001" +
-      "(\t\022\017\n\007service\030\004 \001(\t\022\020\n\010priority\030\005 \001(\r\022\024\n" +
-      "\014max_attempts\030\006 \001(\r\022\017\n\007stretch\030\007 \001(\001\022\035\n\025" +
-      "target_latency_millis\030\010 \001(\004\022\026\n\016timeout_m" +
-      "illis\030\t \001(\004*V\n\nTaskStatus\022\033\n\027TASK_STATUS" +
-      "_UNSPECIFIED\020\000\022\014\n\010COMPLETE\020\001\022\020\n\014TARGET_E" +
-      "RROR\020\002\022\013\n\007UNKNOWN\020\003*\204\002\n\rRefusalReason\022\036\n" +
-      "\032REFUSAL_REASON_UNSPECIFIED\020\000\022\020\n\014NO_FREE" +
-      "_SLOT\020\001\022\020\n\014ALREADY_SEEN\020\002\022\023\n\017START_BY_PA" +
-      "SSED\020\003\022\014\n\010ZONE_OUT\020\004\022\013\n\007LEAVING\020\005\022\r\n\tNO_" +
-      "TARGET\020\006\022\017\n\013STALE_ENTRY\020\007\022\025\n\021WRONG_INCAR" +
-      "NATION\020\010\022\021\n\rNEVER_ARRIVED\020\t\022\r\n\tCANCELLED" +
-      "\020\n\022\022\n\016CONNECT_FAILED\020\013\022\022\n\016CONFIG_UNKNOWN" +
-      "\020\014*v\n\016ForwardOutcome\022\037\n\033FORWARD_OUTCOME_" +
-      "UNSPECIFIED\020\000\022\024\n\020FORWARD_COMPLETE\020\001\022\023\n\017F" +
-      "ORWARD_NOT_RUN\020\002\022\030\n\024FORWARD_MAY_HAVE_RUN" +
-      "\020\003*f\n\nRunOutcome\022\033\n\027RUN_OUTCOME_UNSPECIF" +
-      "IED\020\000\022\014\n\010RUN_DONE\020\001\022\016\n\nRUN_FAILED\020\002\022\017\n\013R" +
-      "UN_STOPPED\020\003\022\014\n\010RUN_LOST\020\004*\360\001\n\020RunRefusa" +
-      "lReason\022\"\n\036RUN_REFUSAL_REASON_UNSPECIFIE" +
-      "D\020\000\022\017\n\013RUN_NO_ROOM\020\001\022\025\n\021RUN_NEVER_ARRIVE" +
-      "D\020\002\022\023\n\017RUN_STALE_ENTRY\020\003\022\027\n\023RUN_START_BY" +
-      "_PASSED\020\004\022\020\n\014RUN_ZONE_OUT\020\005\022\021\n\rRUN_NO_WO" +
-      "RKER\020\006\022\026\n\022RUN_WORKER_REFUSED\020\007\022\021\n\rRUN_CA" +
-      "NCELLED\020\010\022\022\n\016RUN_UNANSWERED\020\t2\236\002\n\014EntryS" +
-      "ervice\022C\n\007Session\022\031.teaselhook.v1.AgentF" +
-      "rame\032\031.teaselhook.v1.EntryFrame(\0010\001\022>\n\004P" +
-      "eer\022\030.teaselhook.v1.PeerFrame\032\030.teaselho" +
-      "ok.v1.PeerFrame(\0010\001\022E\n\007Forward\022\035.teaselh" +
-      "ook.v1.ForwardRequest\032\033.teaselhook.v1.Fo" +
-      "rwardReply\022B\n\006Agents\022\034.teaselhook.v1.Age" +
-      "ntsRequest\032\032.teaselhook.v1.AgentsReplyB\027" +
-      "\n\023org.teaselhook.wireP\001b\006proto3"
+      "age\022\027\n\017estimate_millis\030\t \001(\004\022\021\n\tsame_spe" +
+      "c\030\n \001(\010\"\030\n\007RunStop\022\r\n\005order\030\001 \001(\004\"x\n\rRou" +
+      "teDocument\022\017\n\007version\030\001 \001(\004\022\026\n\016config_ve" +
+      "rsion\030\002 \001(\004\022+\n\006routes\030\003 \003(\0132\033.teaselhook" +
+      ".v1.RouteMessage\022\021\n\tzones_out\030\004 \003(\t\"\300\001\n\014" +
+      "RouteMessage\022\014\n\004name\030\001 \001(\t\022\014\n\004host\030\002 \001(\t" +
+      "\022\023\n\013path_prefix\030\003 \001(\t\022\017\n\007service\030\004 \001(\t\022\020" +
+      "\n\010priority\030\005 \001(\r\022\024\n\014max_attempts\030\006 \001(\r\022\017" +
+      "\n\007stretch\030\007 \001(\001\022\035\n\025target_latency_millis" +
+      "\030\010 \001(\004\022\026\n\016timeout_millis\030\t \001(\004*V\n\nTaskSt" +
+      "atus\022\033\n\027TASK_STATUS_UNSPECIFIED\020\000\022\014\n\010COM" +
+      "PLETE\020\001\022\020\n\014TARGET_ERROR\020\002\022\013\n\007UNKNOWN\020\003*\204" +
+      "\002\n\rRefusalReason\022\036\n\032REFUSAL_REASON_UNSPE" +
+      "CIFIED\020\000\022\020\n\014NO_FREE_SLOT\020\001\022\020\n\014ALREADY_SE" +
+      "EN\020\002\022\023\n\017START_BY_PASSED\020\003\022\014\n\010ZONE_OUT\020\004\022" +
+      "\013\n\007LEAVING\020\005\022\r\n\tNO_TARGET\020\006\022\017\n\013STALE_ENT" +
+      "RY\020\007\022\025\n\021WRONG_INCARNATION\020\010\022\021\n\rNEVER_ARR" +
+      "IVED\020\t\022\r\n\tCANCELLED\020\n\022\022\n\016CONNECT_FAILED\020" +
+      "\013\022\022\n\016CONFIG_UNKNOWN\020\014*v\n\016ForwardOutcome\022" +
+      "\037\n\033FORWARD_OUTCOME_UNSPECIFIED\020\000\022\024\n\020FORW" +
+      "ARD_COMPLETE\020\001\022\023\n\017FORWARD_NOT_RUN\020\002\022\030\n\024F" +
+      "ORWARD_MAY_HAVE_RUN\020\003*f\n\nRunOutcome\022\033\n\027R" +
+      "UN_OUTCOME_UNSPECIFIED\020\000\022\014\n\010RUN_DONE\020\001\022\016" +
+      "\n\nRUN_FAILED\020\002\022\017\n\013RUN_STOPPED\020\003\022\014\n\010RUN_L" +
+      "OST\020\004*\360\001\n\020RunRefusalReason\022\"\n\036RUN_REFUSA" +
+      "L_REASON_UNSPECIFIED\020\000\022\017\n\013RUN_NO_ROOM\020\001\022" +
+      "\025\n\021RUN_NEVER_ARRIVED\020\002\022\023\n\017RUN_STALE_ENTR" +
+      "Y\020\003\022\027\n\023RUN_START_BY_PASSED\020\004\022\020\n\014RUN_ZONE" +
+      "_OUT\020\005\022\021\n\rRUN_NO_WORKER\020\006\022\026\n\022RUN_WORKER_" +
+      "REFUSED\020\007\022\021\n\rRUN_CANCELLED\020\010\022\022\n\016RUN_UNAN" +
+      "SWERED\020\t2\236\002\n\014EntryService\022C\n\007Session\022\031.t" +
+      "easelhook.v1.AgentFrame\032\031.teaselhook.v1." +
+      "EntryFrame(\0010\001\022>\n\004Peer\022\030.teaselhook.v1.P" +
+      "eerFrame\032\030.teaselhook.v1.PeerFrame(\0010\001\022E" +
+      "\n\007Forward\022\035.teaselhook.v1.ForwardRequest" +
+      "\032\033.teaselhook.v1.ForwardReply\022B\n\006Agents\022" +
+      "\034.teaselhook.v1.AgentsRequest\032\032.teaselho" +
+      "ok.v1.AgentsReplyB\027\n\023org.teaselhook.wire" +
+      "P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -655,7 +656,7 @@
     internal_static_teaselhook_v1_RunOrder_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_teaselhook_v1_RunOrder_descriptor,
-        new java.lang.String[] { "Order", "EchoAgentNanos", "StartByAgentNanos", "Task", "Run", "Service", "Spec", "Amounts", "EstimateMillis", });
+        new java.lang.String[] { "Order", "EchoAgentNanos", "StartByAgentNanos", "Task", "Run", "Service", "Spec", "Amounts", "EstimateMillis", "SameSpec", });
     internal_static_teaselhook_v1_RunStop_descriptor =
       getDescriptor().getMessageType(39);
     internal_static_teaselhook_v1_RunStop_fieldAccessorTable = new
