--- a/node/src/main/java/org/teaselhook/node/frame/FrameConnection.java
+++ b/node/src/main/java/org/teaselhook/node/frame/FrameConnection.java
@@ -21,8 +21,7 @@
     private final Outbox outbox;
     private final List<S> waiting = new ArrayList<>();
     private volatile Optional<Channel> channel = Optional.empty();
-    private volatile boolean ended;
-    private volatile String endReason = "closed by the other end";
+    private volatile Optional<String> endReason = Optional.empty();
 
     FrameConnection(InetSocketAddress remote, Outbox outbox) {
         this.remote = Objects.requireNonNull(remote, "remote is null");
@@ -46,7 +45,7 @@
      * @param message the message
      */
     public void send(S message) {
-        if (ended) {
+        if (hasEnded()) {
             return;
         }
         if (waiting.isEmpty()) {
@@ -68,7 +67,7 @@
 
     void flush() {
         Optional<Channel> open = channel;
-        if (ended) {
+        if (hasEnded()) {
             waiting.clear();
         } else if (open.isPresent() && !waiting.isEmpty()) {
             write(open.get());
@@ -100,25 +99,23 @@
 
     void opened(Channel active) {
         channel = Optional.of(active);
-        if (ended) {
+        if (hasEnded()) {
             active.close();
         } else {
             outbox.flushSoon(this);
         }
     }
 
-    void end(String reason) {
-        if (!ended) {
-            endReason = reason;
-            ended = true;
-        }
-    }
+    // -- used by both
 
-    void ended() {
-        ended = true;
+    private boolean hasEnded() {
+        return endReason.isPresent();
     }
 
-    String endReason() {
-        return endReason;
+    /** Notes why the connection ends, and returns the reason: the first that was noted. */
+    String end(String reason) {
+        String first = endReason.orElse(reason);
+        endReason = Optional.of(first);
+        return first;
     }
 }
--- a/node/src/main/java/org/teaselhook/node/frame/FrameDialer.java
+++ b/node/src/main/java/org/teaselhook/node/frame/FrameDialer.java
@@ -70,8 +70,8 @@
                 .connect(address)
                 .addListener(result -> {
                     if (!result.isSuccess()) {
-                        connection.ended();
-                        listener.ended(connection, String.valueOf(result.cause().getMessage()));
+                        String reason = String.valueOf(result.cause().getMessage());
+                        listener.ended(connection, connection.end(reason));
                     }
                 });
         return connection;
--- a/node/src/main/java/org/teaselhook/node/frame/FrameReader.java
+++ b/node/src/main/java/org/teaselhook/node/frame/FrameReader.java
@@ -52,8 +52,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        connection.ended();
-        listener.ended(connection, connection.endReason());
+        listener.ended(connection, connection.end("closed by the other end"));
     }
 
     @Override
--- a/node/src/main/java/org/teaselhook/node/job/RunSessions.java
+++ b/node/src/main/java/org/teaselhook/node/job/RunSessions.java
@@ -120,7 +120,7 @@
     void received(long nowNanos, FrameConnection<RunCommand> stream, List<RunReport> reports) {
         dispatcher.together(nowNanos, () -> {
             try {
-                reports.forEach(report -> received(nowNanos, stream, report));
+                reports.forEach(report -> take(nowNanos, stream, report));
             } catch (RuntimeException e) {
                 LogLine.of("agent-message-invalid")
                         .with("remote", stream.remote())
@@ -132,16 +132,16 @@
         });
     }
 
-    private void received(long nowNanos, FrameConnection<RunCommand> stream, RunReport report) {
+    private void take(long nowNanos, FrameConnection<RunCommand> stream, RunReport report) {
         RunSession session = byStream.get(stream);
         if (session != null) {
-            received(nowNanos, session, report);
+            take(nowNanos, session, report);
         } else if (report.hasHello()) {
             connected(nowNanos, stream, report.getHello());
         }
     }
 
-    private void received(long nowNanos, RunSession session, RunReport report) {
+    private void take(long nowNanos, RunSession session, RunReport report) {
         switch (report.getReportCase()) {
             case STATE -> state(nowNanos, session, report.getState());
             case END -> ended(nowNanos, report.getEnd());
