--- /dev/null
+++ b/core/src/main/java/org/teaselhook/core/collection/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Collections of bounded size.
+ */
+package org.teaselhook.core.collection;
--- a/core/src/main/java/org/teaselhook/core/job/RecentIds.java
+++ b/core/src/main/java/org/teaselhook/core/job/RecentIds.java
@@ -1,7 +1,6 @@
 package org.teaselhook.core.job;
 
-import java.util.LinkedHashMap;
-import java.util.Map;
+import org.teaselhook.core.collection.BoundedMap;
 
 /**
  * The ids of the jobs that were noted last. Bounded; thread-safe.
@@ -11,14 +10,7 @@
     /** The number of ids kept: a minute's at the rate of one entry, longer than callers send a job again. */
     private static final int KEPT = 4_096;
 
-    private final Map<String, Boolean> ids = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
-            return size() > KEPT;
-        }
-    };
+    private final BoundedMap<String, Boolean> ids = BoundedMap.of(KEPT);
 
     private RecentIds() {}
 
@@ -47,6 +39,6 @@
      * @return true if so
      */
     public synchronized boolean contains(String jobId) {
-        return ids.containsKey(jobId);
+        return ids.find(jobId).isPresent();
     }
 }
--- a/node/src/main/java/org/teaselhook/node/lease/KeptReports.java
+++ b/node/src/main/java/org/teaselhook/node/lease/KeptReports.java
@@ -1,10 +1,10 @@
 package org.teaselhook.node.lease;
 
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 
+import org.teaselhook.core.collection.BoundedMap;
 import org.teaselhook.core.id.Incarnation;
 import org.teaselhook.core.lease.OrderId;
 import org.teaselhook.wire.RunReport;
@@ -17,14 +17,7 @@
     /** The number of answers kept: a minute's at one worker; an entry that is away longer has given up. */
     private static final int KEPT = 4_096;
 
-    private final Map<OrderId, RunReport> answers = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<OrderId, RunReport> eldest) {
-            return size() > KEPT;
-        }
-    };
+    private final BoundedMap<OrderId, RunReport> answers = BoundedMap.of(KEPT);
     private final Map<Incarnation, Long> highestSeen = new HashMap<>();
 
     void keep(OrderId order, RunReport answer) {
@@ -32,7 +25,7 @@
     }
 
     Optional<RunReport> find(OrderId order) {
-        return Optional.ofNullable(answers.get(order));
+        return answers.find(order);
     }
 
     void seen(OrderId order) {
