--- a/bench/src/test/java/org/teaselhook/platform/ProcessSite.java
+++ b/bench/src/test/java/org/teaselhook/platform/ProcessSite.java
@@ -45,7 +45,7 @@
                 zone: thrissur
                 callers: %s
                 ready: %s
-                grpc: %s
+                agents: %s
                 table: %s
                 """
                         .formatted(text(callers), text(ready), text(grpc), text(store.address())));
