--- a/node/src/main/java/org/teaselhook/node/job/AgentStreams.java
+++ b/node/src/main/java/org/teaselhook/node/job/AgentStreams.java
@@ -13,7 +13,7 @@
 /**
  * Hands what agents send to the control thread, and answers their heartbeats on the traffic thread: agents stop the
  * runs of an entry that they do not hear, and one that has many callers waiting is not gone. While the control thread
- * itself stands still, heartbeats stay unanswered.
+ * itself stands still, heartbeats wait for it.
  */
 final class AgentStreams implements FrameListener<RunReport, RunCommand> {
 
@@ -37,13 +37,14 @@
 
     @Override
     public void received(FrameConnection<RunCommand> stream, List<RunReport> reports) {
-        if (control.nowNanos() - aliveAt < CONTROL_SILENCE_NANOS) {
+        boolean answers = control.nowNanos() - aliveAt < CONTROL_SILENCE_NANOS;
+        if (answers) {
             reports.stream()
                     .filter(report -> report.getState().getHeartbeat())
                     .forEach(beat -> stream.reply(
                             JobFrames.pulse(beat.getState().getAgentNanos(), sessions.pulse(), List.of())));
         }
-        control.execute(() -> sessions.received(control.nowNanos(), stream, reports));
+        control.execute(() -> sessions.received(control.nowNanos(), stream, reports, answers));
     }
 
     @Override
--- a/node/src/main/java/org/teaselhook/node/job/RunSessions.java
+++ b/node/src/main/java/org/teaselhook/node/job/RunSessions.java
@@ -116,11 +116,16 @@
     /**
      * Takes what an agent sent, in order, and places waiting tasks once for all of it. A report that makes no sense
      * ends its connection, and nothing else.
+     *
+     * @param answered whether the heartbeats among the reports were answered on the traffic thread
      */
-    void received(long nowNanos, FrameConnection<RunCommand> stream, List<RunReport> reports) {
+    void received(long nowNanos, FrameConnection<RunCommand> stream, List<RunReport> reports, boolean answered) {
         dispatcher.together(nowNanos, () -> {
             try {
                 reports.forEach(report -> take(nowNanos, stream, report));
+                if (!answered) {
+                    reports.forEach(report -> answerHeartbeat(stream, report));
+                }
             } catch (RuntimeException e) {
                 LogLine.of("agent-message-invalid")
                         .with("remote", stream.remote())
@@ -132,6 +137,12 @@
         });
     }
 
+    private void answerHeartbeat(FrameConnection<RunCommand> stream, RunReport report) {
+        if (report.getState().getHeartbeat()) {
+            stream.send(JobFrames.pulse(report.getState().getAgentNanos(), pulse, List.of()));
+        }
+    }
+
     private void take(long nowNanos, FrameConnection<RunCommand> stream, RunReport report) {
         RunSession session = byStream.get(stream);
         if (session != null) {
