Listen, dial, tell decisions and answer heartbeats in one place each

Behaviour is as before.

- EventLoops.listen and dialer serve HttpServer, HttpClient, FrameServer and FrameDialer, which wrote the same bootstraps; a dial clones one.
- JobOutput tells a decision from its parts; JobDispatcher, TaskStarter and JobEnds each had their own way.
- RunSessions.answerTo makes the pulse for both threads that send it.
- ActiveJob keeps the workers of its tasks with its ready tasks: the choice of a worker made a set for each task, also when nothing was free.
- IgnoringListener serves two tests; RouteCopy.heard says what it returns.

--- a/core/src/main/java/org/teaselhook/core/job/ActiveJob.java
+++ b/core/src/main/java/org/teaselhook/core/job/ActiveJob.java
@@ -2,10 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
 /**
@@ -29,7 +29,8 @@
     private final List<JobTask> tasks = new ArrayList<>();
     private List<JobTask> ready = List.of();
     private long readyCpuMillis;
-    private boolean readyKnown;
+    private Set<WorkerRecord> workers = Set.of();
+    private boolean tasksKnown;
     private boolean begun;
     private boolean ran;
 
@@ -83,20 +84,24 @@
 
     /** Returns the tasks that wait for a worker, the steps before them being done. */
     List<JobTask> ready() {
-        findReady();
+        lookThroughTasks();
         return ready;
     }
 
     /** Looks through the tasks only when one of them has changed: with many jobs in line, all are asked for each. */
-    private void findReady() {
-        if (!readyKnown) {
+    private void lookThroughTasks() {
+        if (!tasksKnown) {
             ready = tasks.stream()
                     .filter(task -> task.isWaiting() && isUnlocked(task.step()))
                     .toList();
             readyCpuMillis = ready.stream()
                     .mapToLong(task -> task.step().amounts().cpuMillis())
                     .sum();
-            readyKnown = true;
+            workers = tasks.stream()
+                    .flatMap(task -> task.placement().stream())
+                    .map(Placement::worker)
+                    .collect(Collectors.toSet());
+            tasksKnown = true;
         }
     }
 
@@ -110,15 +115,14 @@
 
     /** Returns the processor time that its ready tasks ask for, in thousandths of a core. */
     long readyCpuMillis() {
-        findReady();
+        lookThroughTasks();
         return readyCpuMillis;
     }
 
     /** Returns the workers that its tasks are ordered on. */
     Set<WorkerRecord> workers() {
-        Set<WorkerRecord> result = new HashSet<>();
-        tasks.forEach(task -> task.placement().ifPresent(placement -> result.add(placement.worker())));
-        return result;
+        lookThroughTasks();
+        return workers;
     }
 
     int placedOn(WorkerRecord worker, int step) {
@@ -150,7 +154,7 @@
 
     /** Notes that a task was placed, released or done. */
     void taskChanged() {
-        readyKnown = false;
+        tasksKnown = false;
     }
 
     void begin() {
--- a/core/src/main/java/org/teaselhook/core/job/JobDispatcher.java
+++ b/core/src/main/java/org/teaselhook/core/job/JobDispatcher.java
@@ -128,14 +128,14 @@
     public void submit(long nowNanos, Job job) {
         Optional<JobResult> known = ends.recent(job.id());
         if (known.isPresent() || jobs.contains(job.id())) {
-            decided(JobDecision.Kind.DUPLICATE, job.id(), "", "answered", known.isPresent());
+            output.decided(JobDecision.Kind.DUPLICATE, job.id(), "", "answered", known.isPresent());
             known.ifPresent(result -> output.answered(nowNanos, job, result));
             return;
         }
         ActiveJob active = planner.plan(job);
         Optional<Problem> refusal = admission.refusal(situation(nowNanos), active, jobs.ahead(active));
         if (refusal.isPresent()) {
-            decided(
+            output.decided(
                     JobDecision.Kind.REFUSED,
                     job.id(),
                     "",
@@ -157,7 +157,7 @@
     public void cancel(long nowNanos, String jobId) {
         ActiveJob active = jobs.find(jobId);
         if (active != null) {
-            decided(JobDecision.Kind.GIVEN_UP, jobId, "", "reason", "cancelled");
+            output.decided(JobDecision.Kind.GIVEN_UP, jobId, "", "reason", "cancelled");
             ends.remove(active);
             drain(nowNanos);
         }
@@ -255,7 +255,7 @@
             learn(nowNanos, placement, runMillis);
         } else {
             Object[] inputs = {"outcome", outcome, "worker", placement.worker().name(), "run_ms", runMillis};
-            decided(JobDecision.Kind.RUN_ENDED, task.job().job().id(), task.name(), inputs);
+            output.decided(JobDecision.Kind.RUN_ENDED, task.job().job().id(), task.name(), inputs);
         }
         if (outcome == RunOutcome.FAILED) {
             failed(nowNanos, placement);
@@ -277,7 +277,7 @@
         placement.task().failed(placement.worker().agent());
         if (placement.worker().failed(nowNanos)) {
             String job = placement.task().job().job().id();
-            decided(
+            output.decided(
                     JobDecision.Kind.WORKER_AVOIDED,
                     job,
                     "",
@@ -296,7 +296,7 @@
             return;
         }
         if (active.isDone()) {
-            decided(JobDecision.Kind.COMPLETED, active.job().id(), "", "ms", elapsed(nowNanos, active));
+            output.decided(JobDecision.Kind.COMPLETED, active.job().id(), "", "ms", elapsed(nowNanos, active));
             ends.finish(nowNanos, active, new JobResult.Completed());
         } else {
             jobs.refresh(active);
@@ -316,7 +316,7 @@
 
     private void refused(long nowNanos, Placement placement, RunRefusal refusal) {
         JobTask task = placement.task();
-        decided(
+        output.decided(
                 JobDecision.Kind.ORDER_REFUSED,
                 task.job().job().id(),
                 task.name(),
@@ -429,7 +429,7 @@
         }
         task.moved();
         String job = task.job().job().id();
-        decided(JobDecision.Kind.MOVED, job, task.name(), Relocation.inputs(forecast, worker.name(), slowness));
+        output.decided(JobDecision.Kind.MOVED, job, task.name(), Relocation.inputs(forecast, worker.name(), slowness));
         output.stop(worker.agent(), placement.number());
     }
 
@@ -447,10 +447,6 @@
         return new Situation(nowNanos, routes, entries);
     }
 
-    private void decided(JobDecision.Kind kind, String job, String task, Object... inputs) {
-        output.decided(new JobDecision(kind, job, task, inputs));
-    }
-
     private static long elapsed(long nowNanos, ActiveJob active) {
         return TimeUnit.NANOSECONDS.toMillis(nowNanos - active.job().arrivedAt());
     }
--- a/core/src/main/java/org/teaselhook/core/job/JobEnds.java
+++ b/core/src/main/java/org/teaselhook/core/job/JobEnds.java
@@ -35,8 +35,7 @@
 
     /** Ends a job for a reason that is logged. */
     void end(long nowNanos, ActiveJob active, String detail, JobResult result) {
-        String job = active.job().id();
-        output.decided(new JobDecision(JobDecision.Kind.GIVEN_UP, job, "", new Object[] {"reason", detail}));
+        output.decided(JobDecision.Kind.GIVEN_UP, active.job().id(), "", "reason", detail);
         finish(nowNanos, active, result);
     }
 
--- a/core/src/main/java/org/teaselhook/core/job/JobOutput.java
+++ b/core/src/main/java/org/teaselhook/core/job/JobOutput.java
@@ -37,4 +37,16 @@
      * @param decision the decision
      */
     void decided(JobDecision decision);
+
+    /**
+     * Tells of a decision, for the log.
+     *
+     * @param kind the kind
+     * @param job the job's id
+     * @param task the task's name; empty if the decision is about the whole job
+     * @param inputs what decided, as pairs of key and value
+     */
+    default void decided(JobDecision.Kind kind, String job, String task, Object... inputs) {
+        decided(new JobDecision(kind, job, task, inputs));
+    }
 }
--- a/core/src/main/java/org/teaselhook/core/job/TaskStarter.java
+++ b/core/src/main/java/org/teaselhook/core/job/TaskStarter.java
@@ -100,7 +100,7 @@
         Job job = active.job();
         if (!active.hasBegun()) {
             jobs.begin(active);
-            decided(JobDecision.Kind.ACCEPTED, job.id(), "", active.inputs(nowNanos));
+            output.decided(JobDecision.Kind.ACCEPTED, job.id(), "", active.inputs(nowNanos));
         }
         double expected =
                 task.step().estimateMillis() * runTimes.ratio(job.route().name());
@@ -117,11 +117,7 @@
                 Math.round(expected),
                 active.giveUpAt());
         Object[] inputs = placement.inputs(nowNanos, situation.routes().version());
-        decided(JobDecision.Kind.PLACED, job.id(), task.name(), inputs);
+        output.decided(JobDecision.Kind.PLACED, job.id(), task.name(), inputs);
         output.order(run);
     }
-
-    private void decided(JobDecision.Kind kind, String job, String task, Object... inputs) {
-        output.decided(new JobDecision(kind, job, task, inputs));
-    }
 }
--- a/net/src/main/java/org/teaselhook/net/http/EventLoops.java
+++ b/net/src/main/java/org/teaselhook/net/http/EventLoops.java
@@ -1,10 +1,19 @@
 package org.teaselhook.net.http;
 
+import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.DefaultThreadFactory;
 
 /**
@@ -12,6 +21,9 @@
  */
 public final class EventLoops implements AutoCloseable {
 
+    /** Connections that may wait to be taken: all agents of a large site dial a new entry at once. */
+    private static final int BACKLOG = 1_024;
+
     private static final long SHUTDOWN_TIMEOUT_MILLIS = 2_000;
 
     private final EventLoopGroup group;
@@ -40,6 +52,44 @@
         return group;
     }
 
+    /**
+     * Listens for connections.
+     *
+     * @param bind the address to listen on; port 0 picks a free one
+     * @param connections initializes each connection
+     * @return the listening channel
+     * @throws IllegalStateException if the address cannot be bound
+     */
+    public Channel listen(InetSocketAddress bind, ChannelHandler connections) {
+        ChannelFuture bound = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(connections)
+                .bind(bind)
+                .awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new IllegalStateException("cannot listen on " + bind + "; choose a free address", bound.cause());
+        }
+        return bound.channel();
+    }
+
+    /**
+     * Returns what opens connections, to be cloned and given a handler for each.
+     *
+     * @param connectTimeoutMillis the longest wait for a connection
+     * @return a bootstrap without a handler
+     */
+    public Bootstrap dialer(int connectTimeoutMillis) {
+        return new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis);
+    }
+
     /** Ends the threads without waiting for them. */
     @Override
     public void close() {
--- a/net/src/main/java/org/teaselhook/net/http/HttpClient.java
+++ b/net/src/main/java/org/teaselhook/net/http/HttpClient.java
@@ -7,8 +7,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.socket.nio.NioSocketChannel;
 
 /**
  * An HTTP/1.1 client that keeps a bounded pool of connections to each server. Thread-safe.
@@ -25,11 +23,7 @@
         this.loops = loops;
         this.ownsLoops = ownsLoops;
         this.maxConnectionsPerHost = maxConnectionsPerHost;
-        this.bootstrap = new Bootstrap()
-                .group(loops.group())
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, Math.toIntExact(connectTimeoutMillis));
+        this.bootstrap = loops.dialer(Math.toIntExact(connectTimeoutMillis));
     }
 
     // -- factories
--- a/net/src/main/java/org/teaselhook/net/http/HttpServer.java
+++ b/net/src/main/java/org/teaselhook/net/http/HttpServer.java
@@ -4,12 +4,9 @@
 import java.util.Objects;
 import java.util.concurrent.CompletionStage;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
 
 /**
@@ -17,8 +14,6 @@
  */
 public final class HttpServer implements AutoCloseable {
 
-    private static final int BACKLOG = 1_024;
-
     private final EventLoops loops;
     private final boolean ownsLoops;
     private final OpenConnections connections;
@@ -64,26 +59,16 @@
             EventLoops loops, boolean ownsLoops, InetSocketAddress bind, HttpHandler handler, HttpLimits limits) {
         Objects.requireNonNull(handler, "handler is null");
         OpenConnections connections = new OpenConnections(limits.maxConnections());
-        ServerBootstrap bootstrap = new ServerBootstrap()
-                .group(loops.group())
-                .channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel channel) {
-                        channel.pipeline()
-                                .addLast(new HttpServerCodec())
-                                .addLast(new WholeRequests(limits.maxBodyBytes()))
-                                .addLast(new ServerConnection(handler, connections, limits.idleTimeoutMillis()));
-                    }
-                });
-        var bound = bootstrap.bind(bind).awaitUninterruptibly();
-        if (!bound.isSuccess()) {
-            throw new IllegalStateException("cannot listen on " + bind + "; choose a free address", bound.cause());
-        }
-        return new HttpServer(loops, ownsLoops, connections, bound.channel());
+        Channel listener = loops.listen(bind, new ChannelInitializer<SocketChannel>() {
+            @Override
+            protected void initChannel(SocketChannel channel) {
+                channel.pipeline()
+                        .addLast(new HttpServerCodec())
+                        .addLast(new WholeRequests(limits.maxBodyBytes()))
+                        .addLast(new ServerConnection(handler, connections, limits.idleTimeoutMillis()));
+            }
+        });
+        return new HttpServer(loops, ownsLoops, connections, listener);
     }
 
     // -- accessors
--- a/node/src/main/java/org/teaselhook/node/frame/FrameDialer.java
+++ b/node/src/main/java/org/teaselhook/node/frame/FrameDialer.java
@@ -6,9 +6,7 @@
 import com.google.protobuf.MessageLite;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import org.teaselhook.net.http.EventLoops;
 
 /**
@@ -19,16 +17,14 @@
  */
 public final class FrameDialer<R extends MessageLite, S extends MessageLite> {
 
-    private final EventLoops loops;
+    private final Bootstrap bootstrap;
     private final Outbox outbox;
     private final FrameProtocol<R> protocol;
-    private final int connectTimeoutMillis;
 
-    private FrameDialer(EventLoops loops, Outbox outbox, FrameProtocol<R> protocol, int connectTimeoutMillis) {
-        this.loops = Objects.requireNonNull(loops, "loops is null");
+    private FrameDialer(Bootstrap bootstrap, Outbox outbox, FrameProtocol<R> protocol) {
+        this.bootstrap = Objects.requireNonNull(bootstrap, "bootstrap is null");
         this.outbox = Objects.requireNonNull(outbox, "outbox is null");
         this.protocol = Objects.requireNonNull(protocol, "protocol is null");
-        this.connectTimeoutMillis = connectTimeoutMillis;
     }
 
     /**
@@ -44,7 +40,7 @@
      */
     public static <R extends MessageLite, S extends MessageLite> FrameDialer<R, S> of(
             EventLoops loops, Outbox outbox, FrameProtocol<R> protocol, int connectTimeoutMillis) {
-        return new FrameDialer<>(loops, outbox, protocol, connectTimeoutMillis);
+        return new FrameDialer<>(loops.dialer(connectTimeoutMillis), outbox, protocol);
     }
 
     /**
@@ -56,11 +52,8 @@
      */
     public FrameConnection<S> dial(InetSocketAddress address, FrameListener<R, S> listener) {
         FrameConnection<S> connection = new FrameConnection<>(address, outbox);
-        new Bootstrap()
-                .group(loops.group())
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
+        bootstrap
+                .clone()
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
--- a/node/src/main/java/org/teaselhook/node/frame/FrameServer.java
+++ b/node/src/main/java/org/teaselhook/node/frame/FrameServer.java
@@ -4,15 +4,11 @@
 import java.util.Objects;
 
 import com.google.protobuf.MessageLite;
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import org.teaselhook.net.http.EventLoops;
 
 /**
@@ -20,9 +16,6 @@
  */
 public final class FrameServer implements AutoCloseable {
 
-    /** Connections that may wait to be taken: all agents of a large site dial a new entry at once. */
-    private static final int BACKLOG = 1_024;
-
     private final Channel listening;
     private final ChannelGroup connections;
 
@@ -54,25 +47,14 @@
             FrameListener<R, S> listener) {
         Objects.requireNonNull(protocol, "protocol is null");
         ChannelGroup connections = new DefaultChannelGroup(loops.group().next());
-        ChannelFuture bound = new ServerBootstrap()
-                .group(loops.group())
-                .channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel channel) {
-                        connections.add(channel);
-                        protocol.install(channel, new FrameConnection<S>(channel.remoteAddress(), outbox), listener);
-                    }
-                })
-                .bind(bind)
-                .awaitUninterruptibly();
-        if (!bound.isSuccess()) {
-            throw new IllegalStateException("cannot listen on " + bind + "; choose a free address", bound.cause());
-        }
-        return new FrameServer(bound.channel(), connections);
+        Channel listening = loops.listen(bind, new ChannelInitializer<SocketChannel>() {
+            @Override
+            protected void initChannel(SocketChannel channel) {
+                connections.add(channel);
+                protocol.install(channel, new FrameConnection<S>(channel.remoteAddress(), outbox), listener);
+            }
+        });
+        return new FrameServer(listening, connections);
     }
 
     // -- accessors
--- a/node/src/main/java/org/teaselhook/node/job/AgentStreams.java
+++ b/node/src/main/java/org/teaselhook/node/job/AgentStreams.java
@@ -39,10 +39,7 @@
     public void received(FrameConnection<RunCommand> stream, List<RunReport> reports) {
         boolean answers = control.nowNanos() - aliveAt < CONTROL_SILENCE_NANOS;
         if (answers) {
-            reports.stream()
-                    .filter(report -> report.getState().getHeartbeat())
-                    .forEach(beat -> stream.reply(
-                            JobFrames.pulse(beat.getState().getAgentNanos(), sessions.pulse(), List.of())));
+            reports.forEach(report -> sessions.answerTo(report).ifPresent(stream::reply));
         }
         control.execute(() -> sessions.received(control.nowNanos(), stream, reports, answers));
     }
--- a/node/src/main/java/org/teaselhook/node/job/RunSessions.java
+++ b/node/src/main/java/org/teaselhook/node/job/RunSessions.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -59,9 +60,11 @@
         this.learned = Objects.requireNonNull(learned, "learned is null");
     }
 
-    /** What heartbeats are answered with; read on traffic threads. */
-    Pulse pulse() {
-        return pulse;
+    /** Returns the answer to a report that is a heartbeat; also called on traffic threads. */
+    Optional<RunCommand> answerTo(RunReport report) {
+        return Optional.of(report.getState())
+                .filter(WorkerState::getHeartbeat)
+                .map(beat -> JobFrames.pulse(beat.getAgentNanos(), pulse, List.of()));
     }
 
     // -- connections
@@ -124,7 +127,7 @@
             try {
                 reports.forEach(report -> take(nowNanos, stream, report));
                 if (!answered) {
-                    reports.forEach(report -> answerHeartbeat(stream, report));
+                    reports.forEach(report -> answerTo(report).ifPresent(stream::send));
                 }
             } catch (RuntimeException e) {
                 LogLine.of("agent-message-invalid")
@@ -137,12 +140,6 @@
         });
     }
 
-    private void answerHeartbeat(FrameConnection<RunCommand> stream, RunReport report) {
-        if (report.getState().getHeartbeat()) {
-            stream.send(JobFrames.pulse(report.getState().getAgentNanos(), pulse, List.of()));
-        }
-    }
-
     private void take(long nowNanos, FrameConnection<RunCommand> stream, RunReport report) {
         RunSession session = byStream.get(stream);
         if (session != null) {
--- a/node/src/main/java/org/teaselhook/node/lease/LeaseAgentControl.java
+++ b/node/src/main/java/org/teaselhook/node/lease/LeaseAgentControl.java
@@ -133,7 +133,7 @@
                 ordered(entry.get(), command.getOrder(), link.specOf(command.getOrder()), nowNanos);
             }
             case STOP -> stopped(entry.get(), command.getStop().getOrder(), nowNanos);
-            case ROUTES -> received(command.getRoutes());
+            case ROUTES -> keepRoutes(command.getRoutes());
             case ROUTES_WANTED -> routesWanted(link, entry.get(), command.getRoutesWanted(), nowNanos);
             default ->
                 LogLine.of("frame-ignored")
@@ -191,7 +191,7 @@
         link.stream().ifPresent(stream -> stream.send(LeaseFrames.routesWanted(routes.copyVersion())));
     }
 
-    private void received(RouteDocument document) {
+    private void keepRoutes(RouteDocument document) {
         routes.received(document);
         Set<Incarnation> wanting = Set.copyOf(routesWantedBy);
         routesWantedBy.clear();
--- a/node/src/main/java/org/teaselhook/node/lease/RouteCopy.java
+++ b/node/src/main/java/org/teaselhook/node/lease/RouteCopy.java
@@ -55,7 +55,7 @@
 
     // -- updates
 
-    /** Notes an entry's word, and tells whether it is news. */
+    /** Notes an entry's word, and tells whether other zones are out by it. */
     boolean heard(long otherVersion, Set<String> otherZonesOut) {
         if (otherVersion <= version) {
             return false;
--- a/node/src/test/java/org/teaselhook/node/frame/IgnoringListener.java
+++ b/node/src/test/java/org/teaselhook/node/frame/IgnoringListener.java
@@ -1,22 +1,19 @@
-package org.teaselhook.node.job;
+package org.teaselhook.node.frame;
 
 import java.util.List;
 
-import org.teaselhook.node.frame.FrameConnection;
-import org.teaselhook.node.frame.FrameListener;
-import org.teaselhook.wire.RunCommand;
-import org.teaselhook.wire.RunReport;
+import com.google.protobuf.MessageLite;
 
 /** Takes no notice of what happens on a connection. */
-final class IgnoringListener implements FrameListener<RunReport, RunCommand> {
+public final class IgnoringListener<R extends MessageLite, S extends MessageLite> implements FrameListener<R, S> {
 
     @Override
-    public void received(FrameConnection<RunCommand> connection, List<RunReport> messages) {
+    public void received(FrameConnection<S> connection, List<R> messages) {
         // Nothing is expected.
     }
 
     @Override
-    public void ended(FrameConnection<RunCommand> connection, String reason) {
+    public void ended(FrameConnection<S> connection, String reason) {
         // Nothing is expected.
     }
 }
--- a/node/src/test/java/org/teaselhook/node/job/RunSessionTest.java
+++ b/node/src/test/java/org/teaselhook/node/job/RunSessionTest.java
@@ -8,6 +8,7 @@
 import org.teaselhook.node.frame.FrameConnection;
 import org.teaselhook.node.frame.FrameDialer;
 import org.teaselhook.node.frame.FrameProtocol;
+import org.teaselhook.node.frame.IgnoringListener;
 import org.teaselhook.node.frame.Outbox;
 import org.teaselhook.wire.RunCommand;
 import org.teaselhook.wire.RunReport;
@@ -32,7 +33,7 @@
                 ControlLoop control = ControlLoop.start("test", System::nanoTime, failure -> {})) {
             FrameConnection<RunCommand> connection = FrameDialer.<RunReport, RunCommand>of(
                             loops, Outbox.of(control), new FrameProtocol<>(RunReport.parser(), 1_000), 100)
-                    .dial(new InetSocketAddress("127.0.0.1", 1), new IgnoringListener());
+                    .dial(new InetSocketAddress("127.0.0.1", 1), new IgnoringListener<>());
             return new RunSession(Incarnation.of(1), "agent", connection, 0);
         }
     }
--- a/node/src/test/java/org/teaselhook/node/lease/RunLinkTest.java
+++ b/node/src/test/java/org/teaselhook/node/lease/RunLinkTest.java
@@ -1,15 +1,14 @@
 package org.teaselhook.node.lease;
 
 import java.net.InetSocketAddress;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 import org.teaselhook.net.http.EventLoops;
 import org.teaselhook.node.control.ControlLoop;
 import org.teaselhook.node.frame.FrameConnection;
 import org.teaselhook.node.frame.FrameDialer;
-import org.teaselhook.node.frame.FrameListener;
 import org.teaselhook.node.frame.FrameProtocol;
+import org.teaselhook.node.frame.IgnoringListener;
 import org.teaselhook.node.frame.Outbox;
 import org.teaselhook.wire.RunCommand;
 import org.teaselhook.wire.RunOrder;
@@ -98,16 +97,6 @@
     private FrameConnection<RunReport> stream() {
         FrameProtocol<RunCommand> protocol = new FrameProtocol<>(RunCommand.parser(), 1_000);
         return FrameDialer.<RunCommand, RunReport>of(loops, Outbox.of(control), protocol, 100)
-                .dial(ADDRESS, new FrameListener<>() {
-                    @Override
-                    public void received(FrameConnection<RunReport> stream, List<RunCommand> commands) {
-                        // Nothing answers there.
-                    }
-
-                    @Override
-                    public void ended(FrameConnection<RunReport> stream, String reason) {
-                        // Nothing answers there.
-                    }
-                });
+                .dial(ADDRESS, new IgnoringListener<>());
     }
 }
