review: wait for the views of entries before the cases of part one begin

The first jobs of a case were refused now and then, as entries that had sent no orders had not heard yet of what others used. Unused parts of the stand-ins are removed.

--- a/review/harness/Program.java
+++ b/review/harness/Program.java
@@ -66,14 +66,6 @@
         return name;
     }
 
-    boolean isAlive() {
-        return process.isAlive();
-    }
-
-    long pid() {
-        return process.pid();
-    }
-
     /** Sends a signal to this process, such as STOP or CONT. */
     void signal(String signal) {
         try {
--- a/review/harness/Site.java
+++ b/review/harness/Site.java
@@ -83,16 +83,15 @@
         while (System.nanoTime() < until) {
             boolean ready = true;
             for (int entry = 0; entry < entries.size(); entry++) {
-                ready &= ready(entry)
-                        && submit(entry, String.format("%016x", 0xaa00 + job++), 200, 200, 10 * workers.size() - 5, 4_000)
-                                .status()
-                        == 200;
+                // Entries that have sent no orders hear of what others use by heartbeats, five a second.
+                Worker.sleep(500);
+                String id = String.format("%016x", 0xaa00 + job++);
+                ready &= ready(entry) && submit(entry, id, 200, 200, 10 * workers.size() - 5, 4_000).status() == 200;
             }
             long used = runs.stream().map(run -> run.worker).distinct().count();
             if (ready && used == workers.size()) {
                 return;
             }
-            Worker.sleep(500);
         }
         throw new IllegalStateException("the site does not serve jobs within 40 s");
     }
--- a/review/harness/Worker.java
+++ b/review/harness/Worker.java
@@ -74,8 +74,6 @@
     private long sequence;
     private boolean gone;
     private volatile boolean draining;
-    private volatile boolean silentHolds;
-    private volatile double silentHoldAt = -1;
 
     Worker(String id, String service, String zone, int registrationPort, Record record, List<Run> allRuns) {
         this.id = id;
@@ -89,10 +87,6 @@
         timer.scheduleAtFixedRate(this::heartbeat, 0, HEARTBEAT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    long born() {
-        return born;
-    }
-
     private long clock() {
         return 1_000 + (System.nanoTime() - startedAt) / 1_000_000;
     }
@@ -134,16 +128,6 @@
         }
     }
 
-    /** From now on, leaves calls of {@code POST /hold} unanswered. */
-    void leaveHoldsUnanswered() {
-        silentHolds = true;
-    }
-
-    /** Returns when the worker received the last call that it left unanswered, -1 if none. */
-    double silentHoldAt() {
-        return silentHoldAt;
-    }
-
     /** Says that it drains, with a heartbeat at once and with each later one. */
     void drain() {
         draining = true;
@@ -197,12 +181,6 @@
             Web.reply(exchange, 421, Json.map("clock_ms", clock()));
             return;
         }
-        if (path.equals("/hold") && silentHolds) {
-            silentHoldAt = record.seconds();
-            sleep(1_000);
-            exchange.close();
-            return;
-        }
         synchronized (this) {
             if (Json.number(call, "fencing_token", 0) < token) {
                 refuse(exchange, "fence");
