--- a/review/harness/Web.java
+++ b/review/harness/Web.java
@@ -11,19 +11,36 @@
 import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
 
 /** HTTP servers on loopback, and free ports. */
 final class Web {
 
+    private static final int MIN_PORT = 15_000;
+    private static final int MAX_PORT = 32_000;
+    private static final Set<Integer> GIVEN = new HashSet<>();
+
     private Web() {}
 
-    static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
+    /** Returns a free port below those that outgoing connections take, and none twice. */
+    static synchronized int freePort() {
+        while (true) {
+            int port = ThreadLocalRandom.current().nextInt(MIN_PORT, MAX_PORT);
+            if (GIVEN.add(port) && isFree(port)) {
+                return port;
+            }
+        }
+    }
+
+    private static boolean isFree(int port) {
+        try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+            return socket.isBound();
         } catch (IOException e) {
-            throw new UncheckedIOException(e);
+            return false;
         }
     }
 
