--- a/core/src/main/java/org/teaselhook/core/job/JobDispatcher.java
+++ b/core/src/main/java/org/teaselhook/core/job/JobDispatcher.java
@@ -187,7 +187,8 @@
     }
 
     /**
-     * Records that an agent has connected.
+     * Records that an agent has connected. Stops of its orders are repeated, as those sent on an earlier connection may
+     * have been lost with it.
      *
      * @param nowNanos the present time
      * @param agent the agent's incarnation
@@ -195,7 +196,15 @@
      * @param zone its availability zone
      */
     public void agentConnected(long nowNanos, Incarnation agent, String name, String zone) {
-        fleet.connect(nowNanos, agent, name, zone);
+        fleet.connect(nowNanos, agent, name, zone).placements().values().stream()
+                .filter(this::isBeingStopped)
+                .forEach(placement -> output.stop(agent, placement.number()));
+    }
+
+    /** Whether the run of an order is no longer wanted: its job has ended, or its task is being moved. */
+    private boolean isBeingStopped(Placement placement) {
+        JobTask task = placement.task();
+        return !jobs.isCurrent(task) || task.avoids(placement.worker().agent());
     }
 
     /**
@@ -425,11 +434,7 @@
         JobTask task = placement.task();
         WorkerRecord worker = placement.worker();
         double slowness = worker.slowness(nowNanos);
-        boolean moving = task.avoids(worker.agent());
-        if (moving
-                || !jobs.isCurrent(task)
-                || task.moves() >= MAX_MOVES
-                || !Relocation.isWorthwhile(forecast, slowness)) {
+        if (isBeingStopped(placement) || task.moves() >= MAX_MOVES || !Relocation.isWorthwhile(forecast, slowness)) {
             return;
         }
         task.avoid(worker.agent());
--- a/core/src/main/java/org/teaselhook/core/job/WorkerFleet.java
+++ b/core/src/main/java/org/teaselhook/core/job/WorkerFleet.java
@@ -135,11 +135,12 @@
 
     // -- updates
 
-    void connect(long nowNanos, Incarnation agent, String name, String zone) {
-        workers.computeIfAbsent(agent, ignored -> new WorkerRecord(agent, name, zone))
-                .connected(nowNanos);
+    WorkerRecord connect(long nowNanos, Incarnation agent, String name, String zone) {
+        WorkerRecord worker = workers.computeIfAbsent(agent, ignored -> new WorkerRecord(agent, name, zone));
+        worker.connected(nowNanos);
         lastConnectedAt = nowNanos;
         assignPreferredWorkers();
+        return worker;
     }
 
     /** Sets the live entries, which include this one. */
--- a/core/src/main/java/org/teaselhook/core/lease/RunQueue.java
+++ b/core/src/main/java/org/teaselhook/core/lease/RunQueue.java
@@ -1,9 +1,11 @@
 package org.teaselhook.core.lease;
 
 import java.util.ArrayDeque;
+import java.util.Collection;
 import java.util.Deque;
 import java.util.List;
 import java.util.Objects;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 
@@ -144,8 +146,26 @@
      * @return the number of orders that were not being stopped before
      */
     public int stopAll(long nowNanos, Incarnation entry) {
-        int refused = refuseWaiting(w -> w.request().order().entry().equals(entry), RunRefusal.CANCELLED);
-        return refused + runs.stopAll(nowNanos, entry);
+        return stopAll(nowNanos, order -> order.entry().equals(entry));
+    }
+
+    /**
+     * Stops every run of an entry that the entry no longer counts as in progress, and removes such orders from the
+     * queue. An entry that has reconnected may have released orders whose runs it took for ended.
+     *
+     * @param nowNanos the present time
+     * @param entry the incarnation of the entry
+     * @param inProgress the numbers of the orders that the entry counts as in progress
+     * @return the number of orders that were not being stopped before
+     */
+    public int stopReleased(long nowNanos, Incarnation entry, Collection<Long> inProgress) {
+        Set<Long> kept = Set.copyOf(inProgress);
+        return stopAll(nowNanos, order -> order.entry().equals(entry) && !kept.contains(order.number()));
+    }
+
+    private int stopAll(long nowNanos, Predicate<OrderId> orders) {
+        int refused = refuseWaiting(w -> orders.test(w.request().order()), RunRefusal.CANCELLED);
+        return refused + runs.stopAll(nowNanos, orders);
     }
 
     private int refuseWaiting(Predicate<WaitingOrder> filter, RunRefusal refusal) {
--- a/core/src/main/java/org/teaselhook/core/lease/WorkerRuns.java
+++ b/core/src/main/java/org/teaselhook/core/lease/WorkerRuns.java
@@ -9,6 +9,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
 import org.teaselhook.core.amount.ResourceAmounts;
@@ -302,14 +303,14 @@
     }
 
     /**
-     * Stops every run of an entry that may have terminated.
+     * Stops every run whose order matches.
      *
      * @param nowNanos the present time
-     * @param entry the incarnation of the entry
+     * @param orders tells which orders match
      * @return the number of runs that were not being stopped before
      */
-    public int stopAll(long nowNanos, Incarnation entry) {
-        List<Run> all = runs.all(run -> run.request().order().entry().equals(entry) && !run.isStopRequested());
+    public int stopAll(long nowNanos, Predicate<OrderId> orders) {
+        List<Run> all = runs.all(run -> orders.test(run.request().order()) && !run.isStopRequested());
         all.forEach(run -> stop(nowNanos, run));
         return all.size();
     }
@@ -484,8 +485,7 @@
     private void endRun(long nowNanos, Run run, RunOutcome outcome) {
         runs.remove(run);
         if (run.hasBegun()) {
-            long millis = TimeUnit.NANOSECONDS.toMillis(nowNanos - run.orderedAt());
-            listener.ended(run.request(), outcome, millis);
+            listener.ended(run.request(), outcome, TimeUnit.NANOSECONDS.toMillis(nowNanos - run.orderedAt()));
         } else {
             listener.refused(run.request(), run.refusalIfLost());
         }
--- a/core/src/test/java/org/teaselhook/core/lease/RunQueueTest.java
+++ b/core/src/test/java/org/teaselhook/core/lease/RunQueueTest.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.LongStream;
 
 import org.teaselhook.core.amount.ResourceAmounts;
 import org.teaselhook.core.id.Incarnation;
@@ -94,6 +95,20 @@
         assertEquals(worker.starts().size(), 12);
     }
 
+    /** A run that its entry took for ended, and ordered again elsewhere, must not go on after they have reconnected. */
+    @Test
+    public void shouldStopOrdersThatReconnectedEntryNoLongerCounts() {
+        order(ENTRY, 13);
+        order(OTHER_ENTRY, 14);
+        List<Long> inProgress = LongStream.rangeClosed(3, 12).boxed().toList();
+
+        assertEquals(queue.stopReleased(now, ENTRY, inProgress), 3);
+        assertEquals(listener.all(), List.of("13 CANCELLED"));
+        assertEquals(
+                worker.stops().stream().map(stop -> stop.run().task()).sorted().toList(), List.of("t1", "t2"));
+        assertTrue(queue.isPending(new OrderId(OTHER_ENTRY, 14)));
+    }
+
     @Test
     public void shouldRefuseWaitingOrdersWhenWorkerDrains() {
         order(ENTRY, 13);
--- a/core/src/test/java/org/teaselhook/core/lease/WorkerRunsTest.java
+++ b/core/src/test/java/org/teaselhook/core/lease/WorkerRunsTest.java
@@ -322,7 +322,7 @@
         runs.order(now, new RunRequest(new OrderId(OTHER_ENTRY, 1), new RunId("b", 1), "s", "", half(), 200, now));
         worker.starts().forEach(worker::accept);
 
-        assertEquals(runs.stopAll(now, ENTRY), 1);
+        assertEquals(runs.stopAll(now, order -> order.entry().equals(ENTRY)), 1);
         assertEquals(worker.stops().size(), 1);
         assertEquals(worker.stops().get(0).run(), new RunId("a", 1));
     }
--- a/node/src/main/java/org/teaselhook/node/lease/LeaseAgentControl.java
+++ b/node/src/main/java/org/teaselhook/node/lease/LeaseAgentControl.java
@@ -152,10 +152,12 @@
     private void handleGreeting(RunLink link, RunGreeting greeting, long nowNanos) {
         Incarnation entry = Incarnation.of(greeting.getIncarnation());
         link.recordGreeting(entry);
+        int stopped = queue.stopReleased(nowNanos, entry, greeting.getInProgressList());
         LogLine.of("entry-connected")
                 .with("entry", greeting.getName())
                 .with("incarnation", entry)
                 .with("orders", greeting.getInProgressCount())
+                .with("stopped", stopped)
                 .info();
         for (long number : greeting.getInProgressList()) {
             reconcile(link, new OrderId(entry, number));
