Extract the calls to the worker's incarnations from WorkerRuns

No change of behaviour: FencedCalls holds the token and the number of the incarnation, and ignores answers to calls to an ended one, which each caller checked by itself.

--- a/core/src/main/java/org/teaselhook/core/lease/WorkerRuns.java
+++ b/core/src/main/java/org/teaselhook/core/lease/WorkerRuns.java
@@ -26,17 +26,13 @@
  */
 public final class WorkerRuns {
 
-    /** Added to the token when the worker has seen a higher one, as after an agent whose clock was fast. */
-    private static final long TOKEN_INCREMENT = TimeUnit.HOURS.toMillis(1);
-
     /** The maximum number of start calls per order, each with a higher run number: jobs are resent only a few times. */
     private static final int MAX_START_CALLS = 4;
 
     /** The delay before an unanswered call is retried, in ns: long enough not to overload a worker that is down. */
     private static final long RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
 
-    private final WorkerCalls calls;
-    private final ControlThread control;
+    private final FencedCalls calls;
     private final RunListener listener;
     private final LeaseLog log;
     private final RunTable runs = new RunTable();
@@ -44,15 +40,11 @@
     private final RunNumbers numbers = new RunNumbers();
     private final Lease lease = new Lease();
     private Optional<WorkerReport> worker = Optional.empty();
-    private long token;
     private long acknowledged;
-    private long incarnation;
     private long pollDueAt = Long.MAX_VALUE;
 
-    private WorkerRuns(long firstToken, WorkerCalls calls, ControlThread control, RunListener listener, LeaseLog log) {
-        this.token = firstToken;
-        this.calls = Objects.requireNonNull(calls, "calls is null");
-        this.control = Objects.requireNonNull(control, "control is null");
+    private WorkerRuns(FencedCalls calls, RunListener listener, LeaseLog log) {
+        this.calls = calls;
         this.listener = Objects.requireNonNull(listener, "listener is null");
         this.log = Objects.requireNonNull(log, "log is null");
     }
@@ -71,7 +63,7 @@
      */
     public static WorkerRuns of(
             long firstToken, WorkerCalls calls, ControlThread control, RunListener listener, LeaseLog log) {
-        return new WorkerRuns(firstToken, calls, control, listener, log);
+        return new WorkerRuns(new FencedCalls(firstToken, calls, control), listener, log);
     }
 
     // -- accessors
@@ -195,8 +187,7 @@
 
     /** Ends an incarnation of the worker: all its runs have ended, and results of calls in flight are ignored. */
     private void endIncarnation(long nowNanos) {
-        incarnation++;
-        token++;
+        calls.beginIncarnation();
         acknowledged = 0;
         lease.reset();
         orphans.clear();
@@ -245,10 +236,9 @@
     private void callStart(long nowNanos, Run run, RunId id) {
         runs.renumber(run, id);
         numbers.markUsed(id);
-        long callIncarnation = incarnation;
         long until = lease.renewForStart(nowNanos);
-        control.handle(calls.start(worker.orElseThrow(), id, run.request().spec(), until, token), (now, result) -> {
-            if (callIncarnation == incarnation && runs.contains(id, run) && run.state() == Run.State.STARTING) {
+        calls.start(worker.orElseThrow(), id, run.request().spec(), until, (now, result) -> {
+            if (runs.contains(id, run) && run.state() == Run.State.STARTING) {
                 started(now, run, result);
             }
         });
@@ -284,9 +274,8 @@
     }
 
     private void fenced() {
-        token += TOKEN_INCREMENT;
         lease.unseal();
-        log.fenced(token);
+        log.fenced(calls.raiseToken());
         listener.workerChanged();
     }
 
@@ -327,9 +316,8 @@
         run.requestStop();
         run.markStopping();
         RunId id = run.id();
-        long callIncarnation = incarnation;
-        control.handle(calls.stop(worker.orElseThrow(), id, token), (now, result) -> {
-            if (callIncarnation == incarnation && runs.contains(id, run) && run.state() == Run.State.STOPPING) {
+        calls.stop(worker.orElseThrow(), id, (now, result) -> {
+            if (runs.contains(id, run) && run.state() == Run.State.STOPPING) {
                 stopAnswered(now, run, result);
             }
         });
@@ -367,10 +355,8 @@
 
     /** Sends a poll without waiting beside the long poll, to learn soon whether an unanswered start took effect. */
     private void pollNow(long nowNanos) {
-        long callIncarnation = incarnation;
-        OptionalLong noRenewal = OptionalLong.empty();
-        control.handle(calls.poll(worker.orElseThrow(), noRenewal, token, acknowledged, 0), (now, result) -> {
-            if (callIncarnation == incarnation && result instanceof PollResult.Answered answered) {
+        calls.poll(worker.orElseThrow(), OptionalLong.empty(), acknowledged, 0, (now, result) -> {
+            if (result instanceof PollResult.Answered answered) {
                 applySnapshot(now, nowNanos + 1, answered.snapshot());
             }
         });
@@ -379,18 +365,14 @@
     private void poll(long nowNanos) {
         pollDueAt = Long.MAX_VALUE;
         OptionalLong until = lease.renewForPoll(nowNanos);
-        long callIncarnation = incarnation;
         long longest = runs.size() == 0 ? LeaseTimes.IDLE_POLL_WAIT_MILLIS : LeaseTimes.POLL_WAIT_MILLIS;
         long wait = until.isPresent() ? longest : 0;
-        control.handle(calls.poll(worker.orElseThrow(), until, token, acknowledged, wait), (now, result) -> {
-            if (callIncarnation == incarnation) {
-                pollCompleted(now, nowNanos, result);
-            }
-        });
+        calls.poll(
+                worker.orElseThrow(), until, acknowledged, wait, (now, result) -> pollCompleted(now, nowNanos, result));
     }
 
     private void pollCompleted(long nowNanos, long requestedAt, PollResult result) {
-        long incarnationBefore = incarnation;
+        long incarnationBefore = calls.incarnation();
         if (result instanceof PollResult.Answered answered) {
             applySnapshot(nowNanos, requestedAt, answered.snapshot());
         } else if (result instanceof PollResult.Fenced) {
@@ -398,7 +380,7 @@
         } else {
             pollFailed(nowNanos, result);
         }
-        if (incarnation == incarnationBefore && worker.isPresent()) {
+        if (calls.incarnation() == incarnationBefore && worker.isPresent()) {
             if (result instanceof PollResult.Answered) {
                 poll(nowNanos);
             } else {
@@ -462,8 +444,9 @@
                 orphans.add(id);
                 numbers.markUsed(id);
                 log.orphanFound(id);
-                // If the call is not answered, the next poll lists the run again.
-                calls.stop(worker.orElseThrow(), id, token);
+                calls.stop(worker.orElseThrow(), id, (now, result) -> {
+                    // If the call had no effect, the next poll lists the run again.
+                });
             }
         }
         runs.all(run -> !present.contains(run.id()) && run.hasEndedIfUnlisted(requestedAt))
