--- a/core/src/main/java/org/teaselhook/core/lease/WorkerRuns.java
+++ b/core/src/main/java/org/teaselhook/core/lease/WorkerRuns.java
@@ -247,7 +247,10 @@
     private void started(long nowNanos, Run run, StartResult result) {
         log.startAnswered(run.request().order(), run.id(), result);
         switch (result) {
-            case STARTED -> runBegun(nowNanos, run);
+            case STARTED -> {
+                run.markBegun(nowNanos);
+                callStopIfRequested(nowNanos, run);
+            }
             case OLD_RUN -> retryStart(nowNanos, run);
             case UNKNOWN -> callStop(nowNanos, run);
             case FENCED -> {
@@ -258,13 +261,6 @@
         }
     }
 
-    private void runBegun(long nowNanos, Run run) {
-        run.markBegun(nowNanos);
-        if (run.isStopRequested()) {
-            callStop(nowNanos, run);
-        }
-    }
-
     private void retryStart(long nowNanos, Run run) {
         if (run.isStopRequested() || run.startCalls() >= MAX_START_CALLS) {
             refuse(run, RunRefusal.WORKER_REFUSED);
@@ -305,9 +301,13 @@
     }
 
     private void stop(long nowNanos, Run run) {
-        boolean isFirst = !run.isStopRequested();
         run.requestStop();
-        if (isFirst && run.state() == Run.State.RUNNING) {
+        callStopIfRequested(nowNanos, run);
+    }
+
+    /** Calls a requested stop once the run is known to have begun: its start call is answered, or a list shows it. */
+    private void callStopIfRequested(long nowNanos, Run run) {
+        if (run.isStopRequested() && run.state() == Run.State.RUNNING) {
             callStop(nowNanos, run);
         }
     }
@@ -440,6 +440,7 @@
             Optional<Run> run = runs.find(id);
             if (run.isPresent()) {
                 run.get().recordProgress(nowNanos, listed.percent());
+                callStopIfRequested(nowNanos, run.get());
             } else {
                 orphans.add(id);
                 numbers.markUsed(id);
--- a/core/src/test/java/org/teaselhook/core/lease/WorkerRunsTest.java
+++ b/core/src/test/java/org/teaselhook/core/lease/WorkerRunsTest.java
@@ -337,6 +337,21 @@
         assertEquals(worker.stops().get(0).run(), new RunId("a", 1));
     }
 
+    /** The stop of a run was lost if a list showed the run before its start was answered, and the run went on. */
+    @Test
+    public void shouldStopRunThatIsListedBeforeItsStartIsAnswered() {
+        order(1, "a");
+        runs.stop(now, id(1));
+        worker.addRun(worker.lastStart().run());
+        worker.answerPoll();
+        assertEquals(worker.stops().size(), 1);
+        assertEquals(worker.stops().get(0).run(), new RunId("a", 1));
+
+        worker.lastStart().answer().complete(StartResult.STARTED);
+        worker.answerPoll();
+        assertEquals(worker.stops().size(), 1, "the stop is in flight");
+    }
+
     // -- progress
 
     @DataProvider
