--- a/core/src/main/java/org/teaselhook/core/lease/WorkerRuns.java
+++ b/core/src/main/java/org/teaselhook/core/lease/WorkerRuns.java
@@ -36,6 +36,7 @@
     private final RunListener listener;
     private final LeaseLog log;
     private final RunTable runs = new RunTable();
+    private final RunResults results;
     private final Set<RunId> orphans = new HashSet<>();
     private final RunNumbers numbers = new RunNumbers();
     private final Lease lease = new Lease();
@@ -47,6 +48,7 @@
         this.calls = calls;
         this.listener = Objects.requireNonNull(listener, "listener is null");
         this.log = Objects.requireNonNull(log, "log is null");
+        this.results = new RunResults(runs, listener);
     }
 
     // -- factories
@@ -191,7 +193,7 @@
         acknowledged = 0;
         lease.reset();
         orphans.clear();
-        runs.all().forEach(run -> endRun(nowNanos, run, RunOutcome.LOST));
+        runs.all().forEach(run -> results.ended(nowNanos, run, RunOutcome.LOST));
         listener.workerChanged();
     }
 
@@ -254,16 +256,16 @@
             case OLD_RUN -> retryStart(nowNanos, run);
             case UNKNOWN -> callStop(nowNanos, run);
             case FENCED -> {
-                refuse(run, result.refusal());
+                results.refused(run, result.refusal());
                 fenced();
             }
-            default -> refuse(run, result.refusal());
+            default -> results.refused(run, result.refusal());
         }
     }
 
     private void retryStart(long nowNanos, Run run) {
         if (run.isStopRequested() || run.startCalls() >= MAX_START_CALLS) {
-            refuse(run, RunRefusal.WORKER_REFUSED);
+            results.refused(run, RunRefusal.WORKER_REFUSED);
         } else {
             callStart(nowNanos, run, run.id().next());
         }
@@ -427,7 +429,7 @@
         orphans.remove(ended.run());
         runs.find(ended.run()).ifPresent(run -> {
             run.markBegun(nowNanos);
-            endRun(nowNanos, run, ended.outcome());
+            results.ended(nowNanos, run, ended.outcome());
         });
     }
 
@@ -451,7 +453,7 @@
             }
         }
         runs.all(run -> !present.contains(run.id()) && run.hasEndedIfUnlisted(requestedAt))
-                .forEach(run -> endRun(nowNanos, run, RunOutcome.LOST));
+                .forEach(run -> results.ended(nowNanos, run, RunOutcome.LOST));
     }
 
     private void pollFailed(long nowNanos, PollResult result) {
@@ -460,25 +462,7 @@
             listener.workerChanged();
         }
         if (lease.hasCertainlyExpired(nowNanos)) {
-            runs.all(Run::hasBegun).forEach(run -> endRun(nowNanos, run, RunOutcome.LOST));
+            runs.all(Run::hasBegun).forEach(run -> results.ended(nowNanos, run, RunOutcome.LOST));
         }
     }
-
-    // -- ends
-
-    private void endRun(long nowNanos, Run run, RunOutcome outcome) {
-        runs.remove(run);
-        if (run.hasBegun()) {
-            listener.ended(run.request(), outcome, TimeUnit.NANOSECONDS.toMillis(nowNanos - run.orderedAt()));
-        } else {
-            listener.refused(run.request(), run.refusalIfLost());
-        }
-        listener.freeCapacityChanged();
-    }
-
-    private void refuse(Run run, RunRefusal refusal) {
-        runs.remove(run);
-        listener.refused(run.request(), run.isStopRequested() ? RunRefusal.CANCELLED : refusal);
-        listener.freeCapacityChanged();
-    }
 }
