--- a/core/src/main/java/org/teaselhook/core/lease/Lease.java
+++ b/core/src/main/java/org/teaselhook/core/lease/Lease.java
@@ -18,7 +18,9 @@
     private boolean sealed;
 
     private int missedPolls = MISSED_POLLS_LIMIT;
-    private long renewedAt;
+
+    /** When it was last renewed, for this or an earlier incarnation of the worker; empty if it never was. */
+    private OptionalLong renewedAt = OptionalLong.empty();
 
     // -- accessors
 
@@ -29,7 +31,7 @@
 
     /** Whether all runs under the lease have ended, even if the worker does not answer. */
     boolean hasCertainlyExpired(long nowNanos) {
-        return nowNanos - LeaseTimes.latestExpiry(renewedAt) > 0;
+        return renewedAt.isEmpty() || nowNanos - LeaseTimes.latestExpiry(renewedAt.getAsLong()) > 0;
     }
 
     /** Whether the worker sent an answer before the newest one that has arrived. */
@@ -41,7 +43,7 @@
 
     /** Returns the new end of the lease for a start call. The worker's clock must be known. */
     long renewForStart(long nowNanos) {
-        renewedAt = nowNanos;
+        renewedAt = OptionalLong.of(nowNanos);
         return clock.orElseThrow().leaseUntil(nowNanos);
     }
 
--- a/core/src/main/java/org/teaselhook/core/lease/LeaseLog.java
+++ b/core/src/main/java/org/teaselhook/core/lease/LeaseLog.java
@@ -12,6 +12,13 @@
      */
     void lateReport(WorkerReport report);
 
+    /**
+     * Logs a report of another incarnation than the known one, which has not been seen to end.
+     *
+     * @param report the report
+     */
+    void otherIncarnationReported(WorkerReport report);
+
     /**
      * Logs that a worker's draining flag or capacity changed.
      *
--- a/core/src/main/java/org/teaselhook/core/lease/WorkerReport.java
+++ b/core/src/main/java/org/teaselhook/core/lease/WorkerReport.java
@@ -43,12 +43,11 @@
         return new WorkerReport(id, atMillis, 0, service, address, zone, capacity, labels, false);
     }
 
+    /** Whether both reports are of one incarnation, whose service and address do not change once it has reported. */
     boolean isSameIncarnation(WorkerReport other) {
-        return id.equals(other.id) && startedAtMillis == other.startedAtMillis;
-    }
-
-    /** Whether the worker sent this report after the other one, whichever arrived first. */
-    boolean isNewerThan(WorkerReport other) {
-        return isSameIncarnation(other) ? sequence > other.sequence : startedAtMillis >= other.startedAtMillis;
+        boolean isPresumed = sequence == 0 || other.sequence == 0;
+        return id.equals(other.id)
+                && startedAtMillis == other.startedAtMillis
+                && (isPresumed || service.equals(other.service) && address.equals(other.address));
     }
 }
--- a/core/src/main/java/org/teaselhook/core/lease/WorkerRuns.java
+++ b/core/src/main/java/org/teaselhook/core/lease/WorkerRuns.java
@@ -35,12 +35,12 @@
     private final FencedCalls calls;
     private final RunListener listener;
     private final LeaseLog log;
+    private final KnownWorker worker = new KnownWorker();
     private final RunTable runs = new RunTable();
     private final RunResults results;
     private final Set<RunId> orphans = new HashSet<>();
     private final RunNumbers numbers = new RunNumbers();
     private final Lease lease = new Lease();
-    private Optional<WorkerReport> worker = Optional.empty();
     private long acknowledged;
     private long pollDueAt = Long.MAX_VALUE;
 
@@ -76,7 +76,7 @@
      * @return its last report, or empty if it is unknown, unresponsive, draining or has orphans
      */
     public Optional<WorkerReport> availableWorker() {
-        return worker.filter(w -> lease.isHeld() && orphans.isEmpty() && !w.draining());
+        return worker.current().filter(w -> lease.isHeld() && orphans.isEmpty() && !w.draining());
     }
 
     /**
@@ -145,23 +145,38 @@
     // -- worker reports
 
     /**
-     * Processes a worker's report. Late reports of this or an earlier incarnation are ignored.
+     * Processes a report. Late reports of the known incarnation of the worker are ignored. A report of any other
+     * incarnation ends nothing by itself: it takes effect when the known incarnation has certainly ended.
      *
      * @param nowNanos the present time
      * @param report the report
      */
     public void workerReported(long nowNanos, WorkerReport report) {
-        Optional<WorkerReport> known = worker;
-        if (known.isPresent() && !report.isNewerThan(known.get())) {
+        Optional<WorkerReport> known = worker.current();
+        if (known.isEmpty()) {
+            beginIncarnation(nowNanos, report);
+        } else if (!report.isSameIncarnation(known.get())) {
+            otherIncarnationReported(nowNanos, report);
+        } else if (report.sequence() <= known.get().sequence()) {
             log.lateReport(report);
-            return;
+        } else {
+            worker.update(report);
+            reportChange(known.get(), report);
         }
-        worker = Optional.of(report);
-        if (known.isEmpty() || !known.get().isSameIncarnation(report)) {
-            beginIncarnation(nowNanos, report);
-        } else if (known.get().draining() != report.draining()
-                || !known.get().capacity().equals(report.capacity())) {
-            log.workerChanged(report);
+    }
+
+    /** Keeps the report, and polls a worker that does not answer again without delay. */
+    private void otherIncarnationReported(long nowNanos, WorkerReport report) {
+        log.otherIncarnationReported(report);
+        worker.keepAside(nowNanos, report);
+        if (pollDueAt != Long.MAX_VALUE) {
+            pollDueAt = nowNanos;
+        }
+    }
+
+    private void reportChange(WorkerReport before, WorkerReport after) {
+        if (before.draining() != after.draining() || !before.capacity().equals(after.capacity())) {
+            log.workerChanged(after);
             listener.workerChanged();
         }
     }
@@ -173,16 +188,20 @@
      * @param workerId the id of the worker
      */
     public void workerLeft(long nowNanos, String workerId) {
-        if (worker.filter(w -> w.id().equals(workerId)).isEmpty()) {
-            return;
+        if (worker.left(workerId)) {
+            log.workerLeft(workerId);
+            endIncarnation(nowNanos);
+            beginSuccessor(nowNanos);
         }
-        log.workerLeft(workerId);
-        worker = Optional.empty();
-        endIncarnation(nowNanos);
+    }
+
+    private void beginSuccessor(long nowNanos) {
+        worker.successor().ifPresent(next -> beginIncarnation(nowNanos, next));
     }
 
     private void beginIncarnation(long nowNanos, WorkerReport report) {
         log.workerStarted(report, runs.size());
+        worker.begin(report);
         endIncarnation(nowNanos);
         poll(nowNanos);
     }
@@ -239,7 +258,7 @@
         runs.renumber(run, id);
         numbers.markUsed(id);
         long until = lease.renewForStart(nowNanos);
-        calls.start(worker.orElseThrow(), id, run.request().spec(), until, (now, result) -> {
+        calls.start(worker.current().orElseThrow(), id, run.request().spec(), until, (now, result) -> {
             if (runs.contains(id, run) && run.state() == Run.State.STARTING) {
                 started(now, run, result);
             }
@@ -318,7 +337,7 @@
         run.requestStop();
         run.markStopping();
         RunId id = run.id();
-        calls.stop(worker.orElseThrow(), id, (now, result) -> {
+        calls.stop(worker.current().orElseThrow(), id, (now, result) -> {
             if (runs.contains(id, run) && run.state() == Run.State.STOPPING) {
                 stopAnswered(now, run, result);
             }
@@ -347,7 +366,7 @@
      * @param nowNanos the present time
      */
     public void tick(long nowNanos) {
-        if (worker.isPresent() && pollDueAt <= nowNanos) {
+        if (worker.current().isPresent() && pollDueAt <= nowNanos) {
             poll(nowNanos);
         }
         runs.all(run -> run.isStopRetryDue(nowNanos)).forEach(run -> callStop(nowNanos, run));
@@ -357,7 +376,7 @@
 
     /** Sends a poll without waiting beside the long poll, to learn soon whether an unanswered start took effect. */
     private void pollNow(long nowNanos) {
-        calls.poll(worker.orElseThrow(), OptionalLong.empty(), acknowledged, 0, (now, result) -> {
+        calls.poll(worker.current().orElseThrow(), OptionalLong.empty(), acknowledged, 0, (now, result) -> {
             if (result instanceof PollResult.Answered answered) {
                 applySnapshot(now, nowNanos + 1, answered.snapshot());
             }
@@ -370,7 +389,11 @@
         long longest = runs.size() == 0 ? LeaseTimes.IDLE_POLL_WAIT_MILLIS : LeaseTimes.POLL_WAIT_MILLIS;
         long wait = until.isPresent() ? longest : 0;
         calls.poll(
-                worker.orElseThrow(), until, acknowledged, wait, (now, result) -> pollCompleted(now, nowNanos, result));
+                worker.current().orElseThrow(),
+                until,
+                acknowledged,
+                wait,
+                (now, result) -> pollCompleted(now, nowNanos, result));
     }
 
     private void pollCompleted(long nowNanos, long requestedAt, PollResult result) {
@@ -382,7 +405,7 @@
         } else {
             pollFailed(nowNanos, result);
         }
-        if (calls.incarnation() == incarnationBefore && worker.isPresent()) {
+        if (calls.incarnation() == incarnationBefore && worker.current().isPresent()) {
             if (result instanceof PollResult.Answered) {
                 poll(nowNanos);
             } else {
@@ -392,11 +415,14 @@
     }
 
     private void applySnapshot(long nowNanos, long requestedAt, WorkerSnapshot snapshot) {
-        long known = worker.orElseThrow().startedAtMillis();
-        if (snapshot.startedAtMillis() != 0 && snapshot.startedAtMillis() != known) {
-            workerRestarted(nowNanos, snapshot);
+        long known = worker.current().orElseThrow().startedAtMillis();
+        long listed = snapshot.startedAtMillis();
+        if (listed != 0 && listed != known) {
+            // The worker has restarted, at an earlier time of day if its machine's clock was set back.
+            beginIncarnation(nowNanos, worker.restartedAt(listed));
             return;
         }
+        worker.answered(requestedAt);
         boolean wasAvailable = availableWorker().isPresent();
         snapshot.ended().forEach(ended -> ended(nowNanos, ended));
         // Answers may arrive out of order: a run that is listed in an outdated one may have ended since.
@@ -410,16 +436,6 @@
         }
     }
 
-    /** Handles a restart of the worker under the same id, which has ended all earlier runs. */
-    private void workerRestarted(long nowNanos, WorkerSnapshot snapshot) {
-        WorkerReport old = worker.orElseThrow();
-        if (snapshot.startedAtMillis() > old.startedAtMillis()) {
-            WorkerReport next = old.restartedAt(snapshot.startedAtMillis());
-            worker = Optional.of(next);
-            beginIncarnation(nowNanos, next);
-        }
-    }
-
     private void ended(long nowNanos, WorkerSnapshot.Ended ended) {
         if (ended.number() <= acknowledged) {
             return;
@@ -447,7 +463,7 @@
                 orphans.add(id);
                 numbers.markUsed(id);
                 log.orphanFound(id);
-                calls.stop(worker.orElseThrow(), id, (now, result) -> {
+                calls.stop(worker.current().orElseThrow(), id, (now, result) -> {
                     // If the call had no effect, the next poll lists the run again.
                 });
             }
@@ -461,8 +477,12 @@
             log.workerUnresponsive(result);
             listener.workerChanged();
         }
-        if (lease.hasCertainlyExpired(nowNanos)) {
+        boolean expired = lease.hasCertainlyExpired(nowNanos);
+        if (expired) {
             runs.all(Run::hasBegun).forEach(run -> results.ended(nowNanos, run, RunOutcome.LOST));
         }
+        if (expired || result instanceof PollResult.OtherWorker) {
+            beginSuccessor(nowNanos);
+        }
     }
 }
--- a/core/src/test/java/org/teaselhook/core/lease/NoOpLeaseLog.java
+++ b/core/src/test/java/org/teaselhook/core/lease/NoOpLeaseLog.java
@@ -10,6 +10,11 @@
         // Ignored.
     }
 
+    @Override
+    public void otherIncarnationReported(WorkerReport report) {
+        // Ignored.
+    }
+
     @Override
     public void workerChanged(WorkerReport report) {
         // Ignored.
--- a/node/src/main/java/org/teaselhook/node/lease/RunLog.java
+++ b/node/src/main/java/org/teaselhook/node/lease/RunLog.java
@@ -18,6 +18,14 @@
         logLine("worker-report-late", report).info();
     }
 
+    @Override
+    public void otherIncarnationReported(WorkerReport report) {
+        logLine("worker-report-unconfirmed", report)
+                .with("service", report.service())
+                .with("address", report.address())
+                .warn();
+    }
+
     @Override
     public void workerChanged(WorkerReport report) {
         logLine("worker-changed", report).with("draining", report.draining()).info();
