--- a/core/src/main/java/org/teaselhook/core/lease/Run.java
+++ b/core/src/main/java/org/teaselhook/core/lease/Run.java
@@ -88,11 +88,6 @@
         return confirmed && requestedAt - confirmedAt > 0;
     }
 
-    /** Returns the refusal to report when the worker is lost before the run is known to have begun. */
-    RunRefusal refusalIfLost() {
-        return state == State.STARTING ? RunRefusal.NO_WORKER : RunRefusal.UNANSWERED;
-    }
-
     // -- updates
 
     void recordProgress(long nowNanos, int percentDone) {
@@ -114,6 +109,18 @@
         }
     }
 
+    /**
+     * Records that the incarnation of the worker that was told to start the run has ended, where it may have begun. It
+     * is over once the next incarnation lists its runs without it; if it is listed, it is to be stopped.
+     */
+    void incarnationEnded(long nowNanos) {
+        begun = true;
+        stopRequested = true;
+        state = State.RUNNING;
+        // The next incarnation is polled at the same time, which must count as later.
+        confirmedAt = nowNanos - 1;
+    }
+
     void requestStop() {
         stopRequested = true;
     }
--- a/core/src/main/java/org/teaselhook/core/lease/RunResults.java
+++ b/core/src/main/java/org/teaselhook/core/lease/RunResults.java
@@ -21,7 +21,7 @@
         if (run.hasBegun()) {
             listener.ended(run.request(), outcome, TimeUnit.NANOSECONDS.toMillis(nowNanos - run.orderedAt()));
         } else {
-            listener.refused(run.request(), run.refusalIfLost());
+            listener.refused(run.request(), RunRefusal.UNANSWERED);
         }
         listener.freeCapacityChanged();
     }
--- a/core/src/main/java/org/teaselhook/core/lease/WorkerRuns.java
+++ b/core/src/main/java/org/teaselhook/core/lease/WorkerRuns.java
@@ -191,6 +191,7 @@
         if (worker.left(workerId)) {
             log.workerLeft(workerId);
             endIncarnation(nowNanos);
+            runs.all().forEach(run -> results.ended(nowNanos, run, RunOutcome.LOST));
             beginSuccessor(nowNanos);
         }
     }
@@ -206,13 +207,16 @@
         poll(nowNanos);
     }
 
-    /** Ends an incarnation of the worker: all its runs have ended, and results of calls in flight are ignored. */
+    /**
+     * Ends an incarnation of the worker, and with it the runs there. A start call may still reach the next incarnation,
+     * until that has accepted a call with the higher token.
+     */
     private void endIncarnation(long nowNanos) {
         calls.beginIncarnation();
         acknowledged = 0;
         lease.reset();
         orphans.clear();
-        runs.all().forEach(run -> results.ended(nowNanos, run, RunOutcome.LOST));
+        runs.all().forEach(run -> run.incarnationEnded(nowNanos));
         listener.workerChanged();
     }
 
--- a/core/src/test/java/org/teaselhook/core/lease/WorkerEndTest.java
+++ b/core/src/test/java/org/teaselhook/core/lease/WorkerEndTest.java
@@ -138,6 +138,44 @@
         assertEquals(runs.availableWorker().orElseThrow(), report("w", 50, 1, 8_000, false));
     }
 
+    // -- runs of an incarnation that has ended
+
+    /** A start call reached the worker after its restart: the run was reported as lost while it went on. */
+    @Test
+    public void shouldStopRunWhoseStartReachedNextIncarnationOfWorker() {
+        order(2, "b");
+        worker.restart(2);
+        worker.addRun(worker.lastStart().run());
+        worker.answerPoll();
+        worker.answerPoll();
+        assertEquals(listener.all(), List.of("1 LOST"));
+        assertEquals(worker.stops().size(), 1);
+        assertEquals(worker.stops().get(0).run(), new RunId("b", 1));
+
+        worker.end(new RunId("b", 1), RunOutcome.STOPPED);
+        worker.answerPoll();
+        assertEquals(listener.all(), List.of("1 LOST", "2 STOPPED"));
+    }
+
+    /** A start that was not answered before the worker ended was reported as refused, though the run may have begun. */
+    @Test
+    public void shouldReportUnansweredStartAsLostWhenWorkerRestarts() {
+        order(2, "b");
+        worker.restart(2);
+        worker.answerPoll();
+        worker.answerPoll();
+
+        assertEquals(listener.all().stream().sorted().toList(), List.of("1 LOST", "2 LOST"));
+    }
+
+    @Test
+    public void shouldReportUnansweredStartAsLostWhenWorkerLeaves() {
+        order(2, "b");
+        runs.workerLeft(now, "w");
+
+        assertEquals(listener.all().stream().sorted().toList(), List.of("1 LOST", "2 LOST"));
+    }
+
     // -- fixture
 
     private WorkerRuns runsOn(FakeWorker calls) {
--- a/core/src/test/java/org/teaselhook/core/lease/WorkerRunsTest.java
+++ b/core/src/test/java/org/teaselhook/core/lease/WorkerRunsTest.java
@@ -193,12 +193,13 @@
         worker.restart(2);
         worker.answerPoll();
 
-        assertEquals(listener.all(), List.of("1 LOST"));
+        assertEquals(listener.all(), List.of(), "the start call may still reach the new incarnation");
         assertTrue(
                 worker.lastPoll().token() > tokenBefore,
                 "calls to the former incarnation must be ignored by the new one");
         assertFalse(runs.availableWorker().isPresent());
         worker.answerPoll();
+        assertEquals(listener.all(), List.of("1 LOST"));
         assertTrue(runs.availableWorker().isPresent());
     }
 
