--- a/core/src/main/java/org/teaselhook/core/lease/WorkerRuns.java
+++ b/core/src/main/java/org/teaselhook/core/lease/WorkerRuns.java
@@ -214,6 +214,7 @@
     private void endIncarnation(long nowNanos) {
         calls.beginIncarnation();
         acknowledged = 0;
+        pollDueAt = Long.MAX_VALUE;
         lease.reset();
         orphans.clear();
         runs.all().forEach(run -> run.incarnationEnded(nowNanos));
--- a/core/src/test/java/org/teaselhook/core/lease/WorkerEndTest.java
+++ b/core/src/test/java/org/teaselhook/core/lease/WorkerEndTest.java
@@ -176,6 +176,16 @@
         assertEquals(listener.all().stream().sorted().toList(), List.of("1 LOST", "2 LOST"));
     }
 
+    /** The retry of a poll of a worker that had left stayed due, and the control loop used a whole core. */
+    @Test
+    public void shouldNotRetryPollOfWorkerThatHasLeft() {
+        worker.missPoll();
+        assertTrue(runs.nextTickAt() < Long.MAX_VALUE);
+        runs.workerLeft(now, "w");
+
+        assertEquals(runs.nextTickAt(), Long.MAX_VALUE);
+    }
+
     // -- fixture
 
     private WorkerRuns runsOn(FakeWorker calls) {
