--- a/core/src/main/java/org/teaselhook/core/job/JobDispatcher.java
+++ b/core/src/main/java/org/teaselhook/core/job/JobDispatcher.java
@@ -211,11 +211,12 @@
      * Records that the connection of an agent is lost. Its runs may go on; the agent reports their state when it
      * reconnects.
      *
-     * @param nowNanos the present time
+     * @param lastContactAt when the last report of the agent was processed or its last heartbeat answered, whichever is
+     *     later: from then on, the agent stops the runs if it receives no further answer
      * @param agent the agent's incarnation
      */
-    public void agentDisconnected(long nowNanos, Incarnation agent) {
-        fleet.find(agent).ifPresent(WorkerRecord::disconnected);
+    public void agentDisconnected(long lastContactAt, Incarnation agent) {
+        fleet.find(agent).ifPresent(worker -> worker.disconnected(lastContactAt));
     }
 
     /**
--- a/core/src/main/java/org/teaselhook/core/job/WorkerRecord.java
+++ b/core/src/main/java/org/teaselhook/core/job/WorkerRecord.java
@@ -134,8 +134,9 @@
         preferred = newPreferred;
     }
 
-    void disconnected() {
+    void disconnected(long lastContactAt) {
         connected = false;
+        lastReportAt = Math.max(lastReportAt, lastContactAt);
         view = WorkerView.CLOSED;
         updateFree();
     }
--- a/core/src/test/java/org/teaselhook/core/job/JobDispatcherTest.java
+++ b/core/src/test/java/org/teaselhook/core/job/JobDispatcherTest.java
@@ -329,6 +329,22 @@
         assertEquals(output.lastOrder().agent(), agent(2));
     }
 
+    /** A busy entry that had answered heartbeats, but not processed them, counted runs as ended that might go on. */
+    @Test
+    public void shouldCountCertainEndFromLastHeartbeatAnswered() {
+        connectWorker(1, 10);
+        submit("a", 1, 2_000);
+        connectWorker(2, 10);
+        dispatcher.agentDisconnected(now + 600 * MILLI, agent(1));
+        now += 1_800 * MILLI;
+        dispatcher.tick(now);
+        assertEquals(output.orders().size(), 1);
+
+        now += 200 * MILLI;
+        dispatcher.tick(now);
+        assertEquals(output.orders().size(), 2);
+    }
+
     @Test
     public void shouldRunTaskAgainWhenNewIncarnationOfAgentHasOpenedItsWorker() {
         connectWorker(1, 10);
--- a/node/src/main/java/org/teaselhook/node/frame/FrameConnection.java
+++ b/node/src/main/java/org/teaselhook/node/frame/FrameConnection.java
@@ -22,6 +22,7 @@
     private final List<S> pending = new ArrayList<>();
     private volatile Optional<Channel> channel = Optional.empty();
     private volatile Optional<String> endReason = Optional.empty();
+    private volatile long lastReplyAt = Long.MIN_VALUE;
 
     FrameConnection(InetSocketAddress remote, Outbox outbox) {
         this.remote = Objects.requireNonNull(remote, "remote is null");
@@ -90,9 +91,11 @@
     /**
      * Answers a message at once, on the I/O thread that received it.
      *
+     * @param nowNanos the present time
      * @param message the answer
      */
-    public void reply(S message) {
+    public void reply(long nowNanos, S message) {
+        lastReplyAt = nowNanos;
         Optional<Channel> open = channel.filter(Channel::isWritable);
         open.ifPresent(
                 writable -> writable.writeAndFlush(FrameEncoding.encode(List.of(message)), writable.voidPromise()));
@@ -109,6 +112,15 @@
 
     // -- called on both threads
 
+    /**
+     * Returns when a message was last answered on the I/O thread.
+     *
+     * @return the time, in nanoseconds; {@link Long#MIN_VALUE} if none was
+     */
+    public long lastReplyAt() {
+        return lastReplyAt;
+    }
+
     private boolean hasEnded() {
         return endReason.isPresent();
     }
--- a/node/src/main/java/org/teaselhook/node/job/AgentStreamListener.java
+++ b/node/src/main/java/org/teaselhook/node/job/AgentStreamListener.java
@@ -37,9 +37,10 @@
 
     @Override
     public void received(FrameConnection<RunCommand> stream, List<RunReport> reports) {
-        boolean heartbeatsAnswered = control.nowNanos() - lastTickAt < CONTROL_STALL_NANOS;
+        long nowNanos = control.nowNanos();
+        boolean heartbeatsAnswered = nowNanos - lastTickAt < CONTROL_STALL_NANOS;
         if (heartbeatsAnswered) {
-            reports.forEach(report -> sessions.replyTo(report).ifPresent(stream::reply));
+            reports.forEach(report -> sessions.replyTo(report).ifPresent(pulse -> stream.reply(nowNanos, pulse)));
         }
         control.execute(() -> sessions.received(control.nowNanos(), stream, reports, heartbeatsAnswered));
     }
--- a/node/src/main/java/org/teaselhook/node/job/RunSession.java
+++ b/node/src/main/java/org/teaselhook/node/job/RunSession.java
@@ -51,8 +51,9 @@
         return lastAgentNanos;
     }
 
-    long lastStateAt() {
-        return lastStateAt;
+    /** Returns when the last state report was processed or the last heartbeat answered, whichever is later. */
+    long lastContactAt() {
+        return Math.max(lastStateAt, stream.lastReplyAt());
     }
 
     /** Converts an instant to the agent's clock; the result is never later than the true time. */
--- a/node/src/main/java/org/teaselhook/node/job/RunSessions.java
+++ b/node/src/main/java/org/teaselhook/node/job/RunSessions.java
@@ -105,12 +105,12 @@
                 .with("orders", dispatcher.ordersInProgress(session.agent()).size())
                 .warn();
         session.stream().close(reason);
-        dispatcher.agentDisconnected(nowNanos, session.agent());
+        dispatcher.agentDisconnected(session.lastContactAt(), session.agent());
     }
 
     void dropTimedOut(long nowNanos) {
         List.copyOf(sessions.values()).stream()
-                .filter(session -> nowNanos - session.lastStateAt() > AGENT_TIMEOUT_NANOS)
+                .filter(session -> nowNanos - session.lastContactAt() > AGENT_TIMEOUT_NANOS)
                 .forEach(session -> drop(nowNanos, session, "silent"));
     }
 
--- a/node/src/test/java/org/teaselhook/node/job/RunSessionTest.java
+++ b/node/src/test/java/org/teaselhook/node/job/RunSessionTest.java
@@ -14,6 +14,7 @@
 import org.teaselhook.wire.RunReport;
 import org.testng.annotations.Test;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
@@ -28,6 +29,19 @@
         assertFalse(session.repeatsSpec("one"), "the agent keeps only the last spec");
     }
 
+    /** Agents rely on the heartbeats that the I/O thread answers, however late the control thread processes them. */
+    @Test
+    public void shouldCountHeartbeatAnsweredOnIoThreadAsContact() {
+        RunSession session = session();
+        session.recordState(100, 1);
+        assertEquals(session.lastContactAt(), 100);
+
+        session.stream().reply(250, RunCommand.getDefaultInstance());
+        assertEquals(session.lastContactAt(), 250);
+        session.recordState(300, 2);
+        assertEquals(session.lastContactAt(), 300);
+    }
+
     private static RunSession session() {
         try (EventLoops loops = EventLoops.of(1);
                 ControlLoop control = ControlLoop.start("test", System::nanoTime, failure -> {})) {
