--- a/core/src/main/java/org/teaselhook/core/job/JobOutput.java
+++ b/core/src/main/java/org/teaselhook/core/job/JobOutput.java
@@ -15,7 +15,8 @@
     void order(PlacedRun run);
 
     /**
-     * Asks an agent to stop an order. The end or refusal of the order is still expected.
+     * Asks an agent to stop an order. The end or refusal of the order is still expected; until it is known, the call is
+     * repeated whenever the agent connects.
      *
      * @param agent the agent's incarnation
      * @param number the order's number
--- a/core/src/main/java/org/teaselhook/core/lease/WorkerRuns.java
+++ b/core/src/main/java/org/teaselhook/core/lease/WorkerRuns.java
@@ -317,7 +317,7 @@
      * Stops every run whose order matches.
      *
      * @param nowNanos the present time
-     * @param orders tells which orders match
+     * @param orders the condition on the order of a run
      * @return the number of runs that were not being stopped before
      */
     public int stopAll(long nowNanos, Predicate<OrderId> orders) {
--- a/core/src/test/java/org/teaselhook/core/job/RepeatedStopTest.java
+++ b/core/src/test/java/org/teaselhook/core/job/RepeatedStopTest.java
@@ -17,7 +17,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-/** A stop that was lost with its connection left a run at work, beside that of its job sent again elsewhere. */
+/** A stop that was lost with its connection left its run in progress, while the resent job ran on another worker. */
 public class RepeatedStopTest {
 
     private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
