--- a/core/src/main/java/org/teaselhook/core/lease/Run.java
+++ b/core/src/main/java/org/teaselhook/core/lease/Run.java
@@ -110,8 +110,8 @@
     }
 
     /**
-     * Records that the incarnation of the worker that was told to start the run has ended, where it may have begun. It
-     * is over once the next incarnation lists its runs without it; if it is listed, it is to be stopped.
+     * Records the end of the incarnation of the worker that the start call was sent to; the run may have begun there.
+     * It is over once the next incarnation lists its runs without it; if it is listed, it is to be stopped.
      */
     void incarnationEnded(long nowNanos) {
         begun = true;
