--- a/review/harness-2/Link.java
+++ b/review/harness-2/Link.java
@@ -99,14 +99,6 @@
         }
     }
 
-    /** Resets all connections. */
-    void reset() throws IOException {
-        for (Socket each : open) {
-            each.setSoLinger(true, 0);
-            each.close();
-        }
-    }
-
     @Override
     public void close() throws IOException {
         closed = true;
