Log runs that go on after their order was withdrawn

Nothing in the logs told a run whose stop stays unanswered from a start that is carried out late, or from a stop that the entry asked for late. The agent now writes run-not-stopped once for each run whose second stop call has failed, and the end of a withdrawn run says how long ago that was, after how many stop calls, and when the lease was renewed last. At most one more line for each run; the fields are on a line that was written before.

The stop calls move to a class of their own, RunStops, without a change of behaviour.

--- a/core/src/main/java/org/teaselhook/core/lease/LeaseLog.java
+++ b/core/src/main/java/org/teaselhook/core/lease/LeaseLog.java
@@ -73,6 +73,15 @@
      */
     void orphanFound(RunId run, long token);
 
+    /**
+     * Logs that stop calls have failed, so that a run may go on although its order was withdrawn.
+     *
+     * @param order the id of the order
+     * @param run the id of the run
+     * @param nanosSinceWithdrawal the time since the order was withdrawn, in nanoseconds
+     */
+    void stopFailed(OrderId order, RunId run, long nanosSinceWithdrawal);
+
     /**
      * Logs that missed polls have made the worker unavailable.
      *
--- a/core/src/main/java/org/teaselhook/core/lease/Run.java
+++ b/core/src/main/java/org/teaselhook/core/lease/Run.java
@@ -8,6 +8,9 @@
  */
 final class Run {
 
+    /** Failed stop calls that count as a failure of the worker: a single one may have been lost in transit. */
+    static final int FAILED_STOPS_LIMIT = 2;
+
     /** The state of a run as this agent knows it. */
     enum State {
         /** The start call is in flight. */
@@ -27,6 +30,12 @@
     private boolean begun;
     private boolean stopRequested;
     private int startCalls;
+    private int stopCalls;
+    private int failedStops;
+
+    /** When the order was withdrawn, {@link Long#MAX_VALUE} if it was not. */
+    private long withdrawnAt = Long.MAX_VALUE;
+
     private long confirmedAt;
     private long stopRetryAt = Long.MAX_VALUE;
     private long checkAt = Long.MAX_VALUE;
@@ -77,6 +86,25 @@
         return startCalls;
     }
 
+    int stopCalls() {
+        return stopCalls;
+    }
+
+    /** Counts the stop calls that were not answered, or after whose confirmation the run was still listed. */
+    int failedStops() {
+        return failedStops;
+    }
+
+    /** Whether the entry withdrew the order, or lost contact, or the task was ordered again. */
+    boolean isWithdrawn() {
+        return withdrawnAt != Long.MAX_VALUE;
+    }
+
+    /** Returns the time since the order was withdrawn, in nanoseconds; 0 if it was not. */
+    long nanosSinceWithdrawal(long nowNanos) {
+        return isWithdrawn() ? nowNanos - withdrawnAt : 0;
+    }
+
     /** Returns when the stop call is due to be retried, or {@link Long#MAX_VALUE} if no retry is scheduled. */
     long stopRetryDueAt() {
         return state == State.STOPPING ? stopRetryAt : Long.MAX_VALUE;
@@ -178,17 +206,27 @@
         confirmedAt = nowNanos - 1;
     }
 
+    /** Records that the run must end, as its task may soon run elsewhere. */
+    void withdraw(long atNanos) {
+        stopRequested = true;
+        withdrawnAt = Math.min(withdrawnAt, atNanos);
+    }
+
     void requestStop() {
         stopRequested = true;
     }
 
     void markStopping() {
+        failedStops += state == State.STOPPED ? 1 : 0;
         state = State.STOPPING;
+        stopCalls++;
         stopRetryAt = Long.MAX_VALUE;
     }
 
-    void scheduleStopRetry(long atNanos) {
-        stopRetryAt = atNanos;
+    /** Records an unanswered stop call, which is repeated at the given time. */
+    void recordUnansweredStop(long retryAt) {
+        failedStops++;
+        stopRetryAt = retryAt;
     }
 
     void markStopped(long nowNanos) {
--- a/core/src/main/java/org/teaselhook/core/lease/RunResults.java
+++ b/core/src/main/java/org/teaselhook/core/lease/RunResults.java
@@ -17,8 +17,15 @@
     }
 
     /** Reports a run whose end the worker has listed. */
-    void ended(long nowNanos, Run run, RunOutcome outcome) {
-        ended(nowNanos, run, outcome, new EndReport(run.id(), EndEvidence.LISTED_END));
+    void ended(long nowNanos, Lease lease, Run run, RunOutcome outcome) {
+        Object[] details = run.isWithdrawn()
+                ? new Object[] {
+                    "withdrawn_ms", TimeUnit.NANOSECONDS.toMillis(run.nanosSinceWithdrawal(nowNanos)),
+                    "stop_calls", run.stopCalls(),
+                    "renewed_ms", TimeUnit.NANOSECONDS.toMillis(lease.nanosSinceRenewal(nowNanos))
+                }
+                : new Object[0];
+        ended(nowNanos, run, outcome, new EndReport(run.id(), EndEvidence.LISTED_END, details));
     }
 
     /** Reports a run that is missing from a list that was requested at the given time. */
--- /dev/null
+++ b/core/src/main/java/org/teaselhook/core/lease/RunStops.java
@@ -0,0 +1,81 @@
+package org.teaselhook.core.lease;
+
+import java.util.Objects;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
+
+/**
+ * Stops runs on the worker. A stop call is repeated until the worker confirms it, and again if the run is still listed
+ * after that. Confined to the control thread.
+ */
+final class RunStops {
+
+    /** The delay before an unanswered call is retried, in ns: long enough not to overload a worker that is down. */
+    static final long RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
+
+    private final FencedCalls calls;
+    private final KnownWorker worker;
+    private final RunTable runs;
+    private final LeaseLog log;
+    private final LongConsumer fenced;
+
+    /**
+     * Creates the stops of a worker's runs.
+     *
+     * @param fenced raises the fencing token, at the time that it is given, after the worker has refused it
+     */
+    RunStops(FencedCalls calls, KnownWorker worker, RunTable runs, LeaseLog log, LongConsumer fenced) {
+        this.calls = Objects.requireNonNull(calls, "calls is null");
+        this.worker = Objects.requireNonNull(worker, "worker is null");
+        this.runs = Objects.requireNonNull(runs, "runs is null");
+        this.log = Objects.requireNonNull(log, "log is null");
+        this.fenced = Objects.requireNonNull(fenced, "fenced is null");
+    }
+
+    /** Stops a run whose order was withdrawn at the given time. */
+    void withdraw(long atNanos, Run run) {
+        run.withdraw(atNanos);
+        callIfRequested(run);
+    }
+
+    /** Calls a requested stop once the run is known to have begun: its start call is answered, or a list shows it. */
+    void callIfRequested(Run run) {
+        if (run.isStopRequested() && run.state() == Run.State.RUNNING) {
+            call(run);
+        }
+    }
+
+    void call(Run run) {
+        run.requestStop();
+        run.markStopping();
+        RunId id = run.id();
+        calls.stop(worker.current().orElseThrow(), id, (now, result) -> {
+            if (runs.contains(id, run) && run.state() == Run.State.STOPPING) {
+                answered(now, run, result);
+            }
+        });
+    }
+
+    private void answered(long nowNanos, Run run, StopResult result) {
+        switch (result) {
+            case STOPPED -> run.markStopped(nowNanos);
+            case FENCED -> {
+                fenced.accept(nowNanos);
+                call(run);
+            }
+            default -> failed(nowNanos, run);
+        }
+    }
+
+    private void failed(long nowNanos, Run run) {
+        run.recordUnansweredStop(nowNanos + RETRY_NANOS);
+        if (run.isWithdrawn() && run.failedStops() == Run.FAILED_STOPS_LIMIT) {
+            log.stopFailed(run.request().order(), run.id(), run.nanosSinceWithdrawal(nowNanos));
+        }
+    }
+
+    /** Retries unanswered calls that are due. */
+    void tick(long nowNanos) {
+        runs.all(run -> run.isStopRetryDue(nowNanos)).forEach(this::call);
+    }
+}
--- a/core/src/main/java/org/teaselhook/core/lease/WorkerRuns.java
+++ b/core/src/main/java/org/teaselhook/core/lease/WorkerRuns.java
@@ -7,7 +7,6 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
@@ -28,15 +27,13 @@
     /** The maximum number of start calls per order, each with a higher run number: jobs are resent only a few times. */
     private static final int MAX_START_CALLS = 4;
 
-    /** The delay before an unanswered call is retried, in ns: long enough not to overload a worker that is down. */
-    private static final long RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
-
     private final FencedCalls calls;
     private final RunListener listener;
     private final LeaseLog log;
     private final KnownWorker worker = new KnownWorker();
     private final RunTable runs = new RunTable();
     private final RunResults results;
+    private final RunStops stops;
     private final Orphans orphans;
     private final RunNumbers numbers = new RunNumbers();
     private final Lease lease = new Lease();
@@ -48,6 +45,7 @@
         this.listener = Objects.requireNonNull(listener, "listener is null");
         this.log = Objects.requireNonNull(log, "log is null");
         this.results = new RunResults(runs, listener);
+        this.stops = new RunStops(calls, worker, runs, log, this::fenced);
         this.orphans = new Orphans(calls, log);
     }
 
@@ -253,7 +251,7 @@
         }
         // Earlier runs of a task that is ordered again have to end first.
         List<Run> earlier = runs.all(run -> run.id().task().equals(request.run().task()));
-        earlier.forEach(run -> stop(nowNanos, run));
+        earlier.forEach(run -> stops.withdraw(nowNanos, run));
         boolean fits = earlier.isEmpty() && hasCapacityFor(request.amounts());
         return fits ? Optional.empty() : Optional.of(RunRefusal.NO_ROOM);
     }
@@ -274,10 +272,10 @@
         switch (result) {
             case STARTED -> {
                 run.markBegun(nowNanos);
-                callStopIfRequested(nowNanos, run);
+                stops.callIfRequested(run);
             }
             case OLD_RUN -> retryStart(nowNanos, run);
-            case UNKNOWN -> callStop(nowNanos, run);
+            case UNKNOWN -> stops.call(run);
             case FENCED -> {
                 results.refused(run, result);
                 fenced(nowNanos);
@@ -311,7 +309,7 @@
      * @param order the order
      */
     public void stop(long nowNanos, OrderId order) {
-        runs.find(order).ifPresent(run -> stop(nowNanos, run));
+        runs.find(order).ifPresent(run -> stops.withdraw(nowNanos, run));
     }
 
     /**
@@ -322,43 +320,10 @@
      * @return the number of runs that were not being stopped before
      */
     public int stopAll(long nowNanos, Predicate<OrderId> orders) {
-        List<Run> all = runs.all(run -> orders.test(run.request().order()) && !run.isStopRequested());
-        all.forEach(run -> stop(nowNanos, run));
-        return all.size();
-    }
-
-    private void stop(long nowNanos, Run run) {
-        run.requestStop();
-        callStopIfRequested(nowNanos, run);
-    }
-
-    /** Calls a requested stop once the run is known to have begun: its start call is answered, or a list shows it. */
-    private void callStopIfRequested(long nowNanos, Run run) {
-        if (run.isStopRequested() && run.state() == Run.State.RUNNING) {
-            callStop(nowNanos, run);
-        }
-    }
-
-    private void callStop(long nowNanos, Run run) {
-        run.requestStop();
-        run.markStopping();
-        RunId id = run.id();
-        calls.stop(worker.current().orElseThrow(), id, (now, result) -> {
-            if (runs.contains(id, run) && run.state() == Run.State.STOPPING) {
-                stopAnswered(now, run, result);
-            }
-        });
-    }
-
-    private void stopAnswered(long nowNanos, Run run, StopResult result) {
-        switch (result) {
-            case STOPPED -> run.markStopped(nowNanos);
-            case FENCED -> {
-                fenced(nowNanos);
-                callStop(nowNanos, run);
-            }
-            default -> run.scheduleStopRetry(nowNanos + RETRY_NANOS);
-        }
+        List<Run> all = runs.all(run -> orders.test(run.request().order()) && !run.isWithdrawn());
+        int running = (int) all.stream().filter(run -> !run.isStopRequested()).count();
+        all.forEach(run -> stops.withdraw(nowNanos, run));
+        return running;
     }
 
     /**
@@ -370,9 +335,9 @@
         if (worker.current().isPresent() && pollDueAt <= nowNanos) {
             poll(nowNanos);
         }
-        runs.all(run -> run.isStopRetryDue(nowNanos)).forEach(run -> callStop(nowNanos, run));
+        stops.tick(nowNanos);
         List<Run> unchecked = runs.all(run -> run.checkDueAt() <= nowNanos);
-        unchecked.forEach(run -> run.scheduleCheck(nowNanos + RETRY_NANOS));
+        unchecked.forEach(run -> run.scheduleCheck(nowNanos + RunStops.RETRY_NANOS));
         if (!unchecked.isEmpty()) {
             pollNow(nowNanos);
         }
@@ -414,7 +379,7 @@
             if (result instanceof PollResult.Answered) {
                 poll(nowNanos);
             } else {
-                pollDueAt = nowNanos + RETRY_NANOS;
+                pollDueAt = nowNanos + RunStops.RETRY_NANOS;
             }
         }
     }
@@ -450,7 +415,7 @@
         orphans.ended(ended.run());
         runs.find(ended.run()).ifPresent(run -> {
             run.markBegun(nowNanos);
-            results.ended(nowNanos, run, ended.outcome());
+            results.ended(nowNanos, lease, run, ended.outcome());
         });
     }
 
@@ -464,7 +429,7 @@
         running.forEach(listed -> runs.find(listed.run()).ifPresent(run -> {
             run.recordProgress(nowNanos, listed.percent());
             if (run.mustStopIfListed(requestedAt)) {
-                callStop(nowNanos, run);
+                stops.call(run);
             }
         }));
         orphans.reconcile(worker.current().orElseThrow(), requestedAt, runs.unknown(present));
@@ -476,7 +441,7 @@
         if (run.hasEndedIfUnlisted(requestedAt)) {
             results.unlisted(nowNanos, requestedAt, run);
         } else if (run.isMissing(requestedAt)) {
-            callStop(nowNanos, run);
+            stops.call(run);
         }
     }
 
--- a/core/src/test/java/org/teaselhook/core/lease/EndEvidenceTest.java
+++ b/core/src/test/java/org/teaselhook/core/lease/EndEvidenceTest.java
@@ -33,6 +33,20 @@
                 test.worker.answerPoll();
             }
         },
+        LISTED_AFTER_WITHDRAWAL(EndEvidence.LISTED_END, "withdrawn_ms=60 stop_calls=2 renewed_ms=20") {
+            @Override
+            void apply(EndEvidenceTest test) {
+                test.worker.accept(test.worker.lastStart());
+                test.runs.stop(test.now, new OrderId(Incarnation.of(7), 1));
+                test.worker.stops().get(0).answer().complete(StopResult.UNKNOWN);
+                test.now += 40 * MILLI;
+                test.runs.tick(test.now);
+                test.worker.answerPoll();
+                test.now += 20 * MILLI;
+                test.worker.end(new RunId("a", 3), RunOutcome.STOPPED);
+                test.worker.answerPoll();
+            }
+        },
         UNLISTED_AND_STOPPED(EndEvidence.UNLISTED_AFTER_STOP, "requested_after_us=1000000 list_ms=1") {
             @Override
             void apply(EndEvidenceTest test) {
--- a/core/src/test/java/org/teaselhook/core/lease/NoOpLeaseLog.java
+++ b/core/src/test/java/org/teaselhook/core/lease/NoOpLeaseLog.java
@@ -50,6 +50,11 @@
         // Ignored.
     }
 
+    @Override
+    public void stopFailed(OrderId order, RunId run, long nanosSinceWithdrawal) {
+        // Ignored.
+    }
+
     @Override
     public void workerUnresponsive(PollResult result) {
         // Ignored.
--- a/node/src/main/java/org/teaselhook/node/lease/RunLog.java
+++ b/node/src/main/java/org/teaselhook/node/lease/RunLog.java
@@ -1,5 +1,7 @@
 package org.teaselhook.node.lease;
 
+import java.util.concurrent.TimeUnit;
+
 import org.teaselhook.core.lease.LeaseLog;
 import org.teaselhook.core.lease.OrderId;
 import org.teaselhook.core.lease.PollResult;
@@ -81,6 +83,17 @@
                 .warn();
     }
 
+    @Override
+    public void stopFailed(OrderId order, RunId run, long nanosSinceWithdrawal) {
+        LogLine.of("run-not-stopped")
+                .with("task", run.task())
+                .with("run", run.number())
+                .with("entry", order.entry())
+                .with("order", order.number())
+                .with("withdrawn_ms", TimeUnit.NANOSECONDS.toMillis(nanosSinceWithdrawal))
+                .warn();
+    }
+
     @Override
     public void workerUnresponsive(PollResult result) {
         LogLine.of("worker-silent").with("result", result).warn();
