Let the lease of a withdrawn run expire if its stop has no effect

What callers saw: a task ran twice at the same time.

Cause: the end of a run whose order was withdrawn rested on the worker's answer to a stop alone.

The lease is now renewed only as of the first time at which an order was withdrawn whose run may go on: its stop is not confirmed, or it is listed after the confirmation. So such a run ends 695 ms after the withdrawal at the latest, whether a stop, a list or the lease ends it. Stops that are settled in time cost the other runs nothing, as the limit moves with the oldest one. The limit holds for every cause of a withdrawal (a stop of the entry, its silence, a greeting that no longer lists the order, the same task ordered again), for starts without an answer that may begin later, and for start calls as well as polls. It counts from the time-out of a silent entry even if the agent was stalled until later. After a second failed stop of a withdrawn run the worker takes no orders, and entries are told so; one lost answer does not close it. Polls keep their wait while they do not renew.

EndEvidenceTest expects renewed_ms=60 instead of 20 in the case of a withdrawn run, as the poll between no longer renews the lease.

No limit for stops that nobody asked for (a start without an answer whose order is still wanted): such a run may begin late, which is what its entry waits for.

--- a/core/src/main/java/org/teaselhook/core/lease/Lease.java
+++ b/core/src/main/java/org/teaselhook/core/lease/Lease.java
@@ -38,6 +38,11 @@
         return sealed && missedPolls < MISSED_POLLS_LIMIT;
     }
 
+    /** Whether polls may renew the lease: not after a missed one, as calls may take effect late. */
+    boolean isRenewable() {
+        return sealed && missedPolls == 0;
+    }
+
     /** Whether all runs under the lease have ended, even if the worker does not answer. */
     boolean hasCertainlyExpired(long nowNanos) {
         boolean lateRenewalExpired =
@@ -59,15 +64,21 @@
 
     // -- updates
 
-    /** Returns the new end of the lease for a start call. The worker's clock must be known. */
-    long renewForStart(long nowNanos) {
-        renewedAt = OptionalLong.of(nowNanos);
-        return clock.orElseThrow().leaseUntil(nowNanos);
+    /**
+     * Returns the end of the lease for a start call. The worker's clock must be known.
+     *
+     * @param renewalNanos the time from which the lease lasts for its full duration; an earlier one than that of the
+     *     last renewal changes nothing
+     */
+    long renewForStart(long renewalNanos) {
+        renewedAt = OptionalLong.of(Math.max(renewalNanos, renewedAt.orElse(renewalNanos)));
+        return clock.orElseThrow().leaseUntil(renewedAt.getAsLong());
     }
 
-    /** Returns the new end of the lease for a poll; empty after a missed poll, as calls may take effect late. */
-    OptionalLong renewForPoll(long nowNanos) {
-        return sealed && missedPolls == 0 ? OptionalLong.of(renewForStart(nowNanos)) : OptionalLong.empty();
+    /** Returns the end of the lease for a poll in the same way; empty if the poll must not renew the lease. */
+    OptionalLong renewForPoll(long renewalNanos) {
+        boolean isLater = renewalNanos - renewedAt.orElse(renewalNanos) >= 0;
+        return isRenewable() && isLater ? OptionalLong.of(renewForStart(renewalNanos)) : OptionalLong.empty();
     }
 
     /** Records the answer to a poll that was requested at the given time. */
--- a/core/src/main/java/org/teaselhook/core/lease/LeaseLog.java
+++ b/core/src/main/java/org/teaselhook/core/lease/LeaseLog.java
@@ -80,7 +80,7 @@
      * @param run the id of the run
      * @param nanosSinceWithdrawal the time since the order was withdrawn, in nanoseconds
      */
-    void stopFailed(OrderId order, RunId run, long nanosSinceWithdrawal);
+    void stopOverdue(OrderId order, RunId run, long nanosSinceWithdrawal);
 
     /**
      * Logs that missed polls have made the worker unavailable.
--- a/core/src/main/java/org/teaselhook/core/lease/Run.java
+++ b/core/src/main/java/org/teaselhook/core/lease/Run.java
@@ -9,7 +9,7 @@
 final class Run {
 
     /** Failed stop calls that count as a failure of the worker: a single one may have been lost in transit. */
-    static final int FAILED_STOPS_LIMIT = 2;
+    private static final int FAILED_STOPS_LIMIT = 2;
 
     /** The state of a run as this agent knows it. */
     enum State {
@@ -40,6 +40,7 @@
     private long stopRetryAt = Long.MAX_VALUE;
     private long checkAt = Long.MAX_VALUE;
     private OptionalLong unlistedSince = OptionalLong.empty();
+    private boolean listed;
     private boolean incarnationEnded;
     private int percent;
     private long progressAt;
@@ -90,16 +91,24 @@
         return stopCalls;
     }
 
-    /** Counts the stop calls that were not answered, or after whose confirmation the run was still listed. */
-    int failedStops() {
-        return failedStops;
-    }
-
     /** Whether the entry withdrew the order, or lost contact, or the task was ordered again. */
     boolean isWithdrawn() {
         return withdrawnAt != Long.MAX_VALUE;
     }
 
+    /**
+     * Returns when the order was withdrawn if the run may go on, or begin, nevertheless; {@link Long#MAX_VALUE}
+     * otherwise. A run whose stop is confirmed ends within the longest time of a stop, unless it is listed on.
+     */
+    long unsettledWithdrawalAt() {
+        return state == State.STOPPED && !listed ? Long.MAX_VALUE : withdrawnAt;
+    }
+
+    /** Whether the order was withdrawn, and several stop calls were not answered or had no effect. */
+    boolean isStopOverdue() {
+        return failedStops >= FAILED_STOPS_LIMIT && unsettledWithdrawalAt() != Long.MAX_VALUE;
+    }
+
     /** Returns the time since the order was withdrawn, in nanoseconds; 0 if it was not. */
     long nanosSinceWithdrawal(long nowNanos) {
         return isWithdrawn() ? nowNanos - withdrawnAt : 0;
@@ -166,6 +175,7 @@
 
     void recordProgress(long nowNanos, int percentDone) {
         markBegun(nowNanos);
+        listed = true;
         incarnationEnded = false;
         unlistedSince = OptionalLong.empty();
         percent = percentDone;
@@ -174,6 +184,7 @@
 
     /** Records a list, requested at the given time, that does not contain the run. */
     void recordUnlisted(long nowNanos, long requestedAt) {
+        listed = false;
         if (state == State.RUNNING && requestedAt - confirmedAt > 0 && unlistedSince.isEmpty()) {
             unlistedSince = OptionalLong.of(nowNanos);
         }
@@ -212,11 +223,8 @@
         withdrawnAt = Math.min(withdrawnAt, atNanos);
     }
 
-    void requestStop() {
-        stopRequested = true;
-    }
-
     void markStopping() {
+        stopRequested = true;
         failedStops += state == State.STOPPED ? 1 : 0;
         state = State.STOPPING;
         stopCalls++;
--- a/core/src/main/java/org/teaselhook/core/lease/RunQueue.java
+++ b/core/src/main/java/org/teaselhook/core/lease/RunQueue.java
@@ -141,12 +141,12 @@
     /**
      * Stops every run of an entry that may have terminated, and removes its orders from the queue.
      *
-     * @param nowNanos the present time
+     * @param timedOutAt when the entry timed out, in nanoseconds
      * @param entry the incarnation of the entry
      * @return the number of orders that were not being stopped before
      */
-    public int stopAll(long nowNanos, Incarnation entry) {
-        return stopAll(nowNanos, order -> order.entry().equals(entry));
+    public int stopAll(long timedOutAt, Incarnation entry) {
+        return stopAll(timedOutAt, order -> order.entry().equals(entry));
     }
 
     /**
@@ -163,9 +163,9 @@
         return stopAll(nowNanos, order -> order.entry().equals(entry) && !kept.contains(order.number()));
     }
 
-    private int stopAll(long nowNanos, Predicate<OrderId> orders) {
+    private int stopAll(long withdrawnAt, Predicate<OrderId> orders) {
         int refused = refuseWaiting(w -> orders.test(w.request().order()), RunRefusal.CANCELLED);
-        return refused + runs.stopAll(nowNanos, orders);
+        return refused + runs.stopAll(withdrawnAt, orders);
     }
 
     private int refuseWaiting(Predicate<WaitingOrder> filter, RunRefusal refusal) {
--- a/core/src/main/java/org/teaselhook/core/lease/RunStops.java
+++ b/core/src/main/java/org/teaselhook/core/lease/RunStops.java
@@ -18,36 +18,46 @@
     private final RunTable runs;
     private final LeaseLog log;
     private final LongConsumer fenced;
+    private final Runnable overdueChanged;
 
     /**
      * Creates the stops of a worker's runs.
      *
      * @param fenced raises the fencing token, at the time that it is given, after the worker has refused it
+     * @param overdueChanged called when the result of {@link RunTable#hasOverdueStop} has changed
      */
-    RunStops(FencedCalls calls, KnownWorker worker, RunTable runs, LeaseLog log, LongConsumer fenced) {
+    RunStops(
+            FencedCalls calls,
+            KnownWorker worker,
+            RunTable runs,
+            LeaseLog log,
+            LongConsumer fenced,
+            Runnable overdueChanged) {
         this.calls = Objects.requireNonNull(calls, "calls is null");
         this.worker = Objects.requireNonNull(worker, "worker is null");
         this.runs = Objects.requireNonNull(runs, "runs is null");
         this.log = Objects.requireNonNull(log, "log is null");
         this.fenced = Objects.requireNonNull(fenced, "fenced is null");
+        this.overdueChanged = Objects.requireNonNull(overdueChanged, "overdueChanged is null");
     }
 
-    /** Stops a run whose order was withdrawn at the given time. */
-    void withdraw(long atNanos, Run run) {
-        run.withdraw(atNanos);
-        callIfRequested(run);
+    /** Stops a run whose order was withdrawn at the given time, which may be before the present. */
+    void withdraw(long withdrawnAt, Run run) {
+        update(withdrawnAt, run, () -> run.withdraw(withdrawnAt));
+        callIfRequested(withdrawnAt, run);
     }
 
     /** Calls a requested stop once the run is known to have begun: its start call is answered, or a list shows it. */
-    void callIfRequested(Run run) {
+    void callIfRequested(long nowNanos, Run run) {
         if (run.isStopRequested() && run.state() == Run.State.RUNNING) {
-            call(run);
+            call(nowNanos, run);
         }
     }
 
-    void call(Run run) {
-        run.requestStop();
+    void call(long nowNanos, Run run) {
+        boolean wasOverdue = run.isStopOverdue();
         run.markStopping();
+        logIfOverdue(nowNanos, run, wasOverdue);
         RunId id = run.id();
         calls.stop(worker.current().orElseThrow(), id, (now, result) -> {
             if (runs.contains(id, run) && run.state() == Run.State.STOPPING) {
@@ -58,24 +68,33 @@
 
     private void answered(long nowNanos, Run run, StopResult result) {
         switch (result) {
-            case STOPPED -> run.markStopped(nowNanos);
+            case STOPPED -> update(nowNanos, run, () -> run.markStopped(nowNanos));
             case FENCED -> {
                 fenced.accept(nowNanos);
-                call(run);
+                call(nowNanos, run);
             }
-            default -> failed(nowNanos, run);
+            default -> update(nowNanos, run, () -> run.recordUnansweredStop(nowNanos + RETRY_NANOS));
         }
     }
 
-    private void failed(long nowNanos, Run run) {
-        run.recordUnansweredStop(nowNanos + RETRY_NANOS);
-        if (run.isWithdrawn() && run.failedStops() == Run.FAILED_STOPS_LIMIT) {
-            log.stopFailed(run.request().order(), run.id(), run.nanosSinceWithdrawal(nowNanos));
+    private void update(long nowNanos, Run run, Runnable change) {
+        boolean wasOverdue = run.isStopOverdue();
+        boolean wasAnyOverdue = runs.hasOverdueStop();
+        change.run();
+        logIfOverdue(nowNanos, run, wasOverdue);
+        if (runs.hasOverdueStop() != wasAnyOverdue) {
+            overdueChanged.run();
+        }
+    }
+
+    private void logIfOverdue(long nowNanos, Run run, boolean wasOverdue) {
+        if (run.isStopOverdue() && !wasOverdue) {
+            log.stopOverdue(run.request().order(), run.id(), run.nanosSinceWithdrawal(nowNanos));
         }
     }
 
     /** Retries unanswered calls that are due. */
     void tick(long nowNanos) {
-        runs.all(run -> run.isStopRetryDue(nowNanos)).forEach(this::call);
+        runs.all(run -> run.isStopRetryDue(nowNanos)).forEach(run -> call(nowNanos, run));
     }
 }
--- a/core/src/main/java/org/teaselhook/core/lease/RunTable.java
+++ b/core/src/main/java/org/teaselhook/core/lease/RunTable.java
@@ -65,6 +65,15 @@
                 .reduce(Long.MAX_VALUE, Math::min);
     }
 
+    /** Returns when the first order was withdrawn whose run may go on; {@link Long#MAX_VALUE} if there is none. */
+    long firstUnsettledWithdrawalAt() {
+        return byId.values().stream().mapToLong(Run::unsettledWithdrawalAt).reduce(Long.MAX_VALUE, Math::min);
+    }
+
+    boolean hasOverdueStop() {
+        return byId.values().stream().anyMatch(Run::isStopOverdue);
+    }
+
     int size() {
         return byId.size();
     }
--- a/core/src/main/java/org/teaselhook/core/lease/WorkerClock.java
+++ b/core/src/main/java/org/teaselhook/core/lease/WorkerClock.java
@@ -10,8 +10,10 @@
  */
 record WorkerClock(long millis, long receivedAt) {
 
-    long leaseUntil(long nowNanos) {
-        long elapsed = TimeUnit.NANOSECONDS.toMillis(nowNanos - receivedAt);
-        return millis + (long) (elapsed * LeaseTimes.MIN_CLOCK_RATE) + LeaseTimes.LEASE_MILLIS;
+    /** Returns the end of a lease from the given time on, which may be before the reading. */
+    long leaseUntil(long renewalNanos) {
+        long elapsed = Math.floorDiv(renewalNanos - receivedAt, TimeUnit.MILLISECONDS.toNanos(1));
+        long elapsedThere = elapsed < 0 ? elapsed : (long) (elapsed * LeaseTimes.MIN_CLOCK_RATE);
+        return millis + elapsedThere + LeaseTimes.LEASE_MILLIS;
     }
 }
--- a/core/src/main/java/org/teaselhook/core/lease/WorkerRuns.java
+++ b/core/src/main/java/org/teaselhook/core/lease/WorkerRuns.java
@@ -45,7 +45,7 @@
         this.listener = Objects.requireNonNull(listener, "listener is null");
         this.log = Objects.requireNonNull(log, "log is null");
         this.results = new RunResults(runs, listener);
-        this.stops = new RunStops(calls, worker, runs, log, this::fenced);
+        this.stops = new RunStops(calls, worker, runs, log, this::fenced, this::availabilityChanged);
         this.orphans = new Orphans(calls, log);
     }
 
@@ -71,10 +71,11 @@
     /**
      * Returns the worker if it is available for new runs.
      *
-     * @return its last report, or empty if it is unknown, unresponsive, draining or has orphans
+     * @return its last report, or empty if it is unknown, unresponsive, draining, has orphans or does not stop runs
      */
     public Optional<WorkerReport> availableWorker() {
-        return worker.current().filter(w -> lease.isHeld() && orphans.isEmpty() && !w.draining());
+        return worker.current()
+                .filter(w -> lease.isHeld() && orphans.isEmpty() && !runs.hasOverdueStop() && !w.draining());
     }
 
     /**
@@ -259,7 +260,7 @@
     private void callStart(long nowNanos, Run run, RunId id) {
         runs.renumber(run, id);
         numbers.markUsed(id);
-        long until = lease.renewForStart(nowNanos);
+        long until = lease.renewForStart(leaseRenewalTime(nowNanos));
         calls.start(worker.current().orElseThrow(), id, run.request(), until, (now, result) -> {
             if (runs.contains(id, run) && run.state() == Run.State.STARTING) {
                 started(now, run, result);
@@ -272,10 +273,10 @@
         switch (result) {
             case STARTED -> {
                 run.markBegun(nowNanos);
-                stops.callIfRequested(run);
+                stops.callIfRequested(nowNanos, run);
             }
             case OLD_RUN -> retryStart(nowNanos, run);
-            case UNKNOWN -> stops.call(run);
+            case UNKNOWN -> stops.call(nowNanos, run);
             case FENCED -> {
                 results.refused(run, result);
                 fenced(nowNanos);
@@ -284,6 +285,14 @@
         }
     }
 
+    /**
+     * Returns the time from which the lease may last for its full duration. The lease is not extended beside a
+     * withdrawn run that may go on, so that the run ends with it even if the worker does not answer stop calls.
+     */
+    private long leaseRenewalTime(long nowNanos) {
+        return Math.min(nowNanos, runs.firstUnsettledWithdrawalAt());
+    }
+
     private void retryStart(long nowNanos, Run run) {
         if (run.isStopRequested() || run.startCalls() >= MAX_START_CALLS) {
             results.refused(run, StartResult.OLD_RUN);
@@ -315,14 +324,14 @@
     /**
      * Stops every run whose order matches.
      *
-     * @param nowNanos the present time
+     * @param withdrawnAt when the orders were withdrawn, in nanoseconds; the lease is not renewed as of a later time
      * @param orders the condition on the order of a run
      * @return the number of runs that were not being stopped before
      */
-    public int stopAll(long nowNanos, Predicate<OrderId> orders) {
+    public int stopAll(long withdrawnAt, Predicate<OrderId> orders) {
         List<Run> all = runs.all(run -> orders.test(run.request().order()) && !run.isWithdrawn());
         int running = (int) all.stream().filter(run -> !run.isStopRequested()).count();
-        all.forEach(run -> stops.withdraw(nowNanos, run));
+        all.forEach(run -> stops.withdraw(withdrawnAt, run));
         return running;
     }
 
@@ -356,8 +365,8 @@
 
     private void poll(long nowNanos) {
         pollDueAt = Long.MAX_VALUE;
-        OptionalLong until = lease.renewForPoll(nowNanos);
-        long wait = until.isPresent() ? LeaseTimes.pollWaitMillis(runs.size() == 0 && orphans.isEmpty()) : 0;
+        OptionalLong until = lease.renewForPoll(leaseRenewalTime(nowNanos));
+        long wait = lease.isRenewable() ? LeaseTimes.pollWaitMillis(runs.size() == 0 && orphans.isEmpty()) : 0;
         calls.poll(
                 worker.current().orElseThrow(),
                 until,
@@ -401,11 +410,15 @@
         }
         lease.answered(nowNanos, requestedAt, snapshot.clockMillis());
         if (availableWorker().isPresent() != wasAvailable) {
-            log.availabilityChanged(availableWorker().isPresent(), orphans.size());
-            listener.workerChanged();
+            availabilityChanged();
         }
     }
 
+    private void availabilityChanged() {
+        log.availabilityChanged(availableWorker().isPresent(), orphans.size());
+        listener.workerChanged();
+    }
+
     private void ended(long nowNanos, WorkerSnapshot.Ended ended) {
         if (ended.number() <= acknowledged) {
             return;
@@ -429,7 +442,7 @@
         running.forEach(listed -> runs.find(listed.run()).ifPresent(run -> {
             run.recordProgress(nowNanos, listed.percent());
             if (run.mustStopIfListed(requestedAt)) {
-                stops.call(run);
+                stops.call(nowNanos, run);
             }
         }));
         orphans.reconcile(worker.current().orElseThrow(), requestedAt, runs.unknown(present));
@@ -441,7 +454,7 @@
         if (run.hasEndedIfUnlisted(requestedAt)) {
             results.unlisted(nowNanos, requestedAt, run);
         } else if (run.isMissing(requestedAt)) {
-            stops.call(run);
+            stops.call(nowNanos, run);
         }
     }
 
--- a/core/src/test/java/org/teaselhook/core/lease/EndEvidenceTest.java
+++ b/core/src/test/java/org/teaselhook/core/lease/EndEvidenceTest.java
@@ -33,7 +33,7 @@
                 test.worker.answerPoll();
             }
         },
-        LISTED_AFTER_WITHDRAWAL(EndEvidence.LISTED_END, "withdrawn_ms=60 stop_calls=2 renewed_ms=20") {
+        LISTED_AFTER_WITHDRAWAL(EndEvidence.LISTED_END, "withdrawn_ms=60 stop_calls=2 renewed_ms=60") {
             @Override
             void apply(EndEvidenceTest test) {
                 test.worker.accept(test.worker.lastStart());
--- a/core/src/test/java/org/teaselhook/core/lease/FakeWorker.java
+++ b/core/src/test/java/org/teaselhook/core/lease/FakeWorker.java
@@ -7,6 +7,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.stream.LongStream;
 
 /**
  * A worker whose calls are answered by the test, in any order.
@@ -25,6 +26,7 @@
             OptionalLong leaseUntil,
             long token,
             long acknowledged,
+            long waitMillis,
             CompletableFuture<PollResult> answer) {}
 
     private final List<Start> starts = new ArrayList<>();
@@ -56,7 +58,7 @@
     @Override
     public CompletionStage<PollResult> poll(
             WorkerReport worker, OptionalLong leaseUntilMillis, long token, long acknowledged, long waitMillis) {
-        Poll poll = new Poll(worker, leaseUntilMillis, token, acknowledged, new CompletableFuture<>());
+        Poll poll = new Poll(worker, leaseUntilMillis, token, acknowledged, waitMillis, new CompletableFuture<>());
         polls.add(poll);
         return poll.answer();
     }
@@ -92,11 +94,24 @@
         running.add(run);
     }
 
+    /** Returns the end of the lease that starts and polls have asked for, on this worker's clock; 0 if none has. */
+    long leaseUntilMillis() {
+        return LongStream.concat(
+                        starts.stream().mapToLong(Start::leaseUntil),
+                        polls.stream().map(Poll::leaseUntil).flatMapToLong(OptionalLong::stream))
+                .max()
+                .orElse(0);
+    }
+
     /** Leaves a run out of lists although it has not ended. */
     void unlist(RunId run) {
         running.remove(run);
     }
 
+    boolean isRunning(RunId run) {
+        return running.contains(run);
+    }
+
     void end(RunId run, RunOutcome outcome) {
         running.remove(run);
         long number = ended.size() + 1;
@@ -114,6 +129,11 @@
         answer(lastPoll());
     }
 
+    /** Answers the polls that are in flight with the present runs. */
+    void answerPolls() {
+        polls.stream().filter(poll -> !poll.answer().isDone()).toList().forEach(this::answer);
+    }
+
     void answer(Poll poll) {
         poll.answer().complete(new PollResult.Answered(snapshot()));
     }
@@ -129,6 +149,10 @@
         return new WorkerSnapshot(startedAtMillis, clockMillis, listed, unacknowledged);
     }
 
+    long clockMillis() {
+        return clockMillis;
+    }
+
     void advance(long millis) {
         clockMillis += millis;
     }
--- a/core/src/test/java/org/teaselhook/core/lease/NoOpLeaseLog.java
+++ b/core/src/test/java/org/teaselhook/core/lease/NoOpLeaseLog.java
@@ -51,7 +51,7 @@
     }
 
     @Override
-    public void stopFailed(OrderId order, RunId run, long nanosSinceWithdrawal) {
+    public void stopOverdue(OrderId order, RunId run, long nanosSinceWithdrawal) {
         // Ignored.
     }
 
--- a/node/src/main/java/org/teaselhook/node/lease/LeaseAgentControl.java
+++ b/node/src/main/java/org/teaselhook/node/lease/LeaseAgentControl.java
@@ -444,8 +444,10 @@
 
     void stopRunsOfSilentEntries(long nowNanos) {
         now = nowNanos;
+        // This thread may have been stalled; leases must not be renewed as of a time after the time-out.
+        long timedOutAt = Math.min(nowNanos, silenceCheckDueAt());
         for (Incarnation entry : failureDetector.removeTimedOut(nowNanos)) {
-            int stopped = queue.stopAll(nowNanos, entry);
+            int stopped = queue.stopAll(timedOutAt, entry);
             LogLine.of("entry-silent")
                     .with("entry", entry)
                     .with("stopped", stopped)
--- a/node/src/main/java/org/teaselhook/node/lease/RunLog.java
+++ b/node/src/main/java/org/teaselhook/node/lease/RunLog.java
@@ -84,7 +84,7 @@
     }
 
     @Override
-    public void stopFailed(OrderId order, RunId run, long nanosSinceWithdrawal) {
+    public void stopOverdue(OrderId order, RunId run, long nanosSinceWithdrawal) {
         LogLine.of("run-not-stopped")
                 .with("task", run.task())
                 .with("run", run.number())
--- a/node/src/test/java/org/teaselhook/node/lease/LeaseAgentControlTest.java
+++ b/node/src/test/java/org/teaselhook/node/lease/LeaseAgentControlTest.java
@@ -42,12 +42,14 @@
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 public class LeaseAgentControlTest {
 
     private static final InetSocketAddress ADDRESS = new InetSocketAddress("127.0.0.1", 1);
     private static final InetSocketAddress OTHER_ADDRESS = new InetSocketAddress("127.0.0.1", 2);
     private static final Incarnation ENTRY = Incarnation.of(7);
+    private static final long CLOCK_MILLIS = 5_000;
 
     private final List<FrameConnection<RunReport>> streams = new ArrayList<>();
     private long now;
@@ -70,7 +72,7 @@
         agent.attachRuns(WorkerRuns.of(1, worker, control, agent, new RunLog()));
         ResourceAmounts capacity = ResourceAmounts.of(4_000, 1_000, 0);
         agent.workerReported(new WorkerReport("w", 1, 1, "s", ADDRESS, "z", capacity, List.of(), false), now);
-        worker.poll.complete(new PollResult.Answered(new WorkerSnapshot(1, 5_000, List.of(), List.of())));
+        worker.poll.complete(new PollResult.Answered(new WorkerSnapshot(1, CLOCK_MILLIS, List.of(), List.of())));
         links.addAddresses(List.of(ADDRESS), now);
         links.tick(now);
         receive(greeting(List.of()), order(1, "a"), order(2, "b"), order(3, "c"));
@@ -121,6 +123,18 @@
         assertEquals(worker.stopsBeforePoll, 3);
     }
 
+    /** A stalled agent renewed the lease beside unanswered stops as of the end of its stall, not of the time-out. */
+    @Test
+    public void shouldNotRenewLeaseAsOfLaterTimeThanTimeoutOfSilentEntry() {
+        worker.stopResult = StopResult.UNKNOWN;
+        now += TimeUnit.MILLISECONDS.toNanos(LeaseTimes.ENTRY_TIMEOUT_MILLIS + 250);
+        answerPoll(CLOCK_MILLIS + LeaseTimes.ENTRY_TIMEOUT_MILLIS + 250);
+        assertEquals(Set.copyOf(worker.stops), Set.of("a", "b", "c"));
+
+        long latestEnd = CLOCK_MILLIS + LeaseTimes.ENTRY_TIMEOUT_MILLIS + LeaseTimes.LEASE_MILLIS;
+        assertTrue(worker.leaseUntilMillis <= latestEnd, worker.leaseUntilMillis + " > " + latestEnd);
+    }
+
     /** An order that was overtaken by the greeting on a newer connection began after the entry had ordered it again. */
     @Test
     public void shouldNotStartOrderThatWasReportedAsNeverArrived() {
@@ -153,10 +167,14 @@
     // -- fixture
 
     private void answerPoll() {
+        answerPoll(CLOCK_MILLIS);
+    }
+
+    private void answerPoll(long clockMillis) {
         List<WorkerSnapshot.Running> running = Stream.of("a", "b", "c")
                 .map(task -> new WorkerSnapshot.Running(new RunId(task, 1), 50))
                 .toList();
-        worker.poll.complete(new PollResult.Answered(new WorkerSnapshot(1, 5_000, running, List.of())));
+        worker.poll.complete(new PollResult.Answered(new WorkerSnapshot(1, clockMillis, running, List.of())));
     }
 
     private FrameConnection<RunReport> dial(InetSocketAddress address) {
@@ -218,6 +236,8 @@
         private final List<String> starts = new ArrayList<>();
         private final List<String> stops = new ArrayList<>();
         private CompletableFuture<PollResult> poll;
+        private StopResult stopResult = StopResult.STOPPED;
+        private long leaseUntilMillis;
         private int stopsBeforePoll;
 
         @Override
@@ -230,7 +250,7 @@
         @Override
         public CompletionStage<StopResult> stop(WorkerReport worker, RunId run, long token) {
             stops.add(run.task());
-            return CompletableFuture.completedFuture(StopResult.STOPPED);
+            return CompletableFuture.completedFuture(stopResult);
         }
 
         @Override
@@ -238,6 +258,7 @@
                 WorkerReport worker, OptionalLong leaseUntilMillis, long token, long acknowledged, long waitMillis) {
             poll = new CompletableFuture<>();
             stopsBeforePoll = stops.size();
+            this.leaseUntilMillis = Math.max(this.leaseUntilMillis, leaseUntilMillis.orElse(0));
             return poll;
         }
     }
