Let the lease of orphans expire if their stops have no effect

What callers may have seen: a task ran on after the agent of its worker was lost, beside its copy elsewhere. The next agent finds the run of its predecessor in the first list and stops it; where the stop stays unanswered, its second poll renewed the lease that the predecessor had left to expire, and so did each one after it.

The lease is not renewed while an orphan has not ended. The worker takes no orders then, so that there is nothing else to keep. For the same reason a start call that was refused for its run number is not repeated while the worker takes no orders; it was the one start that could still extend a lease then.

--- a/core/src/main/java/org/teaselhook/core/lease/WorkerRuns.java
+++ b/core/src/main/java/org/teaselhook/core/lease/WorkerRuns.java
@@ -298,6 +298,8 @@
             results.refused(run, StartResult.OLD_RUN);
         } else if (nowNanos - run.request().startBy() > 0) {
             results.refused(run, StartResult.OLD_RUN, RunRefusal.START_BY_PASSED);
+        } else if (availableWorker().isEmpty()) {
+            results.refused(run, StartResult.OLD_RUN, RunRefusal.NO_WORKER);
         } else {
             callStart(nowNanos, run, run.id().next());
         }
@@ -365,7 +367,8 @@
 
     private void poll(long nowNanos) {
         pollDueAt = Long.MAX_VALUE;
-        OptionalLong until = lease.renewForPoll(leaseRenewalTime(nowNanos));
+        // The lease may be all that ends orphans, as stop calls may stay unanswered.
+        OptionalLong until = orphans.isEmpty() ? lease.renewForPoll(leaseRenewalTime(nowNanos)) : OptionalLong.empty();
         long wait = lease.isRenewable() ? LeaseTimes.pollWaitMillis(runs.size() == 0 && orphans.isEmpty()) : 0;
         calls.poll(
                 worker.current().orElseThrow(),
--- a/core/src/test/java/org/teaselhook/core/lease/OrphansTest.java
+++ b/core/src/test/java/org/teaselhook/core/lease/OrphansTest.java
@@ -78,6 +78,20 @@
         assertEquals(worker.stops().size(), 3);
     }
 
+    /** A new agent renewed the lease of runs whose stops were not answered, while their tasks started elsewhere. */
+    @Test
+    public void shouldNotRenewLeaseUntilOrphanHasEnded() {
+        for (int polls = 0; polls < 50; polls++) {
+            worker.stops().get(worker.stops().size() - 1).answer().complete(StopResult.UNKNOWN);
+            listAfter(LeaseTimes.POLL_WAIT_MILLIS);
+            assertEquals(worker.leaseUntilMillis(), 0, "poll " + polls);
+        }
+
+        worker.end(ORPHAN, RunOutcome.LOST);
+        listAfter(1);
+        assertTrue(worker.lastPoll().leaseUntil().isPresent());
+    }
+
     // -- fixture
 
     private void listAfter(long millis) {
--- a/core/src/test/java/org/teaselhook/core/lease/UnansweredStopTest.java
+++ b/core/src/test/java/org/teaselhook/core/lease/UnansweredStopTest.java
@@ -148,6 +148,22 @@
         assertTrue(worker.leaseUntilMillis() <= withdrawnAtMillis + LeaseTimes.LEASE_MILLIS);
     }
 
+    /** A start call that reaches the next incarnation begins a run there, which may outlive its stops as well. */
+    @Test
+    public void shouldNotRenewLeaseOfWithdrawnRunOnNextIncarnation() {
+        order(id(1), "a");
+        worker.accept(worker.lastStart());
+        pass(300);
+        long withdrawnAtMillis = worker.clockMillis();
+        runs.stop(now, id(1));
+        worker.restart(2);
+        worker.addRun(new RunId("a", 1));
+        pass(3_000);
+
+        assertTrue(worker.leaseUntilMillis() <= withdrawnAtMillis + LeaseTimes.LEASE_MILLIS);
+        assertEquals(listener.all(), List.of());
+    }
+
     @Test
     public void shouldPollWithWaitWhileLeaseIsNotRenewed() {
         order(id(1), "a");
@@ -229,6 +245,18 @@
         assertTrue(runs.availableWorker().isPresent());
     }
 
+    @Test
+    public void shouldNotRepeatRefusedStartWhileStopsFail() {
+        order(id(1), "a");
+        worker.accept(worker.lastStart());
+        order(id(2), "b");
+        runs.stop(now, id(1));
+        failStops(2);
+        worker.lastStart().answer().complete(StartResult.OLD_RUN);
+
+        assertEquals(listener.all(), List.of("2 NO_WORKER"));
+    }
+
     /** A start that nobody has withdrawn may be carried out late; its stop calls do not concern the other runs. */
     @Test
     public void shouldKeepWorkerWhileStopsOfUnansweredStartFail() {
