--- a/core/src/test/java/org/teaselhook/core/lease/UnansweredStopTest.java
+++ b/core/src/test/java/org/teaselhook/core/lease/UnansweredStopTest.java
@@ -127,6 +127,7 @@
         for (int second = 0; second < 13; second++) {
             pass(1_000);
             order(id(10 + second), "b" + second);
+            withdrawal.apply(this);
         }
         assertTrue(
                 worker.leaseUntilMillis() <= withdrawnAtMillis + LeaseTimes.LEASE_MILLIS,
